--- /dev/null
+++ b/coordination/duty/duty.go
@@ -0,0 +1,62 @@
+// Package duty decides which daemon carries a duty, such as scheduling the
+// slots of one upstream.
+//
+// A duty goes to the usable member with the highest rendezvous score for the
+// duty's name, so that a member that comes or goes moves only its own duties.
+// Members of the duty's region come first, so that a cut between two regions
+// does not give a duty a second holder that can still reach its upstream.
+package duty
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"bilberrytiller.example/tiller/coordination/membership"
+)
+
+// Holder returns the member that carries the named duty in a region, and
+// false if no member is usable. An empty region prefers no member.
+func Holder(view *membership.View, name, region string) (membership.Member, bool) {
+	var best membership.Member
+	var bestScore score
+	found := false
+	for _, m := range view.Members() {
+		if !m.Usable() {
+			continue
+		}
+		s := scoreOf(m, name, region)
+		if !found || s.above(bestScore) {
+			best, bestScore, found = m, s, true
+		}
+	}
+	return best, found
+}
+
+type score struct {
+	nearness int
+	hash     uint64
+}
+
+func (s score) above(o score) bool {
+	if s.nearness != o.nearness {
+		return s.nearness > o.nearness
+	}
+	return s.hash > o.hash
+}
+
+func scoreOf(m membership.Member, name, region string) score {
+	nearness := 0
+	if region != "" && m.Region == region {
+		nearness = 1
+	}
+	return score{nearness: nearness, hash: hash(m.ID, name)}
+}
+
+func hash(member, name string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	// Writes to a Digest never fail.
+	_, _ = d.WriteString(member)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
--- /dev/null
+++ b/daemon/callers.go
@@ -0,0 +1,227 @@
+package daemon
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"bilberrytiller.example/tiller/coordination/membership"
+	"bilberrytiller.example/tiller/coordination/placement"
+	"bilberrytiller.example/tiller/protocol/callerapi"
+	"bilberrytiller.example/tiller/state/catalogue"
+	"bilberrytiller.example/tiller/state/request"
+)
+
+// MaxRequestBytes is the largest body that is taken from a caller.
+const MaxRequestBytes = 1 << 20
+
+// maxDeadline bounds the deadline that a caller may ask for.
+const maxDeadline = catalogue.MaxDeadline
+
+func (d *Daemon) callerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+callerapi.PathLookup, d.handleLookup)
+	mux.HandleFunc("POST "+callerapi.PathRun+"{service}", d.handleRun)
+	mux.HandleFunc("POST "+callerapi.PathRun+"{service}/{path...}", d.handleRun)
+	return mux
+}
+
+func (d *Daemon) handleLookup(w http.ResponseWriter, r *http.Request) {
+	d.metrics.lookups.Add(1)
+	set := d.catalogue.Load()
+	service := set.Service(r.URL.Query().Get("service"))
+	if service == nil {
+		writeAnswer(w, d.self.ID, "", "", request.Refuse(request.ReasonUnknownService, r.URL.Query().Get("service")))
+		return
+	}
+	hosts := placement.Hosts(set, d.view.Load())
+	lookup, err := d.lookup(set, service, hosts)
+	if err != nil {
+		writeAnswer(w, d.self.ID, "", "", request.Refuse(request.ReasonStopping, err.Error()))
+		return
+	}
+	d.logLookup(r, service, hosts)
+	writeJSON(w, http.StatusOK, lookup)
+}
+
+func (d *Daemon) lookup(set *catalogue.Set, service *catalogue.Service, hosts []membership.Member) (callerapi.Lookup, error) {
+	out := callerapi.Lookup{
+		Service: service.Name,
+		Version: uint64(set.Version),
+		TTLMs:   d.settings.LookupTTL.Milliseconds(),
+		Hosts:   []callerapi.Host{},
+	}
+	for _, m := range hosts {
+		out.Hosts = append(out.Hosts, callerapi.Host{ID: m.ID, Address: m.Caller.String(), DataCentre: m.DataCentre, Region: m.Region})
+	}
+	if service.Class.Idempotent || len(hosts) == 0 {
+		return out, nil
+	}
+	key, err := d.issuer.Issue(hosts[0].Incarnation, time.Now().Add(d.settings.KeyTTL))
+	if err != nil {
+		return out, err
+	}
+	out.Key = key.String()
+	out.KeyExpires = key.Expires
+	return out, nil
+}
+
+func (d *Daemon) logLookup(r *http.Request, service *catalogue.Service, hosts []membership.Member) {
+	ids := make([]string, 0, len(hosts))
+	for _, m := range hosts {
+		ids = append(ids, m.ID)
+	}
+	d.log.Info().Str("event", "lookup.decision").Str("caller", callerOf(r)).Str("service", service.Name).
+		Str("hosts", strings.Join(ids, ",")).Str("reason", "nearest-alive").Send()
+}
+
+func (d *Daemon) handleRun(w http.ResponseWriter, r *http.Request) {
+	defer d.inFlight.begin()()
+	req, err := newRequest(w, r)
+	if err != nil {
+		d.finish(w, req, refuseRequest(err))
+		return
+	}
+	d.finish(w, req, d.serve(r.Context(), req))
+}
+
+func (d *Daemon) finish(w http.ResponseWriter, req *request.Request, answer request.Answer) {
+	d.metrics.outcomes[answer.Outcome].Add(1)
+	freshKey := ""
+	if answer.Reason == request.ReasonKeyRequired {
+		freshKey = d.ownKey()
+	}
+	writeAnswer(w, d.self.ID, req.ID, freshKey, answer)
+}
+
+// ownKey returns a key that this daemon owns, or "".
+func (d *Daemon) ownKey() string {
+	if d.leaving.Load() {
+		return ""
+	}
+	key, err := d.issuer.Issue(d.self.Incarnation, time.Now().Add(d.settings.KeyTTL))
+	if err != nil {
+		return ""
+	}
+	return key.String()
+}
+
+// HeaderError names a request header with a wrong value.
+type HeaderError struct {
+	Header string
+	Err    error
+}
+
+func (e *HeaderError) Error() string { return fmt.Sprintf("header %s: %v", e.Header, e.Err) }
+
+// Unwrap returns the cause.
+func (e *HeaderError) Unwrap() error { return e.Err }
+
+var errDeadline = errors.New("want milliseconds above 0")
+
+// newRequest reads a caller's request. The request it returns has an ID also
+// when err is not nil.
+func newRequest(w http.ResponseWriter, r *http.Request) (*request.Request, error) {
+	req := &request.Request{
+		ID:      rand.Text(),
+		Key:     r.Header.Get(callerapi.HeaderKey),
+		Service: r.PathValue("service"),
+		Caller:  callerOf(r),
+		Method:  r.Method,
+		Path:    r.PathValue("path"),
+		Header:  forwarded(r.Header),
+	}
+	if r.URL.RawQuery != "" {
+		req.Path += "?" + r.URL.RawQuery
+	}
+	if text := r.Header.Get(callerapi.HeaderDeadline); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms <= 0 {
+			return req, &HeaderError{Header: callerapi.HeaderDeadline, Err: errDeadline}
+		}
+		left := min(time.Duration(ms)*time.Millisecond, maxDeadline)
+		req.Deadline = time.Now().Add(left)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxRequestBytes))
+	if err != nil {
+		return req, fmt.Errorf("body: %w", err)
+	}
+	req.Body = body
+	return req, nil
+}
+
+func refuseRequest(err error) request.Answer {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return request.Refuse(request.ReasonTooLarge, err.Error())
+	}
+	return request.Refuse(request.ReasonBadRequest, err.Error())
+}
+
+// hopHeaders concern one connection or the system itself and are not passed
+// on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Content-Length", "Host", callerapi.HeaderKey, callerapi.HeaderDeadline, callerapi.HeaderRequestID,
+}
+
+func forwarded(h http.Header) http.Header {
+	out := maps.Clone(h)
+	maps.DeleteFunc(out, func(name string, _ []string) bool { return slices.Contains(hopHeaders, name) })
+	return out
+}
+
+func callerOf(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+func writeAnswer(w http.ResponseWriter, host, id, freshKey string, answer request.Answer) {
+	h := w.Header()
+	for name, values := range forwarded(answer.Header) {
+		h[name] = values
+	}
+	h.Set(callerapi.HeaderRequestID, id)
+	h.Set(callerapi.HeaderOutcome, string(answer.Outcome))
+	h.Set(callerapi.HeaderReason, string(answer.Reason))
+	h.Set(callerapi.HeaderHost, host)
+	if answer.Upstream != "" {
+		h.Set(callerapi.HeaderUpstream, answer.Upstream)
+	}
+	if answer.Outcome == request.Done {
+		h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+		w.WriteHeader(answer.Status)
+		_, _ = w.Write(answer.Body)
+		return
+	}
+	if freshKey != "" {
+		h.Set(callerapi.HeaderKey, freshKey)
+	}
+	writeJSON(w, callerapi.Status(answer.Outcome, answer.Reason), callerapi.Failure{
+		Outcome: answer.Outcome, Reason: answer.Reason, Detail: answer.Detail, RequestID: id, Key: freshKey,
+	})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)+1))
+	w.WriteHeader(status)
+	_, _ = w.Write(append(body, '\n'))
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,248 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"bilberrytiller.example/tiller/coordination/membership"
+	"bilberrytiller.example/tiller/coordination/permit"
+	"bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/state/catalogue"
+	"bilberrytiller.example/tiller/transport/peer"
+	"bilberrytiller.example/tiller/transport/platformhttp"
+)
+
+const (
+	headerTimeout    = 5 * time.Second
+	readTimeout      = 30 * time.Second
+	idleTimeout      = 2 * time.Minute
+	maxHeaderBytes   = 16 << 10
+	maxKeys          = 100_000
+	incarnationBytes = 8
+)
+
+// Daemon is the daemon of one entry host.
+type Daemon struct {
+	settings Settings
+	log      zerolog.Logger
+	self     membership.Member
+	metrics  *metrics
+
+	platform  platform.Client
+	peers     *peer.Client
+	peerServe *peer.Server
+	auth      *peer.Auth
+
+	catalogue atomic.Pointer[catalogue.Set]
+	view      atomic.Pointer[membership.View]
+
+	issuer  *permit.Issuer
+	keys    *permit.Table
+	holders *holders
+	loads   *loads
+
+	listeners listeners
+	// inFlight counts callers' requests that are being served.
+	inFlight inFlight
+	leaving  atomic.Bool
+}
+
+type listeners struct {
+	caller, peer, operator net.Listener
+}
+
+// New returns a daemon that listens but serves nothing until Run.
+func New(settings Settings, log zerolog.Logger) (*Daemon, error) {
+	if err := settings.Check(); err != nil {
+		return nil, err
+	}
+	incarnation, err := newIncarnation()
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		settings: settings,
+		log:      log.With().Str("host", settings.HostID).Logger(),
+		metrics:  newMetrics(),
+		platform: platformhttp.New(settings.Platform),
+		auth:     peer.NewAuth(settings.HostID, []byte(settings.Secret)),
+		issuer:   permit.NewIssuer([]byte(settings.Secret), rand.Reader),
+		keys:     permit.NewTable(maxKeys),
+		loads:    newLoads(),
+	}
+	d.peerServe = peer.NewServer(d.auth, d.log)
+	d.holders = newHolders(d.log)
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	d.self = membership.Member{
+		ID:          settings.HostID,
+		Incarnation: incarnation,
+		DataCentre:  settings.DataCentre,
+		Region:      settings.Region,
+		Peer:        advertised(settings.PeerAdvertise, d.listeners.peer),
+		Caller:      advertised(settings.CallerAdvertise, d.listeners.caller),
+	}
+	d.peers = peer.NewClient(d.auth, addrOf(d.listeners.peer).Addr())
+	d.catalogue.Store(catalogue.Empty())
+	d.view.Store(membership.NewView(d.self, []membership.Member{d.self}))
+	d.registerCalls()
+	return d, nil
+}
+
+// CallerAddr is where the daemon takes callers.
+func (d *Daemon) CallerAddr() netip.AddrPort { return addrOf(d.listeners.caller) }
+
+// PeerAddr is where the daemon takes peers.
+func (d *Daemon) PeerAddr() netip.AddrPort { return addrOf(d.listeners.peer) }
+
+// OperatorAddr is where the daemon takes operators.
+func (d *Daemon) OperatorAddr() netip.AddrPort { return addrOf(d.listeners.operator) }
+
+// Run serves until ctx ends, then stops gracefully within the stop timeout.
+// It returns a *CutError if the timeout cut requests in flight.
+func (d *Daemon) Run(ctx context.Context) error {
+	servers := d.servers()
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	var group errgroup.Group
+	for _, s := range servers {
+		group.Go(func() error { return serve(s.server, s.listener) })
+	}
+	group.Go(func() error { return d.followCatalogue(background) })
+	group.Go(func() error { return d.followHosts(background) })
+	d.log.Info().Str("event", "daemon.ready").Str("incarnation", d.self.Incarnation).
+		Stringer("caller", d.CallerAddr()).Stringer("peer", d.PeerAddr()).Stringer("operator", d.OperatorAddr()).Send()
+	<-ctx.Done()
+	err := d.stop(servers)
+	stopBackground()
+	d.peers.Close()
+	return errors.Join(err, group.Wait())
+}
+
+// CutError says that a graceful stop ran out of time.
+type CutError struct{ After time.Duration }
+
+func (e *CutError) Error() string {
+	return fmt.Sprintf("requests were still in flight after %v", e.After)
+}
+
+// stop takes the daemon out of look-ups, serves callers that hold one until
+// it has expired, and waits for the requests in flight.
+func (d *Daemon) stop(servers []server) error {
+	d.leaving.Store(true)
+	d.log.Info().Str("event", "daemon.leaving").Send()
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopTimeout)
+	defer cancel()
+	sleep(ctx, d.settings.LookupTTL)
+	idle := make(chan struct{})
+	go func() {
+		d.inFlight.wait.Wait()
+		close(idle)
+	}()
+	var err error
+	select {
+	case <-idle:
+	case <-ctx.Done():
+		err = &CutError{After: d.settings.StopTimeout}
+	}
+	for _, s := range servers {
+		_ = s.server.Close()
+	}
+	d.log.Info().Str("event", "daemon.stopped").Bool("cut", err != nil).Send()
+	return err
+}
+
+type server struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (d *Daemon) servers() []server {
+	return []server{
+		{newServer(d.callerHandler()), d.listeners.caller},
+		{newServer(d.peerHandler()), d.listeners.peer},
+		{newServer(d.operatorHandler()), d.listeners.operator},
+	}
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", l.Addr(), err)
+	}
+	return nil
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	if d.listeners.caller, err = listen("caller-listen", d.settings.CallerListen); err != nil {
+		return err
+	}
+	if d.listeners.peer, err = listen("peer-listen", d.settings.PeerListen); err != nil {
+		return err
+	}
+	d.listeners.operator, err = listen("operator-listen", d.settings.OperatorListen)
+	return err
+}
+
+func listen(flag, addr string) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, settingError(flag, addr, "a free address of this host", err)
+	}
+	return l, nil
+}
+
+func addrOf(l net.Listener) netip.AddrPort {
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// advertised returns the address in text, which Check has found valid, or
+// else the address listened on.
+func advertised(text string, l net.Listener) netip.AddrPort {
+	if addr, err := netip.ParseAddrPort(text); err == nil {
+		return addr
+	}
+	return addrOf(l)
+}
+
+func newIncarnation() (string, error) {
+	b := make([]byte, incarnationBytes)
+	if _, err := rand.Read(b); err != nil {
+		return "", fmt.Errorf("incarnation: %w", err)
+	}
+	return hex.EncodeToString(b), nil
+}
+
+// sleep waits for a time, or until ctx ends and then returns false.
+func sleep(ctx context.Context, t time.Duration) bool {
+	timer := time.NewTimer(t)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/daemon/metrics.go
@@ -0,0 +1,40 @@
+package daemon
+
+import (
+	"expvar"
+
+	"bilberrytiller.example/tiller/state/request"
+)
+
+// metrics are the daemon's counters and gauges. docs/OPERATIONS.md lists
+// them with their units.
+type metrics struct {
+	all              *expvar.Map
+	lookups          *expvar.Int
+	outcomes         map[request.Outcome]*expvar.Int
+	catalogueVersion *expvar.Int
+	catalogueInvalid *expvar.Int
+	members          *expvar.Int
+}
+
+func newMetrics() *metrics {
+	m := &metrics{all: new(expvar.Map), outcomes: map[request.Outcome]*expvar.Int{}}
+	m.lookups = m.counter("lookups")
+	m.catalogueVersion = m.counter("catalogue_version")
+	m.catalogueInvalid = m.counter("catalogue_invalid")
+	m.members = m.counter("members")
+	for outcome, name := range map[request.Outcome]string{
+		request.Done:    "requests_done",
+		request.NotRun:  "requests_not_run",
+		request.Unknown: "requests_unknown",
+	} {
+		m.outcomes[outcome] = m.counter(name)
+	}
+	return m
+}
+
+func (m *metrics) counter(name string) *expvar.Int {
+	v := new(expvar.Int)
+	m.all.Set(name, v)
+	return v
+}
--- /dev/null
+++ b/daemon/peers.go
@@ -0,0 +1,39 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"bilberrytiller.example/tiller/protocol/wire"
+	"bilberrytiller.example/tiller/transport/peer"
+)
+
+// registerCalls names the handler of each call that peers may make.
+func (d *Daemon) registerCalls() {
+	peer.Handle(d.peerServe, wire.TypeHello, d.answerHello)
+	peer.Handle(d.peerServe, wire.TypeRun, d.answerRun)
+	peer.Handle(d.peerServe, wire.TypeDispatch, d.answerDispatch)
+}
+
+func (d *Daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, d.peerServe)
+	return mux
+}
+
+// answerRun runs a request whose key this daemon owns.
+func (d *Daemon) answerRun(ctx context.Context, _ string, in *wire.Run) (*wire.Answered, error) {
+	defer d.inFlight.begin()()
+	req := in.Request.Open(time.Now())
+	return &wire.Answered{Answer: d.runOwned(ctx, req)}, nil
+}
+
+// answerDispatch runs a request on an upstream whose slots this daemon holds.
+func (d *Daemon) answerDispatch(ctx context.Context, _ string, in *wire.Dispatch) (*wire.Answered, error) {
+	defer d.inFlight.begin()()
+	req := in.Request.Open(time.Now())
+	answer := d.dispatchHere(ctx, in.Upstream, req)
+	load := d.holders.load(in.Upstream)
+	return &wire.Answered{Answer: answer, Load: wire.Load{InUse: load.InUse, Waiting: load.Waiting}}, nil
+}
--- /dev/null
+++ b/protocol/wire/wire.go
@@ -0,0 +1,137 @@
+// Package wire defines the messages that daemons exchange. Each message is
+// one CBOR envelope in one binary WebSocket frame.
+package wire
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bilberrytiller.example/tiller/state/request"
+)
+
+// Version is the version of the envelope.
+const Version = 1
+
+// MaxFrameBytes is the largest frame that is read.
+const MaxFrameBytes = 16 << 20
+
+// Type names a call.
+type Type string
+
+// The calls between daemons.
+const (
+	// TypeHello asks a daemon who it is.
+	TypeHello Type = "hello"
+	// TypeRun asks the owner of a key to run a request.
+	TypeRun Type = "run"
+	// TypeDispatch asks the holder of an upstream to run a request there.
+	TypeDispatch Type = "dispatch"
+)
+
+// Envelope carries one call or the answer to one.
+type Envelope struct {
+	Version int  `cbor:"v"`
+	Type    Type `cbor:"t"`
+	// ID joins an answer to its call on one connection.
+	ID     uint64 `cbor:"i"`
+	Answer bool   `cbor:"a,omitempty"`
+	// Error is set on the answer to a call that failed.
+	Error string          `cbor:"e,omitempty"`
+	Body  cbor.RawMessage `cbor:"b,omitempty"`
+}
+
+// Errors of Decode.
+var (
+	// ErrMalformed says that a frame is not a CBOR envelope.
+	ErrMalformed = errors.New("malformed frame")
+	// ErrVersion says that a frame has a version this daemon cannot read.
+	ErrVersion = errors.New("unknown frame version")
+)
+
+// Hello says who a daemon is.
+type Hello struct {
+	ID               string `cbor:"id"`
+	Incarnation      string `cbor:"inc"`
+	Leaving          bool   `cbor:"leaving,omitempty"`
+	CatalogueVersion uint64 `cbor:"cat"`
+}
+
+// Request is a request on its way between daemons. Its deadline travels as
+// the time that remains, since clocks of hosts differ.
+type Request struct {
+	Request   request.Request `cbor:"r"`
+	Remaining time.Duration   `cbor:"left"`
+}
+
+// NewRequest prepares a request to be sent at the given time.
+func NewRequest(req *request.Request, now time.Time) Request {
+	r := Request{Request: *req, Remaining: req.Deadline.Sub(now)}
+	r.Request.Deadline = time.Time{}
+	return r
+}
+
+// Open returns the request as received at the given time.
+func (r *Request) Open(now time.Time) *request.Request {
+	req := r.Request
+	req.Deadline = now.Add(r.Remaining)
+	return &req
+}
+
+// Run asks the owner of a key to run a request.
+type Run struct {
+	Request Request `cbor:"req"`
+}
+
+// Dispatch asks the holder of an upstream to run a request there.
+type Dispatch struct {
+	Upstream string  `cbor:"up"`
+	Request  Request `cbor:"req"`
+}
+
+// Load is an upstream's load as its holder knows it.
+type Load struct {
+	InUse   int `cbor:"u"`
+	Waiting int `cbor:"w"`
+}
+
+// Answered is the answer to Run and Dispatch.
+type Answered struct {
+	Answer request.Answer `cbor:"ans"`
+	Load   Load           `cbor:"load"`
+}
+
+// Encode writes an envelope around a body.
+func Encode(env Envelope, body any) ([]byte, error) {
+	if body != nil {
+		raw, err := cbor.Marshal(body)
+		if err != nil {
+			return nil, fmt.Errorf("encode %s: %w", env.Type, err)
+		}
+		env.Body = raw
+	}
+	env.Version = Version
+	return cbor.Marshal(env)
+}
+
+// Decode reads an envelope.
+func Decode(frame []byte) (Envelope, error) {
+	var env Envelope
+	if err := cbor.Unmarshal(frame, &env); err != nil {
+		return Envelope{}, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if env.Version != Version {
+		return Envelope{}, fmt.Errorf("version %d: %w", env.Version, ErrVersion)
+	}
+	return env, nil
+}
+
+// DecodeBody reads the body of an envelope.
+func DecodeBody(body []byte, into any) error {
+	if err := cbor.Unmarshal(body, into); err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/caller/caller.go
@@ -0,0 +1,208 @@
+// Package caller is a small stand-in for a caller. It follows
+// docs/CALLER.md: it asks any entry host which of them to use, keeps the
+// answer for its time to live, and sends a request again with the same key
+// while its outcome is unknown.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"bilberrytiller.example/tiller/protocol/callerapi"
+	"bilberrytiller.example/tiller/state/request"
+)
+
+const (
+	maxTries   = 8
+	retryPause = 100 * time.Millisecond
+)
+
+// ErrNoEntry says that no entry host answered a look-up.
+var ErrNoEntry = errors.New("no entry host answered")
+
+// Result is what became of a request.
+type Result struct {
+	Outcome  request.Outcome
+	Reason   request.Reason
+	Status   int
+	Body     []byte
+	Host     string
+	Upstream string
+	Tries    int
+}
+
+// Caller sends requests. It is safe for concurrent use.
+type Caller struct {
+	entries []string
+	http    *http.Client
+	mu      sync.Mutex
+	cached  map[string]cachedLookup
+}
+
+type cachedLookup struct {
+	lookup  callerapi.Lookup
+	expires time.Time
+}
+
+// New returns a caller that knows the addresses of some entry hosts.
+func New(entries []string) *Caller {
+	return &Caller{
+		entries: entries,
+		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+		cached:  map[string]cachedLookup{},
+	}
+}
+
+// Lookup asks the known entry hosts in turn.
+func (c *Caller) Lookup(ctx context.Context, service string) (callerapi.Lookup, error) {
+	var errs []error
+	for _, entry := range c.entries {
+		lookup, err := c.lookupAt(ctx, entry, service)
+		if err == nil {
+			return lookup, nil
+		}
+		errs = append(errs, err)
+	}
+	return callerapi.Lookup{}, fmt.Errorf("%w: %w", ErrNoEntry, errors.Join(errs...))
+}
+
+// Run sends a request until its outcome is known, ctx ends or the tries run
+// out. A look-up with a key is made for each request of a service that is
+// not idempotent; others share a look-up for its time to live.
+func (c *Caller) Run(ctx context.Context, service, path string, body []byte, header http.Header) (Result, error) {
+	lookup, err := c.hosts(ctx, service)
+	if err != nil {
+		return Result{}, err
+	}
+	result := Result{Outcome: request.NotRun, Reason: request.ReasonNoUpstream}
+	for try := range maxTries {
+		if try >= len(lookup.Hosts) && !pause(ctx) {
+			break
+		}
+		if len(lookup.Hosts) == 0 {
+			break
+		}
+		host := lookup.Hosts[try%len(lookup.Hosts)]
+		result = c.runAt(ctx, host.Address, service, path, lookup.Key, body, header)
+		result.Tries = try + 1
+		if !again(result) {
+			break
+		}
+	}
+	return result, nil
+}
+
+// again reports whether the same request is to be sent once more.
+func again(r Result) bool {
+	return r.Outcome == request.Unknown && r.Reason != request.ReasonKeyExpired ||
+		r.Outcome == request.NotRun && r.Status == http.StatusServiceUnavailable
+}
+
+func (c *Caller) hosts(ctx context.Context, service string) (callerapi.Lookup, error) {
+	c.mu.Lock()
+	cached, ok := c.cached[service]
+	c.mu.Unlock()
+	if ok && cached.lookup.Key == "" && time.Now().Before(cached.expires) {
+		return cached.lookup, nil
+	}
+	lookup, err := c.Lookup(ctx, service)
+	if err != nil {
+		return lookup, err
+	}
+	c.mu.Lock()
+	c.cached[service] = cachedLookup{lookup: lookup, expires: time.Now().Add(time.Duration(lookup.TTLMs) * time.Millisecond)}
+	c.mu.Unlock()
+	return lookup, nil
+}
+
+// StatusError is an unexpected status of a look-up.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+func (e *StatusError) Error() string { return fmt.Sprintf("look-up answered %d: %s", e.Status, e.Body) }
+
+func (c *Caller) lookupAt(ctx context.Context, entry, service string) (callerapi.Lookup, error) {
+	var lookup callerapi.Lookup
+	target := "http://" + entry + callerapi.PathLookup + "?service=" + url.QueryEscape(service)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return lookup, fmt.Errorf("look-up: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return lookup, fmt.Errorf("look-up: %w", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return lookup, fmt.Errorf("look-up: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return lookup, &StatusError{Status: resp.StatusCode, Body: string(body)}
+	}
+	if err := json.Unmarshal(body, &lookup); err != nil {
+		return lookup, fmt.Errorf("look-up: %w", err)
+	}
+	return lookup, nil
+}
+
+func (c *Caller) runAt(ctx context.Context, host, service, path, key string, body []byte, header http.Header) Result {
+	target := "http://" + host + callerapi.PathRun + service + "/" + path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
+	if err != nil {
+		return Result{Outcome: request.NotRun, Reason: request.ReasonBadRequest}
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	if key != "" {
+		req.Header.Set(callerapi.HeaderKey, key)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		req.Header.Set(callerapi.HeaderDeadline, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
+	}
+	return c.send(req)
+}
+
+// send makes one try. A try without a whole answer has an unknown outcome.
+func (c *Caller) send(req *http.Request) Result {
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Result{Outcome: request.Unknown, Reason: request.ReasonConnectionLost}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return Result{Outcome: request.Unknown, Reason: request.ReasonConnectionLost}
+	}
+	return Result{
+		Outcome:  request.Outcome(resp.Header.Get(callerapi.HeaderOutcome)),
+		Reason:   request.Reason(resp.Header.Get(callerapi.HeaderReason)),
+		Status:   resp.StatusCode,
+		Body:     body,
+		Host:     resp.Header.Get(callerapi.HeaderHost),
+		Upstream: resp.Header.Get(callerapi.HeaderUpstream),
+	}
+}
+
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(retryPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,429 @@
+// Package fleet starts a small fleet for tests: a platform and backend
+// servers in the test's own process, and each daemon as a process of its own
+// that can be killed, paused, stopped or cut off.
+//
+// A test binary that uses it must run its tests through Main.
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"bilberrytiller.example/tiller/cli/tillerctl"
+	"bilberrytiller.example/tiller/cli/tillerd"
+	tiller "bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/protocol/operatorapi"
+	"bilberrytiller.example/tiller/state/catalogue"
+	"bilberrytiller.example/tiller/state/request"
+	"bilberrytiller.example/tiller/transport/peer"
+
+	"bilberrytiller.example/standin/backend"
+	"bilberrytiller.example/standin/caller"
+	"bilberrytiller.example/standin/cli"
+	"bilberrytiller.example/standin/platform"
+	"bilberrytiller.example/standin/relay"
+)
+
+// Secret is the secret of every fleet.
+const Secret = "a-secret-of-a-test-fleet"
+
+// Main runs the tests of a package that starts fleets. The commands tillerd,
+// tillerctl and standin are on the PATH of its tests.
+func Main(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"tillerd":   func() { os.Exit(tillerd.Main()) },
+		"tillerctl": func() { os.Exit(tillerctl.Main()) },
+		"standin":   func() { os.Exit(cli.Main()) },
+	})
+}
+
+// Options describe a fleet.
+type Options struct {
+	// DataCentres maps each data centre to its region.
+	DataCentres map[string]string
+	// Hosts names the data centre of each entry host.
+	Hosts []string
+	// Services are the services; each upstream names its own.
+	Services []catalogue.Service
+	// Upstreams describe the backend servers.
+	Upstreams []Upstream
+	// Links are entered in the catalogue as they are.
+	Links []catalogue.Link
+	// Args are more flags for every daemon.
+	Args []string
+}
+
+// Upstream describes one backend server.
+type Upstream struct {
+	Name       string
+	Service    string
+	DataCentre string
+	Options    backend.Options
+}
+
+// Fleet is a running fleet. It ends with its test.
+type Fleet struct {
+	t        testing.TB
+	opts     Options
+	Platform *platform.Server
+	// PlatformURL is the platform's base URL.
+	PlatformURL string
+	Backends    map[string]*backend.Server
+	Hosts       []*Host
+}
+
+// Host is one entry host with the process of its daemon.
+type Host struct {
+	ID         string
+	DataCentre string
+	Region     string
+	IP         netip.Addr
+	Caller     netip.AddrPort
+	Operator   netip.AddrPort
+	relay      *relay.Relay
+	t          testing.TB
+	cmd        *exec.Cmd
+	log        *logBuffer
+	exited     chan struct{}
+}
+
+// Service returns a service entry of the given rank with common values.
+func Service(name string, rank request.Rank, idempotent bool) catalogue.Service {
+	s := catalogue.Service{Meta: meta(catalogue.KindService, name)}
+	s.Class = catalogue.Class{Rank: rank, Idempotent: idempotent, Deadline: catalogue.Duration(10 * time.Second)}
+	return s
+}
+
+// Start starts a fleet and waits until every daemon sees every other and has
+// the catalogue in force.
+func Start(t testing.TB, opts Options) *Fleet {
+	t.Helper()
+	f := &Fleet{t: t, opts: opts, Platform: platform.New(), Backends: map[string]*backend.Server{}}
+	server := httptest.NewServer(f.Platform)
+	t.Cleanup(server.Close)
+	f.PlatformURL = server.URL
+	for dc, region := range opts.DataCentres {
+		f.Apply(&catalogue.DataCentre{Meta: meta(catalogue.KindDataCentre, dc), Region: region})
+	}
+	for i := range opts.Services {
+		f.Apply(&opts.Services[i])
+	}
+	for i := range opts.Links {
+		f.Apply(&opts.Links[i])
+	}
+	for _, u := range opts.Upstreams {
+		f.startBackend(u)
+	}
+	for i, dc := range opts.Hosts {
+		f.Hosts = append(f.Hosts, f.startHost(i, dc))
+	}
+	f.ListHosts()
+	f.WaitConverged()
+	return f
+}
+
+// Apply writes an entry to the platform, whatever its version, and returns
+// its new version.
+func (f *Fleet) Apply(entry catalogue.Entry) uint64 {
+	f.t.Helper()
+	data, err := catalogue.Encode(entry)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	name := entry.ID().String()
+	version, err := f.Platform.Replace(tiller.KindCatalogue, name, data)
+	if err != nil {
+		f.t.Fatalf("apply %s: %v", name, err)
+	}
+	return version
+}
+
+// ListHosts tells the platform the hosts as they are.
+func (f *Fleet) ListHosts() {
+	var hosts []tiller.Host
+	for _, h := range f.Hosts {
+		hosts = append(hosts, tiller.Host{
+			ID: h.ID, DataCentre: h.DataCentre, Region: h.Region, Peer: h.relay.Addr(), Caller: h.Caller, State: tiller.HostLive,
+		})
+	}
+	f.Platform.SetHosts(hosts)
+}
+
+// Client returns a caller that knows the given hosts, or all hosts.
+func (f *Fleet) Client(hosts ...*Host) *caller.Caller {
+	if len(hosts) == 0 {
+		hosts = f.Hosts
+	}
+	var entries []string
+	for _, h := range hosts {
+		entries = append(entries, h.Caller.String())
+	}
+	return caller.New(entries)
+}
+
+// Set changes what happens on the path from one host to another.
+func (f *Fleet) Set(from, to *Host, mode relay.Mode) { to.relay.Set(from.IP, mode) }
+
+// CutOff changes the paths between one host and all others, both ways.
+func (f *Fleet) CutOff(h *Host, mode relay.Mode) {
+	for _, other := range f.Hosts {
+		if other != h {
+			f.Set(h, other, mode)
+			f.Set(other, h, mode)
+		}
+	}
+}
+
+// Partition changes the paths between the hosts of two regions, both ways.
+func (f *Fleet) Partition(a, b string, mode relay.Mode) {
+	for _, x := range f.Hosts {
+		for _, y := range f.Hosts {
+			if x.Region == a && y.Region == b {
+				f.Set(x, y, mode)
+				f.Set(y, x, mode)
+			}
+		}
+	}
+}
+
+// WaitConverged waits until every running daemon sees all running daemons
+// alive, and has the newest catalogue in force.
+func (f *Fleet) WaitConverged() {
+	f.t.Helper()
+	want := f.Platform.CatalogueVersion()
+	Eventually(f.t, "fleet converges", func() bool {
+		for _, h := range f.Hosts {
+			if h.Running() && !f.converged(h, want) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (f *Fleet) converged(h *Host, want uint64) bool {
+	status, err := h.Status()
+	if err != nil || status.CatalogueVersion < want {
+		return false
+	}
+	alive := map[string]bool{}
+	for _, m := range status.Members {
+		alive[m.Host] = m.State == "alive"
+	}
+	for _, other := range f.Hosts {
+		if other.Running() != alive[other.ID] {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *Fleet) startBackend(u Upstream) {
+	s := backend.New(u.Options)
+	server := httptest.NewServer(s)
+	f.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	f.Backends[u.Name] = s
+	f.Apply(&catalogue.Upstream{
+		Meta: meta(catalogue.KindUpstream, u.Name), Services: []string{u.Service}, DataCentre: u.DataCentre,
+		Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Slots: u.Options.Slots, Connections: 330,
+	})
+}
+
+// startHost starts a host's daemon on a loopback address of its own, so that
+// its connections can be told from those of other hosts.
+func (f *Fleet) startHost(i int, dc string) *Host {
+	f.t.Helper()
+	ip := netip.AddrFrom4([4]byte{127, 0, 1, byte(i + 1)})
+	h := &Host{ID: fmt.Sprintf("host-%d", i+1), DataCentre: dc, Region: f.opts.DataCentres[dc], IP: ip, t: f.t}
+	f.launch(h)
+	return h
+}
+
+// Restart starts a new daemon on a host whose daemon has ended.
+func (f *Fleet) Restart(h *Host) {
+	f.t.Helper()
+	f.launch(h)
+	f.ListHosts()
+}
+
+func (f *Fleet) launch(h *Host) {
+	f.t.Helper()
+	listen := net.JoinHostPort(h.IP.String(), "0")
+	relayListener, err := relay.New(h.IP.String(), "")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(relayListener.Close)
+	args := append([]string{
+		"--host-id", h.ID, "--datacentre", h.DataCentre, "--region", h.Region, "--platform", f.PlatformURL,
+		"--caller-listen", listen, "--peer-listen", listen, "--operator-listen", listen, "--secret", Secret,
+		"--peer-advertise", relayListener.Addr().String(),
+	}, f.opts.Args...)
+	h.log = &logBuffer{ready: make(chan string, 1)}
+	h.cmd = exec.Command("tillerd", args...)
+	h.cmd.Stderr = h.log
+	if err := h.cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	h.exited = make(chan struct{})
+	go h.reap(h.cmd, h.exited)
+	f.t.Cleanup(h.Kill)
+	ready, ok := h.awaitReady()
+	if !ok {
+		f.t.Fatalf("%s did not start:\n%s", h.ID, h.Log())
+	}
+	h.Caller, h.Operator = ready["caller"], ready["operator"]
+	relayListener.SetTarget(ready["peer"].String())
+	h.relay = relayListener
+}
+
+func (h *Host) reap(cmd *exec.Cmd, exited chan struct{}) {
+	_ = cmd.Wait()
+	close(exited)
+}
+
+func (h *Host) awaitReady() (map[string]netip.AddrPort, bool) {
+	select {
+	case line := <-h.log.ready:
+		return addresses(line), true
+	case <-h.exited:
+		return nil, false
+	}
+}
+
+func addresses(line string) map[string]netip.AddrPort {
+	out := map[string]netip.AddrPort{}
+	for field := range strings.FieldsSeq(line) {
+		name, value, _ := strings.Cut(field, "=")
+		if addr, err := netip.ParseAddrPort(value); err == nil {
+			out[name] = addr
+		}
+	}
+	return out
+}
+
+// Running reports whether the host's daemon runs.
+func (h *Host) Running() bool {
+	select {
+	case <-h.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// Kill ends the daemon at once.
+func (h *Host) Kill() {
+	_ = h.cmd.Process.Kill()
+	<-h.exited
+}
+
+// Pause stops the daemon's process from running until Resume.
+func (h *Host) Pause() { h.signal(syscall.SIGSTOP) }
+
+// Resume lets a paused daemon go on.
+func (h *Host) Resume() { h.signal(syscall.SIGCONT) }
+
+// Leave asks the daemon to stop gracefully. Exited tells when it has.
+func (h *Host) Leave() { h.signal(syscall.SIGTERM) }
+
+// Exited is closed when the daemon's process has ended.
+func (h *Host) Exited() <-chan struct{} { return h.exited }
+
+// ExitCode is the exit code of a daemon that has ended.
+func (h *Host) ExitCode() int { return h.cmd.ProcessState.ExitCode() }
+
+// Log returns what the daemon has logged.
+func (h *Host) Log() string { return h.log.String() }
+
+func (h *Host) signal(s syscall.Signal) {
+	if err := h.cmd.Process.Signal(s); err != nil {
+		h.t.Fatalf("signal %v to %s: %v", s, h.ID, err)
+	}
+}
+
+// Status reads what the daemon knows.
+func (h *Host) Status() (operatorapi.Status, error) {
+	var status operatorapi.Status
+	err := h.Read(operatorapi.PathStatus, &status)
+	return status, err
+}
+
+// Read gets a page of the daemon's operators' listener.
+func (h *Host) Read(path string, into any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Operator.String()+path, nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set(peer.HeaderAuth, peer.NewAuth("fleet", []byte(Secret)).Token(time.Now()))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
+// Eventually waits until a condition holds. It fails the test only when the
+// condition has not held for far longer than anything in a fleet takes.
+func Eventually(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	const limit, period = time.Minute, 20 * time.Millisecond
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(period) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("waited %v: %s", limit, what)
+}
+
+func meta(kind catalogue.Kind, name string) catalogue.Meta {
+	return catalogue.Meta{Schema: catalogue.SchemaVersion, Kind: kind, Name: name, Owner: "tests"}
+}
+
+// logBuffer keeps a daemon's log and hands out the line that says it is ready.
+type logBuffer struct {
+	mu    sync.Mutex
+	text  strings.Builder
+	ready chan string
+}
+
+// Write takes whole lines, as the logger writes them.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.text.Write(p)
+	scanner := bufio.NewScanner(strings.NewReader(string(p)))
+	for scanner.Scan() {
+		if strings.Contains(scanner.Text(), "event=daemon.ready") {
+			b.ready <- scanner.Text()
+		}
+	}
+	return len(p), nil
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
--- /dev/null
+++ b/standin/platform/store.go
@@ -0,0 +1,131 @@
+// Package platform is a small stand-in for the platform: an object API with
+// versions, conditional updates and watches, and a list of hosts. Everything
+// is kept in memory, and faults can be switched on while it runs.
+package platform
+
+import (
+	"context"
+	"sync"
+
+	"bilberrytiller.example/tiller/coordination/platform"
+)
+
+// historyEvents is how many events a watch can look back on.
+const historyEvents = 10_000
+
+// store holds the objects. Versions are taken from one counter.
+type store struct {
+	mu      sync.Mutex
+	version uint64
+	objects map[string]map[string]platform.Object
+	history []platform.Event
+	// dropped is the version of the newest event no longer in history.
+	dropped uint64
+	changed chan struct{}
+}
+
+func newStore() *store {
+	return &store{objects: map[string]map[string]platform.Object{}, changed: make(chan struct{})}
+}
+
+func (s *store) get(kind, name string) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	obj, ok := s.objects[kind][name]
+	if !ok {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return obj, nil
+}
+
+func (s *store) list(kind string) platform.List {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := platform.List{Version: s.version, Objects: []platform.Object{}}
+	for _, obj := range s.objects[kind] {
+		list.Objects = append(list.Objects, obj)
+	}
+	return list
+}
+
+func (s *store) put(kind, name string, ifVersion uint64, data []byte) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.check(kind, name, ifVersion); err != nil {
+		return 0, err
+	}
+	s.version++
+	obj := platform.Object{Kind: kind, Name: name, Version: s.version, Data: data}
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]platform.Object{}
+	}
+	s.objects[kind][name] = obj
+	s.record(platform.Event{Object: obj})
+	return s.version, nil
+}
+
+func (s *store) delete(kind, name string, ifVersion uint64) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.objects[kind][name]; !ok {
+		return 0, platform.ErrNotFound
+	}
+	if err := s.check(kind, name, ifVersion); err != nil {
+		return 0, err
+	}
+	s.version++
+	delete(s.objects[kind], name)
+	s.record(platform.Event{Object: platform.Object{Kind: kind, Name: name, Version: s.version}, Deleted: true})
+	return s.version, nil
+}
+
+// check fails with a conflict unless the object stands at the version.
+func (s *store) check(kind, name string, version uint64) error {
+	current := s.objects[kind][name]
+	if current.Version == version {
+		return nil
+	}
+	current.Kind, current.Name = kind, name
+	return &platform.ConflictError{Want: version, Current: current}
+}
+
+func (s *store) record(e platform.Event) {
+	s.history = append(s.history, e)
+	if len(s.history) > historyEvents {
+		s.dropped = s.history[0].Object.Version
+		s.history = s.history[1:]
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// watch waits until there is a change of the kind after the version or ctx
+// ends, and returns the changes there are.
+func (s *store) watch(ctx context.Context, kind string, after uint64) (platform.Changes, error) {
+	for {
+		changes, changed, err := s.changesAfter(kind, after)
+		if err != nil || len(changes.Events) > 0 {
+			return changes, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return changes, nil
+		}
+	}
+}
+
+func (s *store) changesAfter(kind string, after uint64) (platform.Changes, chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < s.dropped {
+		return platform.Changes{}, nil, platform.ErrTooOld
+	}
+	changes := platform.Changes{Version: s.version, Events: []platform.Event{}}
+	for _, e := range s.history {
+		if e.Object.Kind == kind && e.Object.Version > after {
+			changes.Events = append(changes.Events, e)
+		}
+	}
+	return changes, s.changed, nil
+}
--- /dev/null
+++ b/standin/proofs/proofs_test.go
@@ -0,0 +1,77 @@
+// Package proofs holds the tests of what must always hold, each under the
+// failure that its name tells, on a fleet of real processes.
+package proofs
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"bilberrytiller.example/tiller/state/catalogue"
+	"bilberrytiller.example/tiller/state/request"
+
+	"bilberrytiller.example/standin/backend"
+	"bilberrytiller.example/standin/caller"
+	"bilberrytiller.example/standin/fleet"
+)
+
+func TestMain(m *testing.M) { fleet.Main(m) }
+
+// requestTimeout is how long a caller waits; it is far longer than any
+// answer of a working fleet takes.
+const requestTimeout = 30 * time.Second
+
+// smallFleet is three entry hosts in two regions with three services.
+func smallFleet() fleet.Options {
+	opts := fleet.Options{
+		DataCentres: map[string]string{"north-1": "north", "south-1": "south"},
+		Hosts:       []string{"north-1", "north-1", "south-1"},
+		Services: []catalogue.Service{
+			fleet.Service("lookups", request.RankLookup, true),
+			fleet.Service("payments", request.RankPayment, false),
+			fleet.Service("reports", request.RankReport, true),
+		},
+	}
+	for _, service := range opts.Services {
+		for _, dc := range []string{"north-1", "south-1"} {
+			opts.Upstreams = append(opts.Upstreams, fleet.Upstream{
+				Name: service.Name + "-" + dc, Service: service.Name, DataCentre: dc,
+				Options: backend.Options{Slots: 4, Work: 2 * time.Millisecond},
+			})
+		}
+	}
+	return opts
+}
+
+// run sends one request and returns what became of it.
+func run(t *testing.T, c *caller.Caller, service, body string) caller.Result {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	result, err := c.Run(ctx, service, "", []byte(body), nil)
+	if err != nil {
+		t.Fatalf("%s %q: %v", service, body, err)
+	}
+	return result
+}
+
+// wantDone fails the test unless the result is the whole answer to body.
+func wantDone(t *testing.T, result caller.Result, service, body string) {
+	t.Helper()
+	want := fmt.Sprintf("ran %s for %s\n", body, service)
+	if result.Outcome != request.Done || string(result.Body) != want {
+		t.Fatalf("%s %q: got %s (%s) %q, want done %q", service, body, result.Outcome, result.Reason, result.Body, want)
+	}
+}
+
+func TestEveryServiceThroughEveryHost(t *testing.T) {
+	f := fleet.Start(t, smallFleet())
+	for _, h := range f.Hosts {
+		c := f.Client(h)
+		for _, service := range []string{"lookups", "payments", "reports"} {
+			body := "request-of-" + h.ID
+			wantDone(t, run(t, c, service, body), service, body)
+		}
+	}
+}
--- /dev/null
+++ b/standin/relay/relay.go
@@ -0,0 +1,200 @@
+// Package relay is a TCP relay for tests. It stands before a listener and
+// cuts or silences the connections of chosen sources, as a failing network
+// would.
+package relay
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+)
+
+// Mode is what a relay does with the connections of a source.
+type Mode int
+
+// The modes of a relay.
+const (
+	// Pass carries bytes both ways.
+	Pass Mode = iota
+	// Cut closes open connections and refuses new ones.
+	Cut
+	// Silent keeps connections open and carries nothing, new ones too.
+	Silent
+	// SilentOpen silences the connections open now; new ones pass.
+	SilentOpen
+)
+
+// Relay forwards connections to a target. It is safe for concurrent use.
+type Relay struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	modes map[netip.Addr]Mode
+	pairs map[*pair]bool
+}
+
+type pair struct {
+	source netip.Addr
+	in     net.Conn
+	out    net.Conn
+	gate   *gate
+}
+
+// New returns a relay that listens on a free port of the IP address ip.
+func New(ip, target string) (*Relay, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{listener: l, target: target, modes: map[netip.Addr]Mode{}, pairs: map[*pair]bool{}}
+	go r.accept()
+	return r, nil
+}
+
+// Addr is where the relay listens.
+func (r *Relay) Addr() netip.AddrPort { return r.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+// SetTarget changes where new connections go.
+func (r *Relay) SetTarget(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = target
+}
+
+func (r *Relay) targetNow() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.target
+}
+
+// Set changes what happens to the connections of a source.
+func (r *Relay) Set(source netip.Addr, mode Mode) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.modes[source] = mode
+	if mode == SilentOpen {
+		r.modes[source] = Pass
+	}
+	for p := range r.pairs {
+		if p.source == source {
+			p.set(mode)
+		}
+	}
+}
+
+// Close ends the relay and its connections.
+func (r *Relay) Close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		p.close()
+	}
+}
+
+func (r *Relay) accept() {
+	for {
+		in, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(in)
+	}
+}
+
+func (r *Relay) serve(in net.Conn) {
+	source := in.RemoteAddr().(*net.TCPAddr).AddrPort().Addr()
+	r.mu.Lock()
+	mode := r.modes[source]
+	r.mu.Unlock()
+	if mode == Cut {
+		_ = in.Close()
+		return
+	}
+	out, err := net.Dial("tcp", r.targetNow())
+	if err != nil {
+		_ = in.Close()
+		return
+	}
+	p := &pair{source: source, in: in, out: out, gate: newGate()}
+	r.mu.Lock()
+	r.pairs[p] = true
+	p.set(r.modes[source])
+	r.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.carry(out, in) })
+	both.Go(func() { p.carry(in, out) })
+	both.Wait()
+	r.mu.Lock()
+	delete(r.pairs, p)
+	r.mu.Unlock()
+}
+
+func (p *pair) set(mode Mode) {
+	switch mode {
+	case Pass:
+		p.gate.open()
+	case Cut:
+		p.close()
+	case Silent, SilentOpen:
+		p.gate.shut()
+	}
+}
+
+func (p *pair) close() {
+	p.gate.open()
+	_ = p.in.Close()
+	_ = p.out.Close()
+}
+
+func (p *pair) carry(dst, src net.Conn) {
+	defer p.close()
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := src.Read(buf)
+		p.gate.wait()
+		if n > 0 {
+			if _, werr := dst.Write(buf[:n]); werr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// gate holds bytes back while it is shut.
+type gate struct {
+	mu     sync.Mutex
+	cond   *sync.Cond
+	closed bool
+}
+
+func newGate() *gate {
+	g := &gate{}
+	g.cond = sync.NewCond(&g.mu)
+	return g
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = false
+	g.cond.Broadcast()
+}
+
+func (g *gate) shut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+}
+
+func (g *gate) wait() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for g.closed {
+		g.cond.Wait()
+	}
+}
--- /dev/null
+++ b/state/catalogue/decode.go
@@ -0,0 +1,127 @@
+package catalogue
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// MaxEntryBytes is the largest encoded entry that is read.
+const MaxEntryBytes = 64 << 10
+
+// ErrTooLarge is wrapped by an EntryError for an entry over MaxEntryBytes.
+var ErrTooLarge = errors.New("entry is too large")
+
+// ErrTrailingData is wrapped by an EntryError for text behind an entry.
+var ErrTrailingData = errors.New("text behind the entry")
+
+// EntryError says which field of which entry is wrong, and why.
+type EntryError struct {
+	ID    ID
+	Field string
+	Err   error
+}
+
+func (e *EntryError) Error() string {
+	name := "entry"
+	if e.ID.Kind != "" || e.ID.Name != "" {
+		name = "entry " + e.ID.String()
+	}
+	if e.Field == "" {
+		return fmt.Sprintf("%s: %v", name, e.Err)
+	}
+	return fmt.Sprintf("%s: field %s: %v", name, e.Field, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *EntryError) Unwrap() error { return e.Err }
+
+// SchemaError says that an entry has a schema this version cannot read.
+type SchemaError struct{ Got int }
+
+func (e SchemaError) Error() string {
+	return fmt.Sprintf("schema %d, want %d", e.Got, SchemaVersion)
+}
+
+// KindError says that an entry has a kind this version does not know.
+type KindError struct{ Got Kind }
+
+func (e KindError) Error() string { return fmt.Sprintf("unknown kind %q", e.Got) }
+
+func newEntry(kind Kind) (Entry, error) {
+	switch kind {
+	case KindRegion:
+		return &Region{}, nil
+	case KindDataCentre:
+		return &DataCentre{}, nil
+	case KindLink:
+		return &Link{}, nil
+	case KindService:
+		return &Service{}, nil
+	case KindUpstream:
+		return &Upstream{}, nil
+	case KindHost:
+		return &Host{}, nil
+	case KindBlock:
+		return &Block{}, nil
+	}
+	return nil, KindError{Got: kind}
+}
+
+// Decode reads one entry strictly and validates it by itself. Every failure
+// is an *EntryError.
+func Decode(data []byte) (Entry, error) {
+	if len(data) > MaxEntryBytes {
+		return nil, &EntryError{Err: fmt.Errorf("%d bytes: %w", len(data), ErrTooLarge)}
+	}
+	var meta Meta
+	if err := json.Unmarshal(data, &meta); err != nil {
+		return nil, &EntryError{ID: meta.ID(), Field: jsonField(err), Err: err}
+	}
+	if meta.Schema != SchemaVersion {
+		return nil, &EntryError{ID: meta.ID(), Field: "schema", Err: SchemaError{Got: meta.Schema}}
+	}
+	entry, err := newEntry(meta.Kind)
+	if err != nil {
+		return nil, &EntryError{ID: meta.ID(), Field: "kind", Err: err}
+	}
+	if err := decodeStrict(data, entry); err != nil {
+		return nil, &EntryError{ID: meta.ID(), Field: jsonField(err), Err: err}
+	}
+	if err := entry.Validate(); err != nil {
+		return nil, err
+	}
+	return entry, nil
+}
+
+// Encode writes an entry as indented JSON with a newline at its end.
+func Encode(entry Entry) ([]byte, error) {
+	data, err := json.MarshalIndent(entry, "", "  ")
+	if err != nil {
+		return nil, &EntryError{ID: entry.ID(), Err: err}
+	}
+	return append(data, '\n'), nil
+}
+
+func decodeStrict(data []byte, into any) error {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return err
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return ErrTrailingData
+	}
+	return nil
+}
+
+// jsonField returns the field that a JSON error names, if it names one.
+func jsonField(err error) string {
+	var typeErr *json.UnmarshalTypeError
+	if errors.As(err, &typeErr) {
+		return typeErr.Field
+	}
+	return ""
+}
--- /dev/null
+++ b/state/catalogue/validate.go
@@ -0,0 +1,148 @@
+package catalogue
+
+import (
+	"errors"
+	"fmt"
+	"regexp"
+	"time"
+)
+
+// Bounds of an entry's fields.
+const (
+	MaxSlots       = 10_000
+	MaxConnections = 100_000
+	MaxDeadline    = time.Hour
+	MaxSites       = 64
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+// Causes wrapped by an EntryError.
+var (
+	ErrName     = errors.New("want 1 to 63 of a-z, 0-9 and -, not starting with -")
+	ErrMissing  = errors.New("missing")
+	ErrRange    = errors.New("out of range")
+	ErrConflict = errors.New("contradicts another field")
+	ErrNoEntry  = errors.New("no such entry")
+)
+
+func (m Meta) fail(field string, err error) error {
+	return &EntryError{ID: m.ID(), Field: field, Err: err}
+}
+
+func (m Meta) validate(kind Kind) error {
+	if m.Kind != kind {
+		return m.fail("kind", KindError{Got: m.Kind})
+	}
+	if !namePattern.MatchString(m.Name) {
+		return m.fail("name", ErrName)
+	}
+	if m.Owner == "" {
+		return m.fail("owner", ErrMissing)
+	}
+	return nil
+}
+
+// Validate checks the entry by itself.
+func (r *Region) Validate() error { return r.validate(KindRegion) }
+
+// Validate checks the entry by itself.
+func (d *DataCentre) Validate() error {
+	if err := d.validate(KindDataCentre); err != nil {
+		return err
+	}
+	if d.Region == "" {
+		return d.fail("region", ErrMissing)
+	}
+	return nil
+}
+
+// Validate checks the entry by itself.
+func (l *Link) Validate() error {
+	if err := l.validate(KindLink); err != nil {
+		return err
+	}
+	if l.Between[0] == "" || l.Between[1] == "" {
+		return l.fail("between", ErrMissing)
+	}
+	if l.Between[0] == l.Between[1] {
+		return l.fail("between", fmt.Errorf("both ends are %s: %w", l.Between[0], ErrConflict))
+	}
+	if l.CapMbit <= 0 {
+		return l.fail("cap_mbit", fmt.Errorf("%g, want above 0: %w", l.CapMbit, ErrRange))
+	}
+	if l.Delay < 0 {
+		return l.fail("delay", ErrRange)
+	}
+	return nil
+}
+
+// Validate checks the entry by itself.
+func (s *Service) Validate() error {
+	if err := s.validate(KindService); err != nil {
+		return err
+	}
+	if d := time.Duration(s.Class.Deadline); d <= 0 || d > MaxDeadline {
+		return s.fail("class.deadline", fmt.Errorf("%v, want above 0 and at most %v: %w", d, MaxDeadline, ErrRange))
+	}
+	if g := s.Class.Guaranteed; g < 0 || g > 1 {
+		return s.fail("class.guaranteed", fmt.Errorf("%g, want 0 to 1: %w", g, ErrRange))
+	}
+	if s.Class.Durable && !s.Class.Idempotent {
+		return s.fail("class.durable", fmt.Errorf("durable work must be idempotent: %w", ErrConflict))
+	}
+	return s.validateLimits()
+}
+
+func (s *Service) validateLimits() error {
+	if s.Limits.Rate < 0 {
+		return s.fail("limits.rate", ErrRange)
+	}
+	if s.Limits.Concurrency < 0 {
+		return s.fail("limits.concurrency", ErrRange)
+	}
+	if f := s.Limits.ShiftPerMinute; f < 0 || f > 1 {
+		return s.fail("limits.shift_per_minute", fmt.Errorf("%g, want 0 to 1: %w", f, ErrRange))
+	}
+	return nil
+}
+
+// Validate checks the entry by itself.
+func (u *Upstream) Validate() error {
+	if err := u.validate(KindUpstream); err != nil {
+		return err
+	}
+	if len(u.Services) == 0 {
+		return u.fail("services", ErrMissing)
+	}
+	if u.DataCentre == "" {
+		return u.fail("datacentre", ErrMissing)
+	}
+	if !u.Address.IsValid() || u.Address.Port() == 0 {
+		return u.fail("address", ErrMissing)
+	}
+	if u.Slots < 1 || u.Slots > MaxSlots {
+		return u.fail("slots", fmt.Errorf("%d, want 1 to %d: %w", u.Slots, MaxSlots, ErrRange))
+	}
+	if u.Connections < u.Slots || u.Connections > MaxConnections {
+		return u.fail("connections", fmt.Errorf("%d, want slots to %d: %w", u.Connections, MaxConnections, ErrRange))
+	}
+	return nil
+}
+
+// Validate checks the entry by itself.
+func (h *Host) Validate() error { return h.validate(KindHost) }
+
+// Validate checks the entry by itself.
+func (b *Block) Validate() error {
+	if err := b.validate(KindBlock); err != nil {
+		return err
+	}
+	if !b.Prefix.IsValid() || b.Prefix != b.Prefix.Masked() {
+		return b.fail("prefix", fmt.Errorf("want an address block with no host bits: %w", ErrRange))
+	}
+	if len(b.Sites) == 0 || len(b.Sites) > MaxSites {
+		return b.fail("sites", fmt.Errorf("%d sites, want 1 to %d: %w", len(b.Sites), MaxSites, ErrRange))
+	}
+	return nil
+}
--- /dev/null
+++ b/state/request/request.go
@@ -0,0 +1,152 @@
+// Package request holds the types that describe one caller's request on its
+// way through the system and the answer that comes back for it.
+//
+// A request ends in exactly one of three outcomes. Done carries the whole
+// answer of the backend server. NotRun states that no backend server ran or
+// will run the request. Unknown states that it may have run; the caller
+// learns more by sending the same key again.
+package request
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Outcome is what became of a request.
+type Outcome string
+
+// The three outcomes of a request.
+const (
+	Done    Outcome = "done"
+	NotRun  Outcome = "not-run"
+	Unknown Outcome = "unknown"
+)
+
+// Rank orders work by urgency.
+type Rank int
+
+// The ranks, most urgent first.
+const (
+	RankPayment Rank = iota
+	RankLookup
+	RankReport
+	// RankCount is the number of ranks.
+	RankCount
+)
+
+var rankNames = [RankCount]string{"payment", "lookup", "report"}
+
+// ErrUnknownRank is returned by ParseRank for a name that is no rank.
+type ErrUnknownRank struct{ Name string }
+
+func (e ErrUnknownRank) Error() string {
+	return fmt.Sprintf("rank %q is none of payment, lookup, report", e.Name)
+}
+
+// ParseRank returns the rank with the given name, or ErrUnknownRank.
+func ParseRank(name string) (Rank, error) {
+	for r, n := range rankNames {
+		if n == name {
+			return Rank(r), nil
+		}
+	}
+	return 0, ErrUnknownRank{Name: name}
+}
+
+func (r Rank) String() string {
+	if r < 0 || r >= RankCount {
+		return fmt.Sprintf("rank(%d)", int(r))
+	}
+	return rankNames[r]
+}
+
+// MarshalText writes the rank's name.
+func (r Rank) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+
+// UnmarshalText reads the rank's name.
+func (r *Rank) UnmarshalText(text []byte) error {
+	parsed, err := ParseRank(string(text))
+	if err != nil {
+		return err
+	}
+	*r = parsed
+	return nil
+}
+
+// Request is one caller's request. It travels between daemons unchanged.
+type Request struct {
+	// ID identifies this attempt. A backend server echoes it on its answer.
+	ID string
+	// Key is the caller's permit, empty for idempotent work.
+	Key     string
+	Service string
+	Owner   string
+	Rank    Rank
+	// Caller is the address of the caller, without a port.
+	Caller string
+	Method string
+	// Path is the part of the URL behind the service, with its query.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+}
+
+// Reason says in one machine-readable word why a request had its outcome.
+type Reason string
+
+// Reasons for an outcome.
+const (
+	ReasonAnswered        Reason = "answered"
+	ReasonReplayed        Reason = "replayed"
+	ReasonUnknownService  Reason = "unknown-service"
+	ReasonBadRequest      Reason = "bad-request"
+	ReasonTooLarge        Reason = "too-large"
+	ReasonNoCatalogue     Reason = "no-catalogue"
+	ReasonNoUpstream      Reason = "no-upstream"
+	ReasonShed            Reason = "shed"
+	ReasonQueueFull       Reason = "queue-full"
+	ReasonTooLate         Reason = "too-late"
+	ReasonDeadline        Reason = "deadline"
+	ReasonCancelled       Reason = "cancelled"
+	ReasonLimit           Reason = "limit"
+	ReasonLink            Reason = "link"
+	ReasonStopping        Reason = "stopping"
+	ReasonKeyRequired     Reason = "key-required"
+	ReasonKeyInvalid      Reason = "key-invalid"
+	ReasonKeyExpired      Reason = "key-expired"
+	ReasonKeyReused       Reason = "key-reused"
+	ReasonOwnerGone       Reason = "owner-gone"
+	ReasonPeerUnreachable Reason = "peer-unreachable"
+	ReasonPeerLost        Reason = "peer-lost"
+	ReasonConnect         Reason = "connect"
+	ReasonConnectionLost  Reason = "connection-lost"
+	ReasonBadAnswer       Reason = "bad-answer"
+	ReasonNotHolder       Reason = "not-holder"
+	ReasonPoison          Reason = "poison"
+)
+
+// Answer is the end of a request.
+type Answer struct {
+	Outcome Outcome
+	Reason  Reason
+	// Detail names the field or peer concerned, for people.
+	Detail string
+	// Status, Header and Body are the backend server's, set when Outcome is Done.
+	Status   int
+	Header   http.Header
+	Body     []byte
+	Upstream string
+}
+
+// Refuse returns an answer that says the request did not run.
+func Refuse(reason Reason, detail string) Answer {
+	return Answer{Outcome: NotRun, Reason: reason, Detail: detail}
+}
+
+// Undecided returns an answer that says the request may have run.
+func Undecided(reason Reason, detail string) Answer {
+	return Answer{Outcome: Unknown, Reason: reason, Detail: detail}
+}
--- /dev/null
+++ b/transport/peer/server.go
@@ -0,0 +1,116 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/rs/zerolog"
+
+	"bilberrytiller.example/tiller/protocol/wire"
+)
+
+// maxOpenCalls bounds the calls of one peer that run at once.
+const maxOpenCalls = 4096
+
+type handler func(ctx context.Context, from string, body []byte) (any, error)
+
+// Server takes calls from peers.
+type Server struct {
+	auth     *Auth
+	log      zerolog.Logger
+	handlers map[wire.Type]handler
+}
+
+// NewServer returns a server that checks peers with auth.
+func NewServer(auth *Auth, log zerolog.Logger) *Server {
+	return &Server{auth: auth, log: log, handlers: map[wire.Type]handler{}}
+}
+
+// Handle registers the handler of a call. It must be called before the
+// server is used. The context ends when the connection does.
+func Handle[In, Out any](s *Server, t wire.Type, h func(ctx context.Context, from string, in *In) (*Out, error)) {
+	s.handlers[t] = func(ctx context.Context, from string, body []byte) (any, error) {
+		in := new(In)
+		if err := wire.DecodeBody(body, in); err != nil {
+			return nil, err
+		}
+		return h(ctx, from, in)
+	}
+}
+
+// ServeHTTP accepts one peer's connection and serves its calls.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	from, err := s.auth.Check(r.Header.Get(HeaderAuth), time.Now())
+	if err != nil {
+		s.log.Warn().Str("event", "peer.refused").Str("remote", r.RemoteAddr).Err(err).Send()
+		http.Error(w, err.Error(), http.StatusUnauthorized)
+		return
+	}
+	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return
+	}
+	ws.SetReadLimit(wire.MaxFrameBytes)
+	s.serve(r.Context(), ws, from)
+}
+
+func (s *Server) serve(ctx context.Context, ws *websocket.Conn, from string) {
+	ctx, cancel := context.WithCancel(ctx)
+	var calls sync.WaitGroup
+	defer func() {
+		cancel()
+		_ = ws.CloseNow()
+		calls.Wait()
+	}()
+	open := make(chan struct{}, maxOpenCalls)
+	for {
+		_, frame, err := ws.Read(ctx)
+		if err != nil {
+			return
+		}
+		env, err := wire.Decode(frame)
+		if err != nil {
+			s.log.Warn().Str("event", "peer.malformed").Str("peer", from).Err(err).Send()
+			_ = ws.Close(websocket.StatusUnsupportedData, err.Error())
+			return
+		}
+		open <- struct{}{}
+		calls.Go(func() {
+			s.answer(ctx, ws, from, env)
+			<-open
+		})
+	}
+}
+
+func (s *Server) answer(ctx context.Context, ws *websocket.Conn, from string, env wire.Envelope) {
+	out, err := s.dispatch(ctx, from, env)
+	reply := wire.Envelope{Type: env.Type, ID: env.ID, Answer: true}
+	if err != nil {
+		reply.Error = err.Error()
+		out = nil
+	}
+	frame, err := wire.Encode(reply, out)
+	if err != nil {
+		s.log.Error().Str("event", "peer.encode").Err(err).Send()
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	_ = ws.Write(ctx, websocket.MessageBinary, frame)
+}
+
+// UnknownCallError says that a peer sent a call this daemon does not know.
+type UnknownCallError struct{ Type wire.Type }
+
+func (e UnknownCallError) Error() string { return "unknown call " + string(e.Type) }
+
+func (s *Server) dispatch(ctx context.Context, from string, env wire.Envelope) (any, error) {
+	h, ok := s.handlers[env.Type]
+	if !ok {
+		return nil, UnknownCallError{Type: env.Type}
+	}
+	return h(ctx, from, env.Body)
+}
