Spread facts between daemons by version, with repair by digest

Cause: catalogue entries, hand-overs of keys and poisoned requests all have to reach every daemon, also while the platform is down.

Change: coordination/spread keeps facts by version; a daemon passes each new fact on and pulls from a peer whose digest differs. Catalogue entries are the first kind of fact.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/permit"
 	"bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/coordination/spread"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/transport/peer"
 	"bilberrytiller.example/tiller/transport/platformhttp"
@@ -47,6 +48,9 @@
 	catalogue atomic.Pointer[catalogue.Set]
 	view      atomic.Pointer[membership.View]
 
+	facts  *spread.Store
+	takers map[spread.Kind]func([]spread.Fact)
+
 	issuer  *permit.Issuer
 	keys    *permit.Table
 	holders *holders
@@ -80,6 +84,8 @@
 		issuer:   permit.NewIssuer([]byte(settings.Secret), rand.Reader),
 		keys:     permit.NewTable(maxKeys),
 		loads:    newLoads(),
+		facts:    spread.NewStore(),
+		takers:   map[spread.Kind]func([]spread.Fact){},
 	}
 	d.peerServe = peer.NewServer(d.auth, d.log)
 	d.holders = newHolders(d.log)
@@ -98,6 +104,7 @@
 	d.catalogue.Store(catalogue.Empty())
 	d.view.Store(membership.NewView(d.self, []membership.Member{d.self}))
 	d.registerCalls()
+	d.onFact(factCatalogue, d.takeCatalogue)
 	return d, nil
 }
 
--- a/daemon/feed.go
+++ b/daemon/feed.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/coordination/spread"
 	"bilberrytiller.example/tiller/state/catalogue"
 )
 
@@ -55,15 +56,31 @@
 	return max(after, changes.Version), nil
 }
 
-// applyEvents puts the valid ones of the platform's changes in force.
+// factCatalogue is the kind of the facts that are catalogue entries. The key
+// is the entry's, the version the platform's; a deleted entry has no body.
+const factCatalogue spread.Kind = "catalogue"
+
+// applyEvents makes the platform's changes known, here and to all peers.
 func (d *Daemon) applyEvents(events []platform.Event) {
-	records := make([]catalogue.Record, 0, len(events))
+	facts := make([]spread.Fact, 0, len(events))
 	for _, e := range events {
-		r, err := record(e)
+		f := spread.Fact{ID: spread.ID{Kind: factCatalogue, Key: e.Object.Name}, Version: e.Object.Version}
+		if !e.Deleted {
+			f.Body = e.Object.Data
+		}
+		facts = append(facts, f)
+	}
+	d.publish(facts...)
+}
+
+// takeCatalogue puts the valid ones of newer entries in force.
+func (d *Daemon) takeCatalogue(facts []spread.Fact) {
+	records := make([]catalogue.Record, 0, len(facts))
+	for _, f := range facts {
+		r, err := record(f)
 		if err != nil {
 			d.metrics.catalogueInvalid.Add(1)
-			d.log.Error().Str("event", "catalogue.invalid").Str("object", e.Object.Name).
-				Uint64("version", e.Object.Version).Err(err).Send()
+			d.log.Error().Str("event", "catalogue.invalid").Str("object", f.ID.Key).Uint64("version", f.Version).Err(err).Send()
 			continue
 		}
 		records = append(records, r)
@@ -71,16 +88,16 @@
 	d.applyRecords(records)
 }
 
-func record(e platform.Event) (catalogue.Record, error) {
-	id, err := parseID(e.Object.Name)
+func record(f spread.Fact) (catalogue.Record, error) {
+	id, err := parseID(f.ID.Key)
 	if err != nil {
 		return catalogue.Record{}, err
 	}
-	version := catalogue.Version(e.Object.Version)
-	if e.Deleted {
+	version := catalogue.Version(f.Version)
+	if len(f.Body) == 0 {
 		return catalogue.Record{ID: id, Version: version, Deleted: true}, nil
 	}
-	return catalogue.NewRecord(id, version, e.Object.Data)
+	return catalogue.NewRecord(id, version, f.Body)
 }
 
 // applyRecords merges records into the catalogue in force.
--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -61,6 +61,7 @@
 		return m
 	}
 	m.Incarnation = hello.Incarnation
+	d.repair(ctx, m, hello.Digest)
 	m.State = membership.Alive
 	if hello.Leaving || h.State == platform.HostLeaving {
 		m.State = membership.Leaving
@@ -70,9 +71,9 @@
 
 func (d *Daemon) answerHello(context.Context, string, *wire.Hello) (*wire.Hello, error) {
 	return &wire.Hello{
-		ID:               d.self.ID,
-		Incarnation:      d.self.Incarnation,
-		Leaving:          d.leaving.Load(),
-		CatalogueVersion: uint64(d.catalogue.Load().Version),
+		ID:          d.self.ID,
+		Incarnation: d.self.Incarnation,
+		Leaving:     d.leaving.Load(),
+		Digest:      d.facts.Digest(),
 	}, nil
 }
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -53,10 +53,11 @@
 
 // Hello says who a daemon is.
 type Hello struct {
-	ID               string `cbor:"id"`
-	Incarnation      string `cbor:"inc"`
-	Leaving          bool   `cbor:"leaving,omitempty"`
-	CatalogueVersion uint64 `cbor:"cat"`
+	ID          string `cbor:"id"`
+	Incarnation string `cbor:"inc"`
+	Leaving     bool   `cbor:"leaving,omitempty"`
+	// Digest is that of the facts the daemon knows.
+	Digest uint64 `cbor:"dig"`
 }
 
 // Request is a request on its way between daemons. Its deadline travels as
