--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -11,11 +11,8 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
-	"bilberrytiller.example/tiller/coordination/membership"
-	"bilberrytiller.example/tiller/coordination/placement"
 	"bilberrytiller.example/tiller/protocol/callerapi"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/state/request"
@@ -35,55 +32,6 @@
 	return mux
 }
 
-func (d *Daemon) handleLookup(w http.ResponseWriter, r *http.Request) {
-	d.metrics.lookups.Add(1)
-	set := d.catalogue.Load()
-	service := set.Service(r.URL.Query().Get("service"))
-	if service == nil {
-		writeAnswer(w, d.self.ID, "", "", request.Refuse(request.ReasonUnknownService, r.URL.Query().Get("service")))
-		return
-	}
-	hosts := placement.Hosts(set, d.view.Load())
-	lookup, err := d.lookup(set, service, hosts)
-	if err != nil {
-		writeAnswer(w, d.self.ID, "", "", request.Refuse(request.ReasonStopping, err.Error()))
-		return
-	}
-	d.logLookup(r, service, hosts)
-	writeJSON(w, http.StatusOK, lookup)
-}
-
-func (d *Daemon) lookup(set *catalogue.Set, service *catalogue.Service, hosts []membership.Member) (callerapi.Lookup, error) {
-	out := callerapi.Lookup{
-		Service: service.Name,
-		Version: uint64(set.Version),
-		TTLMs:   d.settings.LookupTTL.Milliseconds(),
-		Hosts:   []callerapi.Host{},
-	}
-	for _, m := range hosts {
-		out.Hosts = append(out.Hosts, callerapi.Host{ID: m.ID, Address: m.Caller.String(), DataCentre: m.DataCentre, Region: m.Region})
-	}
-	if service.Class.Idempotent || len(hosts) == 0 {
-		return out, nil
-	}
-	key, err := d.issuer.Issue(hosts[0].Incarnation, time.Now().Add(d.settings.KeyTTL))
-	if err != nil {
-		return out, err
-	}
-	out.Key = key.String()
-	out.KeyExpires = key.Expires
-	return out, nil
-}
-
-func (d *Daemon) logLookup(r *http.Request, service *catalogue.Service, hosts []membership.Member) {
-	ids := make([]string, 0, len(hosts))
-	for _, m := range hosts {
-		ids = append(ids, m.ID)
-	}
-	d.log.Info().Str("event", "lookup.decision").Str("caller", callerOf(r)).Str("service", service.Name).
-		Str("hosts", strings.Join(ids, ",")).Str("reason", "nearest-alive").Send()
-}
-
 func (d *Daemon) handleRun(w http.ResponseWriter, r *http.Request) {
 	defer d.inFlight.begin()()
 	req, err := newRequest(w, r)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -47,6 +47,7 @@
 
 	catalogue atomic.Pointer[catalogue.Set]
 	view      atomic.Pointer[membership.View]
+	steered   atomic.Pointer[steering]
 
 	facts  *spread.Store
 	takers map[spread.Kind]func([]spread.Fact)
--- a/protocol/callerapi/callerapi.go
+++ b/protocol/callerapi/callerapi.go
@@ -16,6 +16,13 @@
 	PathRun = "/v1/run/"
 )
 
+// Parameters of a look-up.
+const (
+	ParamService = "service"
+	// ParamClient is the address to steer by, if not the caller's own.
+	ParamClient = "client"
+)
+
 // Headers of requests and answers.
 const (
 	HeaderKey       = "Tiller-Key"
--- a/state/catalogue/decode.go
+++ b/state/catalogue/decode.go
@@ -64,8 +64,8 @@
 		return &Upstream{}, nil
 	case KindHost:
 		return &Host{}, nil
-	case KindBlock:
-		return &Block{}, nil
+	case KindBlocks:
+		return &Blocks{}, nil
 	}
 	return nil, KindError{Got: kind}
 }
--- a/state/catalogue/entry.go
+++ b/state/catalogue/entry.go
@@ -29,7 +29,7 @@
 	KindService    Kind = "service"
 	KindUpstream   Kind = "upstream"
 	KindHost       Kind = "host"
-	KindBlock      Kind = "block"
+	KindBlocks     Kind = "blocks"
 )
 
 // ID names an entry.
@@ -155,9 +155,17 @@
 	Drain bool `json:"drain,omitempty"`
 }
 
-// Block steers a block of clients to an ordered list of data centres.
-type Block struct {
+// Blocks steers blocks of clients to sites. One entry holds many blocks, so
+// that a catalogue of hundreds of thousands takes a few thousand objects and a
+// change of one block rewrites one small object.
+type Blocks struct {
 	Meta
+	Blocks []Block `json:"blocks"`
+}
+
+// Block steers one block of clients to an ordered list of sites. A site is a
+// data centre.
+type Block struct {
 	Prefix netip.Prefix `json:"prefix"`
 	Sites  []string     `json:"sites"`
 }
--- a/state/catalogue/set.go
+++ b/state/catalogue/set.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"maps"
 	"slices"
+
+	"bilberrytiller.example/tiller/state/blocks"
 )
 
 // Version is a version of an object in the platform. Versions of one object
@@ -20,10 +22,25 @@
 	Deleted bool
 	// Data is the encoded entry, as the platform holds it.
 	Data json.RawMessage
-	// Entry is the decoded entry. It is nil for a deleted one.
+	// Entry is the decoded entry. It is nil for a deleted one, and for one of
+	// kind blocks, which would take several times the memory of its Data; use
+	// Decoded.
 	Entry Entry
 }
 
+// Decoded returns the entry, decoding it if the record does not hold it. It
+// returns nil for a deleted one.
+func (r Record) Decoded() Entry {
+	if r.Entry != nil || len(r.Data) == 0 {
+		return r.Entry
+	}
+	entry, err := Decode(r.Data)
+	if err != nil {
+		return nil
+	}
+	return entry
+}
+
 // NewRecord decodes data as the entry with the given identity.
 func NewRecord(id ID, version Version, data []byte) (Record, error) {
 	entry, err := Decode(data)
@@ -33,7 +50,11 @@
 	if entry.ID() != id {
 		return Record{}, &EntryError{ID: id, Field: "name", Err: fmt.Errorf("object holds %s: %w", entry.ID(), ErrConflict)}
 	}
-	return Record{ID: id, Version: version, Data: data, Entry: entry}, nil
+	r := Record{ID: id, Version: version, Data: data, Entry: entry}
+	if id.Kind == KindBlocks {
+		r.Entry = nil
+	}
+	return r, nil
 }
 
 // Set is an immutable set of entries, each at its highest version seen.
@@ -48,10 +69,11 @@
 	dataCentres map[string]*DataCentre
 	links       map[[2]string]*Link
 	hosts       map[string]*Host
+	blocks      *blocks.Table
 }
 
 // Empty returns a set with no entries.
-func Empty() *Set { return build(map[ID]Record{}) }
+func Empty() *Set { return build(map[ID]Record{}, blocks.Empty()) }
 
 // Merge returns a set with the given records added, and those of them that
 // were newer than what the set held. Older and equal records change nothing.
@@ -72,9 +94,34 @@
 	if len(newer) == 0 {
 		return s, nil
 	}
-	return build(merged), newer
+	return build(merged, s.changedBlocks(newer)), newer
 }
 
+// changedBlocks returns the table of blocks with newer entries taken over:
+// first all that leave, then all that come, so that a block may move from
+// one entry to another.
+func (s *Set) changedBlocks(newer []Record) *blocks.Table {
+	changes := blocks.NewChanges(s.blocks)
+	for _, r := range newer {
+		if old, ok := s.records[r.ID].Decoded().(*Blocks); ok {
+			for _, b := range old.Blocks {
+				changes.Remove(b.Prefix)
+			}
+		}
+	}
+	for _, r := range newer {
+		if entry, ok := r.Decoded().(*Blocks); ok {
+			for _, b := range entry.Blocks {
+				changes.Put(b.Prefix, b.Sites)
+			}
+		}
+	}
+	return changes.Table()
+}
+
+// Blocks returns the table that steers blocks of clients to sites.
+func (s *Set) Blocks() *blocks.Table { return s.blocks }
+
 // Records returns all records of the set, deleted ones too, by identity.
 func (s *Set) Records() []Record {
 	return slices.SortedFunc(maps.Values(s.records), func(a, b Record) int {
@@ -139,7 +186,7 @@
 	return [2]string{a, b}
 }
 
-func build(records map[ID]Record) *Set {
+func build(records map[ID]Record, table *blocks.Table) *Set {
 	s := &Set{
 		records:     records,
 		services:    map[string]*Service{},
@@ -148,6 +195,7 @@
 		dataCentres: map[string]*DataCentre{},
 		links:       map[[2]string]*Link{},
 		hosts:       map[string]*Host{},
+		blocks:      table,
 	}
 	for _, r := range records {
 		s.Version = max(s.Version, r.Version)
--- a/state/catalogue/validate.go
+++ b/state/catalogue/validate.go
@@ -13,6 +13,7 @@
 	MaxConnections = 100_000
 	MaxDeadline    = time.Hour
 	MaxSites       = 64
+	MaxBlocks      = 512
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
@@ -134,15 +135,20 @@
 func (h *Host) Validate() error { return h.validate(KindHost) }
 
 // Validate checks the entry by itself.
-func (b *Block) Validate() error {
-	if err := b.validate(KindBlock); err != nil {
+func (b *Blocks) Validate() error {
+	if err := b.validate(KindBlocks); err != nil {
 		return err
 	}
-	if !b.Prefix.IsValid() || b.Prefix != b.Prefix.Masked() {
-		return b.fail("prefix", fmt.Errorf("want an address block with no host bits: %w", ErrRange))
+	if len(b.Blocks) > MaxBlocks {
+		return b.fail("blocks", fmt.Errorf("%d blocks, want at most %d: %w", len(b.Blocks), MaxBlocks, ErrRange))
 	}
-	if len(b.Sites) == 0 || len(b.Sites) > MaxSites {
-		return b.fail("sites", fmt.Errorf("%d sites, want 1 to %d: %w", len(b.Sites), MaxSites, ErrRange))
+	for i, block := range b.Blocks {
+		if !block.Prefix.IsValid() || block.Prefix != block.Prefix.Masked() {
+			return b.fail(fmt.Sprintf("blocks[%d].prefix", i), fmt.Errorf("want an address block with no host bits: %w", ErrRange))
+		}
+		if len(block.Sites) == 0 || len(block.Sites) > MaxSites {
+			return b.fail(fmt.Sprintf("blocks[%d].sites", i), fmt.Errorf("%d sites, want 1 to %d: %w", len(block.Sites), MaxSites, ErrRange))
+		}
 	}
 	return nil
 }
