Stop a request that crashes backend servers after two crashes

Cause: a request that crashes each server that runs it went on to the next server on each re-send; nothing joined a crash to the request.

Ruled out: charging the key (a caller sends the same content under a new one); charging a request for good (work that shared a server with the cause would be blocked with it); timeouts as a sign of a crash (a cut network gives them too).

Change: a connection closed before the answer charges the digest of the request's service and content with a crash, as a fact to the whole fleet. A request charged once runs one copy at a time through one daemon, charged twice it is refused as not run, and an answer clears it. Charges expire.

Left: copies of one request that are in flight at the same moment before the first crash is known can crash one server each.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -56,6 +56,8 @@
 	keys    *permit.Table
 	holders *holders
 	loads   *loads
+	// suspects are the requests that backend servers crashed on.
+	suspects *suspects
 
 	listeners listeners
 	// inFlight counts callers' requests that are being served.
@@ -85,6 +87,7 @@
 		issuer:   permit.NewIssuer([]byte(settings.Secret), rand.Reader),
 		keys:     permit.NewTable(maxKeys),
 		loads:    newLoads(),
+		suspects: newSuspects(),
 		facts:    spread.NewStore(),
 		takers:   map[spread.Kind]func([]spread.Fact){},
 	}
@@ -106,6 +109,7 @@
 	d.view.Store(membership.NewView(d.self, []membership.Member{d.self}))
 	d.registerCalls()
 	d.onFact(factCatalogue, d.takeCatalogue)
+	d.onFact(factCrash, d.takeCrashes)
 	return d, nil
 }
 
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -15,6 +15,7 @@
 	catalogueVersion *expvar.Int
 	catalogueInvalid *expvar.Int
 	members          *expvar.Int
+	poisonCharged    *expvar.Int
 }
 
 func newMetrics() *metrics {
@@ -23,6 +24,7 @@
 	m.catalogueVersion = m.counter("catalogue_version")
 	m.catalogueInvalid = m.counter("catalogue_invalid")
 	m.members = m.counter("members")
+	m.poisonCharged = m.counter("poison_charged")
 	for outcome, name := range map[request.Outcome]string{
 		request.Done:    "requests_done",
 		request.NotRun:  "requests_not_run",
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -14,6 +14,7 @@
 	peer.Handle(d.peerServe, wire.TypeHello, d.answerHello)
 	peer.Handle(d.peerServe, wire.TypeRun, d.answerRun)
 	peer.Handle(d.peerServe, wire.TypeDispatch, d.answerDispatch)
+	peer.Handle(d.peerServe, wire.TypeSuspect, d.answerSuspect)
 	peer.Handle(d.peerServe, wire.TypeFacts, d.answerFacts)
 	peer.Handle(d.peerServe, wire.TypePull, d.answerPull)
 }
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -54,7 +54,11 @@
 		if attempt == maxAttempts || ctx.Err() != nil {
 			break
 		}
+		if decided, ok := d.allowed(ctx, req); !ok {
+			return decided
+		}
 		answer = d.offer(ctx, set, c, req)
+		d.judge(req, c.Upstream.Name, answer)
 		d.logDecision(req, c, attempt, answer)
 		if answer.Outcome != request.NotRun {
 			break
@@ -63,6 +67,18 @@
 	return answer
 }
 
+// offerBest offers a request to the best upstream alone.
+func (d *Daemon) offerBest(ctx context.Context, set *catalogue.Set, req *request.Request) request.Answer {
+	candidates := placement.Upstreams(set, d.self, req.Service, d.loads.get)
+	if len(candidates) == 0 {
+		return request.Refuse(request.ReasonNoUpstream, req.Service)
+	}
+	answer := d.offer(ctx, set, candidates[0], req)
+	d.judge(req, candidates[0].Upstream.Name, answer)
+	d.logDecision(req, candidates[0], 0, answer)
+	return answer
+}
+
 // offer sends a request to the holder of one upstream.
 func (d *Daemon) offer(ctx context.Context, set *catalogue.Set, c placement.Candidate, req *request.Request) request.Answer {
 	name := c.Upstream.Name
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -129,6 +129,9 @@
 	return env, nil
 }
 
+// EncodeBody writes a body by itself.
+func EncodeBody(body any) ([]byte, error) { return cbor.Marshal(body) }
+
 // DecodeBody reads the body of an envelope.
 func DecodeBody(body []byte, into any) error {
 	if err := cbor.Unmarshal(body, into); err != nil {
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -55,7 +55,8 @@
 	// ColdStart is added to the work of each request within ColdFor of the start.
 	ColdStart time.Duration
 	ColdFor   time.Duration
-	// Crash is called for a poisoned request.
+	// Crash is called for a poisoned request. A nil Crash only drops its
+	// connection, as a crash seen from outside does.
 	Crash func()
 }
 
@@ -77,6 +78,8 @@
 	OverSlots int `json:"over_slots"`
 	// MostInUse is the largest number of requests seen at once.
 	MostInUse int `json:"most_in_use"`
+	// Crashes counts requests that crashed the server.
+	Crashes int `json:"crashes"`
 	// DoubleRuns counts runs of a key that had run before.
 	DoubleRuns int `json:"double_runs"`
 }
@@ -204,9 +207,8 @@
 		Key: r.Header.Get(backendapi.HeaderKey), RequestID: id, Service: r.PathValue("service"), Body: body, Start: time.Now(),
 	}
 	s.record(run)
-	if f.Poison && r.Header.Get(HeaderPoison) != "" && s.opts.Crash != nil {
-		s.opts.Crash()
-		return
+	if f.Poison && r.Header.Get(HeaderPoison) != "" {
+		s.crash()
 	}
 	time.Sleep(s.workTime())
 	s.end(run)
@@ -287,6 +289,16 @@
 	run.End = time.Now()
 }
 
+func (s *Server) crash() {
+	s.mu.Lock()
+	s.stats.Crashes++
+	s.mu.Unlock()
+	if s.opts.Crash != nil {
+		s.opts.Crash()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
 	if s.current().Unhealthy {
 		http.Error(w, "unhealthy", http.StatusServiceUnavailable)
--- a/state/request/request.go
+++ b/state/request/request.go
@@ -123,9 +123,12 @@
 	ReasonPeerLost        Reason = "peer-lost"
 	ReasonConnect         Reason = "connect"
 	ReasonConnectionLost  Reason = "connection-lost"
-	ReasonBadAnswer       Reason = "bad-answer"
-	ReasonNotHolder       Reason = "not-holder"
-	ReasonPoison          Reason = "poison"
+	// ReasonConnectionClosed says that the backend server closed the
+	// connection before it answered, as it does when it crashes.
+	ReasonConnectionClosed Reason = "connection-closed"
+	ReasonBadAnswer        Reason = "bad-answer"
+	ReasonNotHolder        Reason = "not-holder"
+	ReasonPoison           Reason = "poison"
 )
 
 // Answer is the end of a request.
--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -18,6 +18,7 @@
 	"net/netip"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"bilberrytiller.example/tiller/protocol/backendapi"
@@ -112,16 +113,23 @@
 // a backend server that confirms the cancellation before the start did not
 // run it.
 func (c *Client) settle(req *request.Request, cause error) request.Answer {
-	reason := request.ReasonConnectionLost
-	if errors.Is(cause, context.DeadlineExceeded) {
-		reason = request.ReasonDeadline
-	}
+	reason := lossReason(cause)
 	if c.Cancel(req.ID) == backendapi.CancelNotStarted {
 		return request.Refuse(request.ReasonCancelled, cause.Error())
 	}
 	return request.Undecided(reason, cause.Error())
 }
 
+func lossReason(cause error) request.Reason {
+	switch {
+	case errors.Is(cause, context.DeadlineExceeded):
+		return request.ReasonDeadline
+	case errors.Is(cause, io.EOF), errors.Is(cause, syscall.ECONNRESET), errors.Is(cause, syscall.EPIPE):
+		return request.ReasonConnectionClosed
+	}
+	return request.ReasonConnectionLost
+}
+
 // Cancel asks the backend server to cancel a request. A server that gives no
 // clear answer may have started it.
 func (c *Client) Cancel(id string) backendapi.CancelState {
