Replace connections between daemons that went silent

Cause: a connection that carries nothing any more, while new ones work, held every call to that peer until its deadline, and was never replaced.

Ruled out: a timeout on each call (a slow answer is not a silent connection); pings on idle connections (no call waits on them, and the next call notices).

Change: while calls wait and the peer has been quiet for 250 ms, it is pinged; without an answer in 500 ms the connection is closed, so that its calls end as possibly run and the next one dials.

--- /dev/null
+++ b/standin/proofs/silence_test.go
@@ -0,0 +1,42 @@
+package proofs
+
+import (
+	"slices"
+	"testing"
+
+	"bilberrytiller.example/tiller/state/catalogue"
+
+	"bilberrytiller.example/standin/fleet"
+	"bilberrytiller.example/standin/relay"
+)
+
+// TestSilentPeerConnections silences every open connection between the hosts
+// while new ones work. The services have one upstream each and a deadline far
+// beyond the caller's patience, so that requests cross silent connections and
+// cannot be saved by their deadline.
+func TestSilentPeerConnections(t *testing.T) {
+	opts := smallFleet()
+	opts.Upstreams = slices.DeleteFunc(opts.Upstreams, func(u fleet.Upstream) bool { return u.DataCentre != "north-1" })
+	for i := range opts.Services {
+		opts.Services[i].Class.Deadline = catalogue.Duration(10 * requestTimeout)
+	}
+	f := fleet.Start(t, opts)
+	for _, h := range f.Hosts {
+		wantDone(t, run(t, f.Client(h), "lookups", "before"), "lookups", "before")
+		wantDone(t, run(t, f.Client(h), "payments", "before-"+h.ID), "payments", "before-"+h.ID)
+	}
+	for _, from := range f.Hosts {
+		for _, to := range f.Hosts {
+			f.Set(from, to, relay.SilentOpen)
+		}
+	}
+	for _, h := range f.Hosts {
+		wantDone(t, run(t, f.Client(h), "lookups", "after"), "lookups", "after")
+		wantDone(t, run(t, f.Client(h), "payments", "after-"+h.ID), "payments", "after-"+h.ID)
+	}
+	for _, b := range f.Backends {
+		if n := b.Stats().DoubleRuns; n != 0 {
+			t.Errorf("%d double runs", n)
+		}
+	}
+}
--- a/transport/peer/conn.go
+++ b/transport/peer/conn.go
@@ -43,11 +43,15 @@
 	open map[uint64]chan wire.Envelope
 	err  error
 	done chan struct{}
+	// active tells when the peer was last heard.
+	active activity
 }
 
 func newConn(ws *websocket.Conn) *conn {
 	c := &conn{ws: ws, open: map[uint64]chan wire.Envelope{}, done: make(chan struct{})}
+	c.active.touch(time.Now())
 	go c.readLoop()
+	go c.watchSilence()
 	return c
 }
 
@@ -111,6 +115,7 @@
 			c.close(err)
 			return
 		}
+		c.active.touch(time.Now())
 		env, err := wire.Decode(frame)
 		if err != nil {
 			c.close(err)
