Replace the full mesh of probes by membership over neighbours

Cause: every daemon asked every host who it is each 250 ms, read the list of hosts each 250 ms and watched the catalogue; any difference of digests fetched all facts. None of it survives 5,500 daemons, and a daemon that was paused could not tell.

Ruled out: a lease per host in the platform (5,500 renewals a few seconds apart are more than its several hundred writes a second); probes through third daemons (inbound heartbeats already count as a sign of life, and the suspected member refutes by itself).

Change: heartbeats to the neighbours of the topology alone; records of members ordered by incarnation, sequence and state spread as facts; suspicion before death; a member raises its sequence to refute; a daemon that hears no neighbour condemns nobody; a daemon is confirmed only while a neighbour's word is younger than the lease by its own clock. Two relays per region read the list of hosts and the catalogue for all. Digests by 256 buckets, so that a repair costs what differs. Invalid objects are facts of their own and leave the last valid version known. Operators can tell a daemon of an accepted change.

--- a/coordination/duty/duty.go
+++ b/coordination/duty/duty.go
@@ -31,6 +31,23 @@
 	return best, found
 }
 
+// Carries reports whether a member is among the count members of a region
+// that carry the named duty together.
+func Carries(view *membership.View, id, name, region string, count int) bool {
+	self, ok := view.Member(id)
+	if !ok || !self.Usable() || self.Region != region {
+		return false
+	}
+	own := scoreOf(self, name, region)
+	above := 0
+	for _, m := range view.Members() {
+		if m.Usable() && m.Region == region && scoreOf(m, name, region).above(own) {
+			above++
+		}
+	}
+	return above < count
+}
+
 type score struct {
 	nearness int
 	hash     uint64
--- a/coordination/spread/spread.go
+++ b/coordination/spread/spread.go
@@ -4,7 +4,10 @@
 // A fact has a kind, a key and a version. Of two versions of a fact the
 // higher one wins, so that facts may arrive in any order, more than once and
 // from any peer. A daemon passes each fact that is new to it on to its
-// neighbours, and compares digests with them to repair what was lost.
+// neighbours, and compares digests with them to repair what was lost. Facts
+// fall into buckets by their identity; daemons whose digests differ compare
+// those of the buckets, then the versions in the buckets that differ, so that
+// a repair costs what differs and not what is known.
 package spread
 
 import (
@@ -40,15 +43,30 @@
 	return f.ExpiresMs != 0 && now.UnixMilli() >= f.ExpiresMs
 }
 
+// Buckets is how many buckets the facts of a store fall into. All daemons of
+// a fleet use the same number.
+const Buckets = 256
+
 // Store holds the facts that a daemon knows. It is safe for concurrent use.
 type Store struct {
-	mu     sync.Mutex
+	mu      sync.Mutex
+	buckets [Buckets]bucket
+	digest  uint64
+}
+
+type bucket struct {
 	facts  map[ID]Fact
 	digest uint64
 }
 
 // NewStore returns a store with no facts.
-func NewStore() *Store { return &Store{facts: map[ID]Fact{}} }
+func NewStore() *Store {
+	s := &Store{}
+	for i := range s.buckets {
+		s.buckets[i].facts = map[ID]Fact{}
+	}
+	return s
+}
 
 // Merge takes facts over and returns those that were newer than what the
 // store held.
@@ -57,15 +75,14 @@
 	defer s.mu.Unlock()
 	var newer []Fact
 	for _, f := range facts {
-		held, ok := s.facts[f.ID]
+		held, ok := s.bucketOf(f.ID).facts[f.ID]
 		if f.Expired(now) || (ok && held.Version >= f.Version) {
 			continue
 		}
 		if ok {
-			s.digest ^= held.hash()
+			s.remove(held)
 		}
-		s.digest ^= f.hash()
-		s.facts[f.ID] = f
+		s.add(f)
 		newer = append(newer, f)
 	}
 	return newer
@@ -75,14 +92,23 @@
 func (s *Store) Purge(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, f := range s.facts {
-		if f.Expired(now) {
-			s.digest ^= f.hash()
-			delete(s.facts, id)
+	for i := range s.buckets {
+		for _, f := range s.buckets[i].facts {
+			if f.Expired(now) {
+				s.remove(f)
+			}
 		}
 	}
 }
 
+// Get returns a fact.
+func (s *Store) Get(id ID) (Fact, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f, ok := s.bucketOf(id).facts[id]
+	return f, ok
+}
+
 // Digest is equal for stores with equal facts, in whatever order they came.
 func (s *Store) Digest() uint64 {
 	s.mu.Lock()
@@ -94,14 +120,36 @@
 func (s *Store) All() []Fact {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make([]Fact, 0, len(s.facts))
-	for _, f := range s.facts {
-		out = append(out, f)
+	var out []Fact
+	for i := range s.buckets {
+		for _, f := range s.buckets[i].facts {
+			out = append(out, f)
+		}
 	}
 	slices.SortFunc(out, func(a, b Fact) int { return a.ID.compare(b.ID) })
 	return out
 }
 
+func (s *Store) bucketOf(id ID) *bucket { return &s.buckets[bucketIndex(id)] }
+
+func (s *Store) add(f Fact) {
+	b := s.bucketOf(f.ID)
+	b.facts[f.ID] = f
+	b.digest ^= f.hash()
+	s.digest ^= f.hash()
+}
+
+func (s *Store) remove(f Fact) {
+	b := s.bucketOf(f.ID)
+	delete(b.facts, f.ID)
+	b.digest ^= f.hash()
+	s.digest ^= f.hash()
+}
+
+func bucketIndex(id ID) int {
+	return int(Fact{ID: id}.hash() % Buckets)
+}
+
 func (id ID) compare(o ID) int {
 	switch {
 	case id.Kind < o.Kind:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -40,13 +40,18 @@
 	self     membership.Member
 	metrics  *metrics
 
-	platform  platform.Client
-	peers     *peer.Client
+	platform platform.Client
+	peers    *peer.Client
+	// control carries heartbeats and facts, apart from the requests that peers
+	// carries, so that a heartbeat waits for no request's bytes.
+	control   *peer.Client
 	peerServe *peer.Server
 	auth      *peer.Auth
 
 	catalogue atomic.Pointer[catalogue.Set]
+	invalid   *invalidObjects
 	view      atomic.Pointer[membership.View]
+	roster    *roster
 
 	facts  *spread.Store
 	takers map[spread.Kind]func([]spread.Fact)
@@ -86,6 +91,7 @@
 		loads:    newLoads(),
 		facts:    spread.NewStore(),
 		takers:   map[spread.Kind]func([]spread.Fact){},
+		invalid:  newInvalidObjects(),
 	}
 	d.peerServe = peer.NewServer(d.auth, d.log)
 	d.holders = newHolders(d.log)
@@ -101,10 +107,15 @@
 		Caller:      advertised(settings.CallerAdvertise, d.listeners.caller),
 	}
 	d.peers = peer.NewClient(d.auth, addrOf(d.listeners.peer).Addr())
+	d.control = peer.NewClient(d.auth, addrOf(d.listeners.peer).Addr())
+	d.roster = newRoster(d.self, time.Now())
 	d.catalogue.Store(catalogue.Empty())
 	d.view.Store(membership.NewView(d.self, []membership.Member{d.self}))
 	d.registerCalls()
 	d.onFact(factCatalogue, d.takeCatalogue)
+	d.onFact(factInvalid, d.takeInvalid)
+	d.onFact(factMember, d.takeMembers)
+	d.onFact(factHost, d.takeHosts)
 	return d, nil
 }
 
@@ -129,12 +140,14 @@
 	}
 	group.Go(func() error { return d.followCatalogue(background) })
 	group.Go(func() error { return d.followHosts(background) })
+	group.Go(func() error { return d.followMembers(background) })
 	d.log.Info().Str("event", "daemon.ready").Str("incarnation", d.self.Incarnation).
 		Stringer("caller", d.CallerAddr()).Stringer("peer", d.PeerAddr()).Stringer("operator", d.OperatorAddr()).Send()
 	<-ctx.Done()
 	err := d.stop(servers)
 	stopBackground()
 	d.peers.Close()
+	d.control.Close()
 	return errors.Join(err, group.Wait())
 }
 
--- a/daemon/facts.go
+++ b/daemon/facts.go
@@ -45,8 +45,8 @@
 // neighbours are the members that this daemon spreads facts to.
 func (d *Daemon) neighbours() []membership.Member {
 	var out []membership.Member
-	for _, m := range d.view.Load().Members() {
-		if m.ID != d.self.ID && m.State != membership.Dead {
+	for _, m := range d.roster.neighbours() {
+		if m.State != membership.Dead {
 			out = append(out, m)
 		}
 	}
@@ -56,23 +56,45 @@
 func (d *Daemon) tell(m membership.Member, facts []spread.Fact) {
 	ctx, cancel := context.WithTimeout(context.Background(), spreadTimeout)
 	defer cancel()
-	_, err := peer.Call[wire.Empty](ctx, d.peers, m.Peer, wire.TypeFacts, &wire.Facts{Facts: facts})
-	if err != nil {
-		d.log.Debug().Str("event", "facts.not-told").Str("peer", m.ID).Err(err).Send()
+	for _, batch := range spread.Batches(facts, wire.MaxFactBytes) {
+		_, err := peer.Call[wire.Empty](ctx, d.control, m.Peer, wire.TypeFacts, &wire.Facts{Facts: batch})
+		if err != nil {
+			d.log.Debug().Str("event", "facts.not-told").Str("peer", m.ID).Err(err).Send()
+			return
+		}
 	}
 }
 
-// repair takes over what a peer knows, if its digest differs.
-func (d *Daemon) repair(ctx context.Context, m membership.Member, digest uint64) {
-	if digest == d.facts.Digest() {
-		return
+// repair exchanges with a peer what either of the two lacks.
+func (d *Daemon) repair(ctx context.Context, m membership.Member) {
+	d.metrics.repairs.Add(1)
+	if err := d.exchange(ctx, m); err != nil {
+		d.log.Debug().Str("event", "facts.not-repaired").Str("peer", m.ID).Err(err).Send()
 	}
-	out, err := peer.Call[wire.Facts](ctx, d.peers, m.Peer, wire.TypePull, &wire.Empty{})
+}
+
+func (d *Daemon) exchange(ctx context.Context, m membership.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
+	defer cancel()
+	compare := &wire.Compare{Digests: d.facts.BucketDigests()}
+	out, err := peer.Call[wire.Summary](ctx, d.control, m.Peer, wire.TypeCompare, compare)
 	if err != nil {
-		d.log.Debug().Str("event", "facts.not-pulled").Str("peer", m.ID).Err(err).Send()
-		return
+		return err
 	}
-	d.learn(m.ID, out.Facts)
+	lacking, surplus := d.facts.Compare(out.Summary)
+	for len(lacking) > 0 {
+		fetched, err := peer.Call[wire.Facts](ctx, d.control, m.Peer, wire.TypeFetch, &wire.Fetch{IDs: lacking})
+		if err != nil {
+			return err
+		}
+		if len(fetched.Facts) == 0 {
+			break
+		}
+		d.learn(m.ID, fetched.Facts)
+		lacking = lacking[min(len(fetched.Facts), len(lacking)):]
+	}
+	d.tell(m, surplus)
+	return nil
 }
 
 func (d *Daemon) answerFacts(_ context.Context, from string, in *wire.Facts) (*wire.Empty, error) {
@@ -80,6 +102,14 @@
 	return &wire.Empty{}, nil
 }
 
-func (d *Daemon) answerPull(context.Context, string, *wire.Empty) (*wire.Facts, error) {
-	return &wire.Facts{Facts: d.facts.All()}, nil
+func (d *Daemon) answerCompare(_ context.Context, _ string, in *wire.Compare) (*wire.Summary, error) {
+	return &wire.Summary{Summary: d.facts.Differences(in.Digests)}, nil
+}
+
+func (d *Daemon) answerFetch(_ context.Context, _ string, in *wire.Fetch) (*wire.Facts, error) {
+	facts := d.facts.Fetch(in.IDs)
+	if len(facts) == 0 {
+		return &wire.Facts{}, nil
+	}
+	return &wire.Facts{Facts: spread.Batches(facts, wire.MaxFactBytes)[0]}, nil
 }
--- a/daemon/feed.go
+++ b/daemon/feed.go
@@ -11,27 +11,74 @@
 	"bilberrytiller.example/tiller/state/catalogue"
 )
 
-const platformRetry = 500 * time.Millisecond
+const (
+	platformRetry = 500 * time.Millisecond
+	// dutyPeriod is how often a daemon looks whether it is to watch.
+	dutyPeriod = 100 * time.Millisecond
+	// joinGrace is how long a daemon that starts waits for the catalogue of
+	// its peers before it reads that of the platform.
+	joinGrace = 500 * time.Millisecond
+	// relistPeriod is how often a relay reads the whole catalogue, to mend
+	// what a watch may have missed.
+	relistPeriod = 5 * time.Minute
+)
+
+// Kinds of the facts that are catalogue entries. The key is the name of the
+// platform's object and the version the platform's.
+const (
+	// factCatalogue is a valid entry; a deleted one has no body.
+	factCatalogue spread.Kind = "catalogue"
+	// factInvalid is a version of an object that is skipped. Its body is an
+	// invalidObject. The last valid version stays known as a factCatalogue.
+	factInvalid spread.Kind = "catalogue-invalid"
+)
 
-// followCatalogue keeps the catalogue in force up to date with the platform.
+// followCatalogue keeps the catalogue in force up to date with the platform
+// whenever this daemon is to read it.
 func (d *Daemon) followCatalogue(ctx context.Context) error {
-	var after uint64
-	listed := false
+	sleep(ctx, joinGrace)
 	for ctx.Err() == nil {
-		var err error
-		if !listed {
-			after, err = d.listCatalogue(ctx)
-			listed = err == nil
-		} else {
-			after, err = d.watchCatalogue(ctx, after)
-			listed = !errors.Is(err, platform.ErrTooOld)
+		if d.readsPlatform() {
+			d.relayCatalogue(ctx)
 		}
-		if err != nil && ctx.Err() == nil {
+		sleep(ctx, dutyPeriod)
+	}
+	return nil
+}
+
+// relayCatalogue lists and then watches the catalogue until this daemon is
+// no longer to read it.
+func (d *Daemon) relayCatalogue(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go d.cancelWhenRelieved(ctx, cancel)
+	d.metrics.relay.Set(1)
+	defer d.metrics.relay.Set(0)
+	for ctx.Err() == nil {
+		if err := d.listAndWatch(ctx); err != nil && ctx.Err() == nil {
 			d.log.Warn().Str("event", "catalogue.platform").Err(err).Send()
 			sleep(ctx, platformRetry)
 		}
 	}
-	return nil
+}
+
+func (d *Daemon) cancelWhenRelieved(ctx context.Context, cancel context.CancelFunc) {
+	for d.readsPlatform() && sleep(ctx, dutyPeriod) {
+	}
+	cancel()
+}
+
+// listAndWatch reads the whole catalogue, then its changes until the next
+// list is due.
+func (d *Daemon) listAndWatch(ctx context.Context) error {
+	after, err := d.listCatalogue(ctx)
+	for relist := time.Now().Add(relistPeriod); err == nil && time.Now().Before(relist); {
+		after, err = d.watchCatalogue(ctx, after)
+	}
+	if errors.Is(err, platform.ErrTooOld) {
+		return nil
+	}
+	return err
 }
 
 func (d *Daemon) listCatalogue(ctx context.Context) (uint64, error) {
@@ -43,10 +90,28 @@
 	for _, obj := range list.Objects {
 		events = append(events, platform.Event{Object: obj})
 	}
-	d.applyEvents(events)
+	d.applyEvents(append(events, d.deletedBy(list)...))
 	return list.Version, nil
 }
 
+// deletedBy returns the deletions that a list tells by what it lacks: an
+// entry that is not in a list as of a later version has been deleted. A list
+// older than the entry says nothing of it.
+func (d *Daemon) deletedBy(list platform.List) []platform.Event {
+	named := map[string]bool{}
+	for _, obj := range list.Objects {
+		named[obj.Name] = true
+	}
+	var out []platform.Event
+	for _, r := range d.catalogue.Load().Records() {
+		name := r.ID.String()
+		if !r.Deleted && !named[name] && uint64(r.Version) < list.Version {
+			out = append(out, platform.Event{Object: platform.Object{Name: name, Version: list.Version}, Deleted: true})
+		}
+	}
+	return out
+}
+
 func (d *Daemon) watchCatalogue(ctx context.Context, after uint64) (uint64, error) {
 	changes, err := d.platform.Watch(ctx, platform.KindCatalogue, after)
 	if err != nil {
@@ -56,31 +121,37 @@
 	return max(after, changes.Version), nil
 }
 
-// factCatalogue is the kind of the facts that are catalogue entries. The key
-// is the entry's, the version the platform's; a deleted entry has no body.
-const factCatalogue spread.Kind = "catalogue"
-
 // applyEvents makes the platform's changes known, here and to all peers.
 func (d *Daemon) applyEvents(events []platform.Event) {
 	facts := make([]spread.Fact, 0, len(events))
 	for _, e := range events {
-		f := spread.Fact{ID: spread.ID{Kind: factCatalogue, Key: e.Object.Name}, Version: e.Object.Version}
-		if !e.Deleted {
-			f.Body = e.Object.Data
-		}
-		facts = append(facts, f)
+		facts = append(facts, d.factOf(e))
 	}
 	d.publish(facts...)
 }
 
-// takeCatalogue puts the valid ones of newer entries in force.
+// factOf returns the fact that a change of an object is. An invalid object is
+// known as such and takes no valid one's place.
+func (d *Daemon) factOf(e platform.Event) spread.Fact {
+	f := spread.Fact{ID: spread.ID{Kind: factCatalogue, Key: e.Object.Name}, Version: e.Object.Version}
+	if !e.Deleted {
+		f.Body = e.Object.Data
+	}
+	_, err := record(f)
+	if err == nil {
+		return f
+	}
+	return invalidFact(e.Object, err)
+}
+
+// takeCatalogue puts newer entries in force. An entry that this daemon cannot
+// read is skipped, and the version before it stays in force.
 func (d *Daemon) takeCatalogue(facts []spread.Fact) {
 	records := make([]catalogue.Record, 0, len(facts))
 	for _, f := range facts {
 		r, err := record(f)
 		if err != nil {
-			d.metrics.catalogueInvalid.Add(1)
-			d.log.Error().Str("event", "catalogue.invalid").Str("object", f.ID.Key).Uint64("version", f.Version).Err(err).Send()
+			d.noteInvalid(f.ID.Key, f.Version, err.Error())
 			continue
 		}
 		records = append(records, r)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -15,6 +15,10 @@
 	catalogueVersion *expvar.Int
 	catalogueInvalid *expvar.Int
 	members          *expvar.Int
+	neighbours       *expvar.Int
+	isolated         *expvar.Int
+	relay            *expvar.Int
+	repairs          *expvar.Int
 }
 
 func newMetrics() *metrics {
@@ -23,6 +27,10 @@
 	m.catalogueVersion = m.counter("catalogue_version")
 	m.catalogueInvalid = m.counter("catalogue_invalid")
 	m.members = m.counter("members")
+	m.neighbours = m.counter("neighbours")
+	m.isolated = m.counter("isolated")
+	m.relay = m.counter("relay")
+	m.repairs = m.counter("fact_repairs")
 	for outcome, name := range map[request.Outcome]string{
 		request.Done:    "requests_done",
 		request.NotRun:  "requests_not_run",
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -13,6 +13,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+operatorapi.PathStatus, d.handleStatus)
 	mux.HandleFunc("GET "+operatorapi.PathMetrics, d.handleMetrics)
+	mux.HandleFunc("POST "+operatorapi.PathAccepted, d.handleAccepted)
 	return d.authenticated(mux)
 }
 
@@ -36,6 +37,8 @@
 		Region:           d.self.Region,
 		Leaving:          d.leaving.Load(),
 		CatalogueVersion: uint64(d.catalogue.Load().Version),
+		Standing:         d.standing(),
+		Invalid:          d.invalid.beyond(d.catalogue.Load()),
 	}
 	for _, m := range view.Members() {
 		status.Members = append(status.Members, operatorapi.Member{
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -15,7 +15,8 @@
 	peer.Handle(d.peerServe, wire.TypeRun, d.answerRun)
 	peer.Handle(d.peerServe, wire.TypeDispatch, d.answerDispatch)
 	peer.Handle(d.peerServe, wire.TypeFacts, d.answerFacts)
-	peer.Handle(d.peerServe, wire.TypePull, d.answerPull)
+	peer.Handle(d.peerServe, wire.TypeCompare, d.answerCompare)
+	peer.Handle(d.peerServe, wire.TypeFetch, d.answerFetch)
 }
 
 func (d *Daemon) peerHandler() http.Handler {
--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -2,78 +2,344 @@
 
 import (
 	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"bilberrytiller.example/tiller/coordination/membership"
-	"bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/coordination/spread"
+	"bilberrytiller.example/tiller/protocol/operatorapi"
 	"bilberrytiller.example/tiller/protocol/wire"
 	"bilberrytiller.example/tiller/transport/peer"
 )
 
 const (
 	heartbeatPeriod  = 250 * time.Millisecond
-	heartbeatTimeout = time.Second
+	heartbeatTimeout = 500 * time.Millisecond
+	// purgePeriod is how often expired facts are forgotten.
+	purgePeriod = 10 * time.Second
+	// mismatchesBeforeRepair is how many heartbeats in a row find a
+	// neighbour's digest different before a repair: facts on their way make
+	// digests differ for a moment.
+	mismatchesBeforeRepair = 2
+	// deadRetention is how long the fleet remembers a dead member.
+	deadRetention = time.Hour
 )
 
-// followHosts keeps the view of the fleet up to date.
-func (d *Daemon) followHosts(ctx context.Context) error {
-	var hosts []platform.Host
+var membershipTiming = membership.Timing{
+	SuspectAfter: 650 * time.Millisecond,
+	DeadAfter:    500 * time.Millisecond,
+	Lease:        time.Second,
+	MaxTickGap:   2 * heartbeatPeriod,
+}
+
+// factMember is the kind of the facts that are records of members. The key
+// is the member's ID, the version the record's.
+const factMember spread.Kind = "member"
+
+// roster keeps the members. It is safe for concurrent use.
+type roster struct {
+	mu      sync.Mutex
+	tracker *membership.Tracker
+	// beating holds the addresses that were sent a heartbeat not yet answered.
+	beating    map[netip.AddrPort]bool
+	mismatches map[string]int
+	lastPurge  time.Time
+	// shown is the state of the tracker that the view shows.
+	shown shown
+	near  atomic.Pointer[[]membership.Member]
+	lease atomic.Pointer[lease]
+}
+
+type shown struct {
+	changes  uint64
+	isolated bool
+}
+
+// lease is until when the daemon is confirmed.
+type lease struct {
+	until  time.Time
+	always bool
+}
+
+func newRoster(self membership.Member, now time.Time) *roster {
+	record := membership.Record{
+		ID: self.ID, Incarnation: self.Incarnation, Started: now.UnixMilli(),
+		DataCentre: self.DataCentre, Region: self.Region, Peer: self.Peer, Caller: self.Caller,
+	}
+	r := &roster{
+		tracker:    membership.NewTracker(membershipTiming, record, now),
+		beating:    map[netip.AddrPort]bool{},
+		mismatches: map[string]int{},
+	}
+	r.near.Store(&[]membership.Member{})
+	r.lease.Store(&lease{})
+	return r
+}
+
+// neighbours returns the members that heartbeats go to.
+func (r *roster) neighbours() []membership.Member { return *r.near.Load() }
+
+// confirmed reports whether this daemon may act for the fleet, as the holder
+// of a duty does. It is false from the end of the heartbeat lease, which a
+// daemon that was paused finds out by its own clock, until a neighbour counts
+// the daemon among the living again.
+func (d *Daemon) confirmed() bool {
+	l := d.roster.lease.Load()
+	return l.always || time.Now().Before(l.until)
+}
+
+// joined reports whether this daemon hears a neighbour.
+func (d *Daemon) joined() bool {
+	d.roster.mu.Lock()
+	defer d.roster.mu.Unlock()
+	return d.roster.tracker.Joined()
+}
+
+// isolated reports whether this daemon has neighbours and hears none.
+func (d *Daemon) isolated() bool {
+	d.roster.mu.Lock()
+	defer d.roster.mu.Unlock()
+	return d.roster.tracker.Isolated()
+}
+
+// superseded reports whether a later daemon runs under this host's name.
+func (d *Daemon) superseded() bool {
+	d.roster.mu.Lock()
+	defer d.roster.mu.Unlock()
+	return d.roster.tracker.Superseded()
+}
+
+// followMembers exchanges heartbeats with the neighbours.
+func (d *Daemon) followMembers(ctx context.Context) error {
+	d.withTracker(func(t *membership.Tracker) []membership.Record { return []membership.Record{t.Self()} })
 	for ctx.Err() == nil {
-		latest, err := d.platform.Hosts(ctx)
-		if err == nil {
-			hosts = latest
-		}
-		d.probe(ctx, hosts)
+		d.beat(ctx)
 		sleep(ctx, heartbeatPeriod)
 	}
 	return nil
 }
 
-// probe asks every host who it is and stores the resulting view.
-func (d *Daemon) probe(ctx context.Context, hosts []platform.Host) {
-	self := d.self
-	if d.leaving.Load() {
-		self.State = membership.Leaving
+// beat judges the members by the time that has passed and sends heartbeats.
+func (d *Daemon) beat(ctx context.Context) {
+	now := time.Now()
+	d.withTracker(func(t *membership.Tracker) []membership.Record {
+		out := t.Tick(now)
+		if d.leaving.Load() && t.Self().State != membership.Leaving {
+			out = append(out, t.Leave())
+		}
+		return out
+	})
+	if now.Sub(d.roster.lastPurge) > purgePeriod {
+		d.roster.lastPurge = now
+		d.facts.Purge(now)
+	}
+	for _, m := range d.roster.neighbours() {
+		d.startHeartbeat(ctx, m)
 	}
-	answers := make(chan membership.Member, len(hosts))
-	for _, h := range hosts {
-		go func() { answers <- d.probeHost(ctx, h) }()
+	if !d.joined() {
+		d.callSeeds(ctx)
 	}
-	members := []membership.Member{self}
-	for range hosts {
-		if m := <-answers; m.ID != self.ID {
-			members = append(members, m)
+}
+
+// callSeeds sends heartbeats to the peers that the settings name.
+func (d *Daemon) callSeeds(ctx context.Context) {
+	for _, seed := range d.settings.Seeds {
+		addr, err := netip.ParseAddrPort(seed)
+		if err == nil && addr != d.self.Peer {
+			d.startHeartbeat(ctx, membership.Member{Peer: addr})
 		}
 	}
-	d.view.Store(membership.NewView(self, members))
-	d.metrics.members.Set(int64(len(members)))
 }
 
-func (d *Daemon) probeHost(ctx context.Context, h platform.Host) membership.Member {
-	m := membership.Member{ID: h.ID, DataCentre: h.DataCentre, Region: h.Region, Peer: h.Peer, Caller: h.Caller, State: membership.Dead}
-	if h.ID == d.self.ID {
-		return m
+// startHeartbeat sends a heartbeat unless one is on its way.
+func (d *Daemon) startHeartbeat(ctx context.Context, m membership.Member) {
+	r := d.roster
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.beating[m.Peer] {
+		return
 	}
+	r.beating[m.Peer] = true
+	go func() {
+		d.heartbeat(ctx, m)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.beating, m.Peer)
+	}()
+}
+
+// heartbeat asks a member who it is. The ID of a seed is not known before.
+func (d *Daemon) heartbeat(ctx context.Context, m membership.Member) {
+	sent := time.Now()
+	hello, err := d.callHello(ctx, m)
+	if err != nil {
+		d.control.Renew(m.Peer)
+		d.log.Debug().Str("event", "member.not-heard").Str("peer", m.ID).Stringer("address", m.Peer).Err(err).Send()
+		return
+	}
+	if hello.ID == d.self.ID || (m.ID != "" && hello.ID != m.ID) {
+		return
+	}
+	m.ID = hello.ID
+	first := !d.joined() || d.lifeOf(m.ID) != hello.Incarnation
+	d.withTracker(func(t *membership.Tracker) []membership.Record {
+		t.Heard(hello.ID, hello.Incarnation, time.Now())
+		return t.Confirm(hello.Known, sent)
+	})
+	if d.needsRepair(m.ID, hello.Digest, first) {
+		d.repair(ctx, m)
+	}
+}
+
+func (d *Daemon) callHello(ctx context.Context, m membership.Member) (*wire.Hello, error) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	hello, err := peer.Call[wire.Hello](ctx, d.peers, h.Peer, wire.TypeHello, &wire.Hello{ID: d.self.ID})
-	if err != nil {
-		return m
+	return peer.Call[wire.Hello](ctx, d.control, m.Peer, wire.TypeHello, d.hello(m.ID))
+}
+
+// lifeOf returns the incarnation known of a member, or "".
+func (d *Daemon) lifeOf(id string) string {
+	m, _ := d.view.Load().Member(id)
+	return m.Incarnation
+}
+
+// needsRepair reports whether facts are to be exchanged with a neighbour.
+func (d *Daemon) needsRepair(id string, digest uint64, first bool) bool {
+	r := d.roster
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if digest == d.facts.Digest() {
+		delete(r.mismatches, id)
+		return false
 	}
-	m.Incarnation = hello.Incarnation
-	d.repair(ctx, m, hello.Digest)
-	m.State = membership.Alive
-	if hello.Leaving || h.State == platform.HostLeaving {
-		m.State = membership.Leaving
+	r.mismatches[id]++
+	if !first && r.mismatches[id] < mismatchesBeforeRepair {
+		return false
 	}
-	return m
+	delete(r.mismatches, id)
+	return true
 }
 
-func (d *Daemon) answerHello(context.Context, string, *wire.Hello) (*wire.Hello, error) {
+// hello returns what this daemon says to a member.
+func (d *Daemon) hello(to string) *wire.Hello {
+	d.roster.mu.Lock()
+	defer d.roster.mu.Unlock()
 	return &wire.Hello{
 		ID:          d.self.ID,
 		Incarnation: d.self.Incarnation,
 		Leaving:     d.leaving.Load(),
 		Digest:      d.facts.Digest(),
-	}, nil
+		Known:       d.roster.tracker.Known(to),
+	}
+}
+
+// answerHello takes a member's heartbeat as a sign of life.
+func (d *Daemon) answerHello(_ context.Context, from string, in *wire.Hello) (*wire.Hello, error) {
+	if in.ID == from {
+		d.withTracker(func(t *membership.Tracker) []membership.Record {
+			t.Heard(in.ID, in.Incarnation, time.Now())
+			return nil
+		})
+	}
+	return d.hello(from), nil
+}
+
+// takeMembers takes newer records of members over.
+func (d *Daemon) takeMembers(facts []spread.Fact) {
+	records := make([]membership.Record, 0, len(facts))
+	for _, f := range facts {
+		var r membership.Record
+		if err := cbor.Unmarshal(f.Body, &r); err != nil || r.ID != f.ID.Key || r.Version() != f.Version {
+			d.log.Error().Str("event", "member.invalid").Str("member", f.ID.Key).Err(err).Send()
+			continue
+		}
+		records = append(records, r)
+	}
+	d.withTracker(func(t *membership.Tracker) []membership.Record { return t.Take(records, time.Now()) })
+}
+
+// withTracker does something to the tracker, shows the outcome in the view,
+// and spreads the records that are returned.
+func (d *Daemon) withTracker(do func(*membership.Tracker) []membership.Record) {
+	r := d.roster
+	r.mu.Lock()
+	records := do(r.tracker)
+	until, always := r.tracker.ConfirmedUntil()
+	r.lease.Store(&lease{until: until, always: always})
+	now := shown{changes: r.tracker.Changes(), isolated: r.tracker.Isolated()}
+	if now != r.shown {
+		r.shown = now
+		d.show(r.tracker)
+	}
+	r.mu.Unlock()
+	for _, record := range records {
+		d.spreadRecord(record)
+	}
+}
+
+// show stores the tracker's view and neighbours.
+func (d *Daemon) show(t *membership.Tracker) {
+	before := d.view.Load()
+	view := t.View()
+	near := make([]membership.Member, 0, len(t.Neighbours()))
+	for _, id := range t.Neighbours() {
+		if m, ok := view.Member(id); ok {
+			near = append(near, m)
+		}
+	}
+	d.roster.near.Store(&near)
+	d.view.Store(view)
+	d.metrics.members.Set(int64(len(view.Members())))
+	d.metrics.neighbours.Set(int64(len(near)))
+	d.metrics.isolated.Set(asInt(t.Isolated()))
+	d.logChanges(before, view)
+}
+
+func (d *Daemon) logChanges(before, view *membership.View) {
+	for _, m := range view.Members() {
+		held, known := before.Member(m.ID)
+		if !known || held.State != m.State || held.Incarnation != m.Incarnation {
+			d.log.Info().Str("event", "member.changed").Str("member", m.ID).Str("incarnation", m.Incarnation).
+				Stringer("state", m.State).Send()
+		}
+	}
+}
+
+// standing says what this daemon may do for the fleet.
+func (d *Daemon) standing() operatorapi.Standing {
+	near := []string{}
+	for _, m := range d.roster.neighbours() {
+		near = append(near, m.ID)
+	}
+	return operatorapi.Standing{
+		Confirmed:  d.confirmed(),
+		Isolated:   d.isolated(),
+		Superseded: d.superseded(),
+		Relay:      d.readsPlatform(),
+		Neighbours: near,
+	}
+}
+
+func asInt(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (d *Daemon) spreadRecord(r membership.Record) {
+	body, err := cbor.Marshal(r)
+	if err != nil {
+		d.log.Error().Str("event", "member.encode").Str("member", r.ID).Err(err).Send()
+		return
+	}
+	f := spread.Fact{ID: spread.ID{Kind: factMember, Key: r.ID}, Version: r.Version(), Body: body}
+	if r.State == membership.Dead {
+		f.ExpiresMs = time.Now().Add(deadRetention).UnixMilli()
+	}
+	d.publish(f)
 }
--- a/protocol/operatorapi/operatorapi.go
+++ b/protocol/operatorapi/operatorapi.go
@@ -17,6 +17,9 @@
 	Leaving          bool     `json:"leaving"`
 	CatalogueVersion uint64   `json:"catalogue_version"`
 	Members          []Member `json:"members"`
+	Standing         Standing `json:"standing"`
+	// Invalid names the objects of the catalogue that are skipped.
+	Invalid []InvalidObject `json:"invalid,omitempty"`
 }
 
 // Member is one entry host as the daemon sees it.
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -23,8 +23,6 @@
 
 // The calls between daemons.
 const (
-	// TypeHello asks a daemon who it is.
-	TypeHello Type = "hello"
 	// TypeRun asks the owner of a key to run a request.
 	TypeRun Type = "run"
 	// TypeDispatch asks the holder of an upstream to run a request there.
@@ -51,15 +49,6 @@
 	ErrVersion = errors.New("unknown frame version")
 )
 
-// Hello says who a daemon is.
-type Hello struct {
-	ID          string `cbor:"id"`
-	Incarnation string `cbor:"inc"`
-	Leaving     bool   `cbor:"leaving,omitempty"`
-	// Digest is that of the facts the daemon knows.
-	Digest uint64 `cbor:"dig"`
-}
-
 // Request is a request on its way between daemons. Its deadline travels as
 // the time that remains, since clocks of hosts differ.
 type Request struct {
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -83,6 +83,17 @@
 	}
 }
 
+// Renew ends the connection to an address, so that the next call dials anew:
+// an open connection may have gone silent while new ones work.
+func (c *Client) Renew(addr netip.AddrPort) {
+	s := c.slot(addr)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil {
+		s.conn.close(ErrLost)
+	}
+}
+
 func (c *Client) conn(ctx context.Context, addr netip.AddrPort) (*conn, error) {
 	s := c.slot(addr)
 	s.mu.Lock()
