--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -16,6 +16,10 @@
 	catalogueInvalid *expvar.Int
 	members          *expvar.Int
 	poisonCharged    *expvar.Int
+	neighbours       *expvar.Int
+	isolated         *expvar.Int
+	relay            *expvar.Int
+	repairs          *expvar.Int
 }
 
 func newMetrics() *metrics {
@@ -25,6 +29,10 @@
 	m.catalogueInvalid = m.counter("catalogue_invalid")
 	m.members = m.counter("members")
 	m.poisonCharged = m.counter("poison_charged")
+	m.neighbours = m.counter("neighbours")
+	m.isolated = m.counter("isolated")
+	m.relay = m.counter("relay")
+	m.repairs = m.counter("fact_repairs")
 	for outcome, name := range map[request.Outcome]string{
 		request.Done:    "requests_done",
 		request.NotRun:  "requests_not_run",
