--- /dev/null
+++ b/coordination/hold/hold_test.go
@@ -0,0 +1,113 @@
+package hold
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+func TestLeaseEndsWithoutAnswersOfPeers(t *testing.T) {
+	l := NewLease(start)
+	l.Heard("b", after(time.Second))
+	l.Check(after(time.Second + Term))
+	if !l.Valid(after(time.Second+Term), false) {
+		t.Error("lease is not valid at its term")
+	}
+	if l.Valid(after(time.Second+Term+1), false) {
+		t.Error("lease is valid past its term")
+	}
+	if !l.Valid(after(time.Second+Term+1), true) {
+		t.Error("a daemon without peers needs their answers")
+	}
+}
+
+func TestPausedDaemonDoesNotDispatch(t *testing.T) {
+	l := NewLease(start)
+	resumed := after(Term + 1)
+	if l.Valid(resumed, true) {
+		t.Error("lease is valid before the daemon looked at its duties")
+	}
+	if l.Check(resumed) {
+		t.Error("the pause was not noticed")
+	}
+	if !l.Check(resumed.Add(time.Millisecond)) {
+		t.Error("a pause was noticed twice")
+	}
+}
+
+func TestClaim(t *testing.T) {
+	l := NewLease(start)
+	l.Heard("b", after(time.Second))
+	within, past := after(time.Second+Term), after(time.Second+Term+Margin+1)
+	for name, c := range map[string]struct {
+		replies []Reply
+		now     time.Time
+		want    Step
+	}{
+		"no members":               {nil, start, Step{Open: true}},
+		"all agree":                {[]Reply{{Member: "b", InUse: 2}, {Member: "c", InUse: 1}}, start, Step{Open: true, Reserved: 3}},
+		"one still dispatches":     {[]Reply{{Member: "b", Denied: true}}, past, Step{}},
+		"silent within its lease":  {[]Reply{{Member: "b", Silent: true}}, within, Step{}},
+		"silent past its lease":    {[]Reply{{Member: "b", Silent: true}}, past, Step{Open: true, Alone: true}},
+		"never heard, after start": {[]Reply{{Member: "c", Silent: true}}, after(Term), Step{}},
+	} {
+		if got := Decide(l, c.replies, c.now); got != c.want {
+			t.Errorf("%s: got %+v, want %+v", name, got, c.want)
+		}
+	}
+}
+
+func TestReserve(t *testing.T) {
+	open := Step{Open: true, Reserved: 1}
+	alone := Step{Open: true, Alone: true}
+	for name, c := range map[string]struct {
+		step   Step
+		report *Report
+		own    int
+		held   time.Duration
+		want   int
+	}{
+		"members know more":       {open, &Report{InUse: 0}, 0, 0, 1},
+		"upstream knows more":     {open, &Report{InUse: 3}, 1, 0, 2},
+		"missing is not zero":     {open, nil, 0, 0, 4},
+		"more than the slots":     {open, &Report{InUse: 9}, 0, 0, 4},
+		"misleading for long":     {open, &Report{InUse: 4}, 0, ReserveTerm, 0},
+		"alone beside a holder":   {alone, &Report{InUse: 4}, 0, ReserveTerm, 3},
+		"alone beside own work":   {alone, &Report{InUse: 2}, 2, ReserveTerm, 0},
+		"missing for long, alone": {alone, nil, 0, ReserveTerm, 3},
+	} {
+		if got := Reserve(c.step, c.report, 4, c.own, c.held); got != c.want {
+			t.Errorf("%s: got %d, want %d", name, got, c.want)
+		}
+	}
+}
+
+func TestReportsThatDoNotCount(t *testing.T) {
+	for name, r := range map[string]Report{
+		"negative":        {InUse: -1, Made: start},
+		"beyond range":    {InUse: 331, Made: start},
+		"stale":           {InUse: 1, Made: start.Add(-maxReportAge - 1)},
+		"from the future": {InUse: 1, Made: start.Add(maxReportSkew + 1)},
+	} {
+		if r.Credible(330, start) {
+			t.Errorf("%s: counts", name)
+		}
+	}
+	if !(Report{InUse: 330, Made: start}).Credible(330, start) {
+		t.Error("a report in range does not count")
+	}
+}
+
+func TestRampGrowsToAllSlots(t *testing.T) {
+	for usable, want := range map[time.Duration]int{0: 2, rampStep: 4, 2 * rampStep: 8, time.Hour: 8} {
+		if got := Ramp(8, usable); got != want {
+			t.Errorf("after %v: got %d, want %d", usable, got, want)
+		}
+	}
+	if got := Ramp(1, 0); got != 1 {
+		t.Errorf("one slot: got %d", got)
+	}
+}
