Schedule slots by rank, minimum, owner and deadline at one holder

Cause: the scheduler was first come first served inside a rank, starved the lower ranks under a flood of payments, queued without bound, queued what could not be answered in time, and a new holder knew nothing of the slots that the old one still used.

Ruled out: credits as a count of grants (a service with long answers then takes more slot time than its fraction); preempting reports (a run cannot be taken back).

Change: a queue without clock or goroutine that keeps minimums in slot time; a driver; admission with the same queue; placement by expected wait and way, two choices among equals; claims between daemons at a change of holder; a retry budget, also for idempotent work with an unknown outcome.

Seen failing without its mechanism (one line taken out, then put back): - no minimum: TestFloodLeavesEachServiceItsMinimum, TestServiceWithoutGuaranteeIsNotStarved - slots of others ignored: TestQueueKeepsItsLimitsAndOrder - no estimate: TestRequestThatCannotBeAnsweredInTimeIsRefusedAtOnce Taking worth out passed at first, as rank gave the same order; TestWorthGoesBeforeRankInAFullQueue was added for it.

--- /dev/null
+++ b/coordination/schedule/queue_test.go
@@ -0,0 +1,356 @@
+package schedule
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bilberrytiller.example/tiller/state/request"
+)
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20260101"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var (
+	start    = time.Unix(1_000_000, 0)
+	payments = Class{Service: "payments", Owner: "a", Rank: request.RankPayment, Guaranteed: 0.2, Worth: 10}
+	lookups  = Class{Service: "lookups", Owner: "a", Rank: request.RankLookup, Guaranteed: 0.3, Worth: 5}
+	reports  = Class{Service: "reports", Owner: "a", Rank: request.RankReport, Guaranteed: 0.1, Worth: 1}
+	far      = start.Add(time.Hour)
+)
+
+// model checks the events of a queue against what must hold at every step.
+type model struct {
+	t       *rapid.T
+	q       *Queue
+	limits  Limits
+	waiting map[*Ticket]bool
+	running []*Ticket
+	// order holds the waiting tickets of each service as they came.
+	order map[string][]*Ticket
+}
+
+func (m *model) take(events []Event) {
+	for _, e := range events {
+		if !m.waiting[e.Ticket] {
+			m.t.Fatalf("ticket %d ended twice", e.Ticket.sequence)
+		}
+		m.end(e.Ticket)
+		if e.Err != nil {
+			continue
+		}
+		m.running = append(m.running, e.Ticket)
+		if len(m.running)+m.q.reserved > m.limits.Slots {
+			m.t.Fatalf("granted %d beside %d reserved of %d slots", len(m.running), m.q.reserved, m.limits.Slots)
+		}
+	}
+}
+
+func (m *model) end(t *Ticket) {
+	delete(m.waiting, t)
+	m.order[t.class.Service] = slices.DeleteFunc(m.order[t.class.Service], func(o *Ticket) bool { return o == t })
+}
+
+func (m *model) offer(c Class, deadline, now time.Time) {
+	t, events := m.q.Offer(c, deadline, now)
+	m.waiting[t] = true
+	m.order[c.Service] = append(m.order[c.Service], t)
+	m.take(events)
+}
+
+func (m *model) check() {
+	inUse, waiting := m.q.Load()
+	if inUse != len(m.running) || waiting != len(m.waiting) {
+		m.t.Fatalf("load is %d, %d; want %d, %d", inUse, waiting, len(m.running), len(m.waiting))
+	}
+	if waiting > m.limits.Waiting {
+		m.t.Fatalf("%d wait, want at most %d", waiting, m.limits.Waiting)
+	}
+	if waiting > 0 && inUse+m.q.reserved < m.limits.Slots && m.limits.RankShare == 0 {
+		m.t.Fatalf("%d wait while %d of %d slots are in use", waiting, inUse, m.limits.Slots)
+	}
+	for service, list := range m.order {
+		if got := m.q.waitingOf(service); !slices.Equal(got, list) {
+			m.t.Fatalf("%s is out of order", service)
+		}
+	}
+}
+
+func (q *Queue) waitingOf(service string) []*Ticket {
+	for _, c := range q.classes {
+		if c.Service == service {
+			return c.waiting
+		}
+	}
+	return nil
+}
+
+// step does one random thing.
+func (m *model) step(now time.Time) {
+	switch rapid.IntRange(0, 9).Draw(m.t, "step") {
+	case 0:
+		m.limits.Slots = rapid.IntRange(1, 8).Draw(m.t, "slots")
+		m.take(m.q.SetLimits(m.limits, now))
+	case 1:
+		m.take(m.q.Reserve(rapid.IntRange(0, 3).Draw(m.t, "reserved"), now))
+	case 2, 3, 4:
+		if len(m.running) == 0 {
+			return
+		}
+		i := rapid.IntRange(0, len(m.running)-1).Draw(m.t, "released")
+		t := m.running[i]
+		m.running = slices.Delete(m.running, i, i+1)
+		m.take(m.q.Release(t, now))
+	case 5:
+		for t := range m.waiting {
+			if t.sequence%3 == 0 {
+				m.end(t)
+				m.take(m.q.Withdraw(t, now))
+				return
+			}
+		}
+	default:
+		class := rapid.SampledFrom([]Class{payments, lookups, reports}).Draw(m.t, "class")
+		left := time.Duration(rapid.IntRange(1, 500).Draw(m.t, "left")) * time.Millisecond
+		m.offer(class, now.Add(left), now)
+	}
+}
+
+func TestQueueKeepsItsLimitsAndOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{Slots: 4, Waiting: rapid.IntRange(1, 20).Draw(t, "waiting")}
+		m := &model{t: t, q: NewQueue(limits), limits: limits, waiting: map[*Ticket]bool{}, order: map[string][]*Ticket{}}
+		now := start
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "passed")) * time.Millisecond)
+			m.step(now)
+			m.check()
+		}
+		m.take(m.q.Refuse(ErrFull))
+		if len(m.waiting) != 0 {
+			t.Fatalf("%d were neither granted nor refused", len(m.waiting))
+		}
+	})
+}
+
+// load is a flow of requests of one class in a simulation.
+type load struct {
+	class   Class
+	service time.Duration
+	// waiting is how many requests the flow keeps in the queue.
+	waiting int
+}
+
+// simulate runs flows for a time and returns the slot time of each service.
+func simulate(limits Limits, loads []load, length time.Duration) map[string]time.Duration {
+	q := NewQueue(limits)
+	used := map[string]time.Duration{}
+	ends := map[*Ticket]time.Time{}
+	now := start
+	take := func(events []Event) {
+		for _, e := range events {
+			if e.Err == nil {
+				ends[e.Ticket] = now.Add(serviceOf(loads, e.Ticket))
+			}
+		}
+	}
+	for now.Before(start.Add(length)) {
+		for _, l := range loads {
+			for len(q.waitingOf(l.class.Service)) < l.waiting {
+				_, events := q.Offer(l.class, far, now)
+				take(events)
+			}
+		}
+		t, end := soonest(ends)
+		now = end
+		delete(ends, t)
+		used[t.class.Service] += serviceOf(loads, t)
+		take(q.Release(t, now))
+	}
+	return used
+}
+
+func serviceOf(loads []load, t *Ticket) time.Duration {
+	i := slices.IndexFunc(loads, func(l load) bool { return l.class.Service == t.class.Service })
+	return loads[i].service
+}
+
+func soonest(ends map[*Ticket]time.Time) (*Ticket, time.Time) {
+	var best *Ticket
+	for t, end := range ends {
+		if best == nil || end.Before(ends[best]) || end.Equal(ends[best]) && t.sequence < best.sequence {
+			best = t
+		}
+	}
+	return best, ends[best]
+}
+
+func TestFloodLeavesEachServiceItsMinimum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 12).Draw(t, "slots")
+		service := func(name string) time.Duration {
+			return time.Duration(rapid.IntRange(1, 40).Draw(t, name)) * time.Millisecond
+		}
+		loads := []load{
+			{payments, service("payments"), 40},
+			{lookups, service("lookups"), 4},
+			{reports, service("reports"), 2},
+		}
+		const length = 20 * time.Second
+		used := simulate(Limits{Slots: slots, Waiting: 100}, loads, length)
+		for _, l := range loads {
+			least := time.Duration(l.class.Guaranteed * float64(slots) * float64(length))
+			if used[l.class.Service] < least*95/100 {
+				t.Errorf("%s used %v of slot time, want at least 95%% of %v", l.class.Service, used[l.class.Service], least)
+			}
+		}
+	})
+}
+
+func TestServiceWithoutGuaranteeIsNotStarved(t *testing.T) {
+	idle := Class{Service: "idle", Owner: "b", Rank: request.RankReport}
+	used := simulate(Limits{Slots: 3, Waiting: 100}, []load{{payments, 5 * time.Millisecond, 40}, {idle, 50 * time.Millisecond, 1}}, 20*time.Second)
+	if used["idle"] == 0 {
+		t.Fatal("the service got no slot in 20s")
+	}
+}
+
+func TestFloodOfOneOwnerLeavesAnotherItsShare(t *testing.T) {
+	flood := Class{Service: "flood", Owner: "a", Rank: request.RankLookup}
+	other := Class{Service: "other", Owner: "b", Rank: request.RankLookup}
+	used := simulate(Limits{Slots: 4, Waiting: 100}, []load{{flood, 10 * time.Millisecond, 60}, {other, 10 * time.Millisecond, 4}}, 10*time.Second)
+	if used["other"] < used["flood"]*9/10 {
+		t.Fatalf("owners used %v", used)
+	}
+}
+
+func TestFloodOfReportsLeavesUrgentWorkFirst(t *testing.T) {
+	q := NewQueue(Limits{Slots: 1, Waiting: 100})
+	running, _ := q.Offer(reports, far, start)
+	for range 50 {
+		q.Offer(reports, far, start)
+	}
+	urgent, _ := q.Offer(payments, far, start)
+	if events := q.Release(running, start.Add(time.Millisecond)); events[0].Ticket != urgent {
+		t.Fatalf("granted %s first", events[0].Ticket.class.Service)
+	}
+}
+
+func TestRequestThatCannotBeAnsweredInTimeIsRefusedAtOnce(t *testing.T) {
+	q := NewQueue(Limits{Slots: 1, Waiting: 100})
+	now := start
+	for range 20 {
+		running, _ := q.Offer(lookups, far, now)
+		now = now.Add(10 * time.Millisecond)
+		q.Release(running, now)
+	}
+	for range 10 {
+		q.Offer(lookups, far, now)
+	}
+	_, events := q.Offer(lookups, now.Add(50*time.Millisecond), now)
+	if len(events) != 1 || !errors.Is(events[0].Err, ErrTooLate) {
+		t.Fatalf("got %v, want ErrTooLate", events)
+	}
+	if _, events := q.Offer(lookups, now.Add(150*time.Millisecond), now); len(events) != 0 {
+		t.Fatalf("got %v, want a place in the queue", events)
+	}
+}
+
+func TestFullQueueDropsTheLeastWorth(t *testing.T) {
+	q := NewQueue(Limits{Slots: 1, Waiting: 10})
+	q.Offer(payments, far, start)
+	var newest *Ticket
+	for range 10 {
+		newest, _ = q.Offer(reports, far, start)
+	}
+	_, events := q.Offer(payments, far, start)
+	if len(events) != 1 || events[0].Ticket != newest || !errors.Is(events[0].Err, ErrFull) {
+		t.Fatalf("got %v, want the newest report dropped", events)
+	}
+	ticket, events := q.Offer(reports, far, start)
+	if len(events) != 1 || events[0].Ticket != ticket {
+		t.Fatalf("got %v, want the new report refused", events)
+	}
+}
+
+func TestWorthGoesBeforeRankInAFullQueue(t *testing.T) {
+	dear := Class{Service: "dear", Owner: "a", Rank: request.RankReport, Worth: 20}
+	q := NewQueue(Limits{Slots: 1, Waiting: 10})
+	var newest *Ticket
+	for range 11 {
+		newest, _ = q.Offer(lookups, far, start)
+	}
+	// The first one has a place in any case, as its guaranteed part.
+	if _, events := q.Offer(dear, far, start); len(events) != 1 || events[0].Ticket != newest {
+		t.Fatalf("got %v, want the newest look-up dropped", events)
+	}
+	if ticket, events := q.Offer(dear, far, start); len(events) != 1 || events[0].Ticket == ticket {
+		t.Fatalf("got %v, want another look-up dropped", events)
+	}
+}
+
+// An estimate that refuses everything gets no new samples; it must lose
+// weight until something runs again.
+func TestEstimateThatRefusesEverythingIsTriedAgain(t *testing.T) {
+	q := NewQueue(Limits{Slots: 1, Waiting: 10})
+	running, _ := q.Offer(lookups, far, start)
+	now := start.Add(10 * time.Second)
+	q.Release(running, now)
+	for range 60 {
+		now = now.Add(time.Second)
+		if _, events := q.Offer(lookups, now.Add(100*time.Millisecond), now); events[0].Err == nil {
+			return
+		}
+	}
+	t.Fatal("refused for 60s after one slow answer")
+}
+
+func TestRankShareLeavesSlotsToOtherRanks(t *testing.T) {
+	q := NewQueue(Limits{Slots: 10, Waiting: 100, RankShare: 0.6})
+	granted := 0
+	for range 50 {
+		if _, events := q.Offer(reports, far, start); len(events) > 0 && events[0].Err == nil {
+			granted++
+		}
+	}
+	if granted != 6 {
+		t.Fatalf("reports got %d of 10 slots, want 6", granted)
+	}
+	if _, events := q.Offer(lookups, far, start); len(events) != 1 || events[0].Err != nil {
+		t.Fatalf("got %v, want a slot at once", events)
+	}
+}
+
+func BenchmarkOfferAndRelease(b *testing.B) {
+	for _, waiting := range []int{0, 100} {
+		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
+			q := NewQueue(Limits{Slots: 8, Waiting: 1000})
+			var running []*Ticket
+			for range 8 + waiting {
+				t, events := q.Offer(lookups, far, start)
+				if len(events) == 1 {
+					running = append(running, t)
+				}
+			}
+			now := start
+			for b.Loop() {
+				now = now.Add(time.Microsecond)
+				_, events := q.Offer(payments, far, now)
+				for _, e := range append(events, q.Release(running[0], now)...) {
+					running = append(running, e.Ticket)
+				}
+				running = running[1:]
+			}
+		})
+	}
+}
--- /dev/null
+++ b/daemon/claims.go
@@ -0,0 +1,264 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bilberrytiller.example/tiller/coordination/hold"
+	"bilberrytiller.example/tiller/coordination/membership"
+	"bilberrytiller.example/tiller/protocol/wire"
+	"bilberrytiller.example/tiller/state/catalogue"
+	"bilberrytiller.example/tiller/transport/peer"
+)
+
+const (
+	// holdPeriod is how often a daemon looks at its duties.
+	holdPeriod = 50 * time.Millisecond
+	// claimTimeout bounds the wait for one member's reply.
+	claimTimeout = 500 * time.Millisecond
+	// loadTimeout bounds the wait for a load report.
+	loadTimeout = 500 * time.Millisecond
+)
+
+// followHolds takes over the upstreams that this daemon is to hold and lets
+// go of the others.
+func (d *Daemon) followHolds(ctx context.Context) error {
+	for sleep(ctx, holdPeriod) {
+		if !d.lease.Check(time.Now()) {
+			d.log.Warn().Str("event", "hold.paused").Send()
+			d.holders.closeAll()
+		}
+		set := d.catalogue.Load()
+		for _, u := range set.AllUpstreams() {
+			d.checkHold(ctx, set, u)
+		}
+	}
+	d.holders.closeAll()
+	return nil
+}
+
+func (d *Daemon) checkHold(ctx context.Context, set *catalogue.Set, u *catalogue.Upstream) {
+	if !d.isHolder(set, u) {
+		d.holders.release(u.Name)
+		return
+	}
+	h := d.holders.get(u)
+	if h.expired(d.lease, time.Now()) {
+		h.close("lease-ended")
+	}
+	if generation, ok := h.beginClaim(); ok {
+		go d.takeOver(ctx, u.Name, h, generation)
+	}
+	h.warmUp(time.Now())
+}
+
+func (d *Daemon) isHolder(set *catalogue.Set, u *catalogue.Upstream) bool {
+	holder, ok := d.holderOf(set, u)
+	return ok && holder.ID == d.self.ID
+}
+
+// takeOver asks the other members until this daemon may dispatch, and then
+// for as long as requests of earlier holders use slots.
+func (d *Daemon) takeOver(ctx context.Context, upstream string, h *held, generation int) {
+	var opened time.Time
+	for h.at(generation) {
+		step := hold.Decide(d.lease, d.claim(ctx, upstream), time.Now())
+		report := d.report(ctx, h)
+		now := time.Now()
+		if step.Open && opened.IsZero() {
+			opened = now
+		}
+		if !opened.IsZero() {
+			done := h.reserve(generation, step, report, now.Sub(opened))
+			h.open(generation, step.Alone)
+			if done {
+				return
+			}
+		}
+		if !sleep(ctx, holdPeriod) {
+			return
+		}
+	}
+}
+
+// claim tells all other members that this daemon is to hold an upstream.
+func (d *Daemon) claim(ctx context.Context, upstream string) []hold.Reply {
+	var others []membership.Member
+	for _, m := range d.view.Load().Members() {
+		if m.ID != d.self.ID {
+			others = append(others, m)
+		}
+	}
+	replies := make([]hold.Reply, len(others))
+	var calls sync.WaitGroup
+	for i, m := range others {
+		calls.Go(func() { replies[i] = d.claimFrom(ctx, m, upstream) })
+	}
+	calls.Wait()
+	return replies
+}
+
+func (d *Daemon) claimFrom(ctx context.Context, m membership.Member, upstream string) hold.Reply {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	sent := time.Now()
+	out, err := peer.Call[wire.Claimed](ctx, d.peers, m.Peer, wire.TypeClaim, &wire.Claim{Upstream: upstream})
+	if err != nil {
+		return hold.Reply{Member: m.ID, Silent: true}
+	}
+	d.lease.Heard(m.ID, sent)
+	return hold.Reply{Member: m.ID, Denied: out.Denied, InUse: out.InUse}
+}
+
+// answerClaim lets go of an upstream that another member claims, unless this
+// daemon takes itself for the holder. Of two members that claim at once the
+// one with the lower name goes on.
+func (d *Daemon) answerClaim(_ context.Context, from string, in *wire.Claim) (*wire.Claimed, error) {
+	set := d.catalogue.Load()
+	u := set.Upstream(in.Upstream)
+	if u == nil {
+		return &wire.Claimed{}, nil
+	}
+	h := d.holders.get(u)
+	mine := d.isHolder(set, u)
+	if h.keeps(mine, d.lease, d.self.ID < from) {
+		return &wire.Claimed{Denied: true}, nil
+	}
+	h.close("claimed-by-" + from)
+	inUse, _ := h.scheduler.Load()
+	return &wire.Claimed{InUse: inUse}, nil
+}
+
+// report returns the upstream's load report, or nil if it counts for nothing.
+func (d *Daemon) report(ctx context.Context, h *held) *hold.Report {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	h.mu.Lock()
+	client, connections := h.client, h.upstream.Connections
+	h.mu.Unlock()
+	load, err := client.Load(ctx)
+	if err != nil {
+		return nil
+	}
+	r := &hold.Report{InUse: load.InUse, Made: time.UnixMilli(load.TimeMs)}
+	if !r.Credible(connections, time.Now()) {
+		d.metrics.loadReportsDropped.Add(1)
+		return nil
+	}
+	return r
+}
+
+// release closes the hold on an upstream that another daemon holds.
+func (h *holders) release(upstream string) {
+	h.mu.Lock()
+	found, ok := h.held[upstream]
+	h.mu.Unlock()
+	if ok {
+		found.close("other-holder")
+	}
+}
+
+func (h *holders) closeAll() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, held := range h.held {
+		held.close("paused")
+	}
+}
+
+// at reports whether the state has not changed since a generation.
+func (h *held) at(generation int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.generation == generation
+}
+
+// expired reports whether an open hold has outlived the daemon's lease.
+func (h *held) expired(lease *hold.Lease, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state == holdOpen && !lease.Valid(now, h.alone)
+}
+
+// keeps reports whether the hold stays although another member claims it.
+func (h *held) keeps(mine bool, lease *hold.Lease, first bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !mine {
+		return false
+	}
+	switch h.state {
+	case holdOpen:
+		return lease.Valid(time.Now(), h.alone)
+	case holdClaiming:
+		return first
+	}
+	return false
+}
+
+func (h *held) beginClaim() (generation int, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.state != holdClosed {
+		return 0, false
+	}
+	h.state = holdClaiming
+	h.generation++
+	return h.generation, true
+}
+
+// open lets requests have slots.
+func (h *held) open(generation int, alone bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.generation != generation {
+		return
+	}
+	if h.state != holdOpen {
+		h.log.Info().Str("event", "hold.open").Bool("alone", alone).Send()
+	}
+	h.state = holdOpen
+	h.alone = alone
+}
+
+// reserve keeps slots for the requests of others. It reports whether there
+// are none left to wait for.
+func (h *held) reserve(generation int, step hold.Step, report *hold.Report, since time.Duration) (done bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.generation != generation {
+		return true
+	}
+	own, _ := h.scheduler.Load()
+	reserved := hold.Reserve(step, report, h.upstream.Slots, own, since)
+	h.scheduler.Reserve(reserved)
+	return reserved == 0 && !step.Alone
+}
+
+// close refuses the requests that wait. Those that run go on.
+func (h *held) close(reason string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.state == holdClosed {
+		return
+	}
+	h.log.Info().Str("event", "hold.closed").Str("reason", reason).Send()
+	h.state = holdClosed
+	h.generation++
+	h.scheduler.Refuse(errNotHolder)
+}
+
+// warmUp raises the slots of a cold upstream step by step.
+func (h *held) warmUp(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.usable.IsZero() {
+		return
+	}
+	limits := h.limits(now)
+	h.scheduler.SetLimits(limits)
+	if limits.Slots == h.upstream.Slots {
+		h.usable = time.Time{}
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,9 +15,12 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"bilberrytiller.example/tiller/coordination/admission"
+	"bilberrytiller.example/tiller/coordination/hold"
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/permit"
 	"bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/coordination/retry"
 	"bilberrytiller.example/tiller/coordination/spread"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/transport/peer"
@@ -55,6 +58,10 @@
 	keys    *permit.Table
 	holders *holders
 	loads   *loads
+	// lease tells whether this daemon may dispatch.
+	lease     *hold.Lease
+	admission *admission.Controller
+	retries   *retry.Budget
 
 	listeners listeners
 	// inFlight counts callers' requests that are being served.
@@ -76,16 +83,19 @@
 		return nil, err
 	}
 	d := &Daemon{
-		settings: settings,
-		log:      log.With().Str("host", settings.HostID).Logger(),
-		metrics:  newMetrics(),
-		platform: platformhttp.New(settings.Platform),
-		auth:     peer.NewAuth(settings.HostID, []byte(settings.Secret)),
-		issuer:   permit.NewIssuer([]byte(settings.Secret), rand.Reader),
-		keys:     permit.NewTable(maxKeys),
-		loads:    newLoads(),
-		facts:    spread.NewStore(),
-		takers:   map[spread.Kind]func([]spread.Fact){},
+		settings:  settings,
+		log:       log.With().Str("host", settings.HostID).Logger(),
+		metrics:   newMetrics(),
+		platform:  platformhttp.New(settings.Platform),
+		auth:      peer.NewAuth(settings.HostID, []byte(settings.Secret)),
+		issuer:    permit.NewIssuer([]byte(settings.Secret), rand.Reader),
+		keys:      permit.NewTable(maxKeys),
+		loads:     newLoads(),
+		lease:     hold.NewLease(time.Now()),
+		admission: admission.New(),
+		retries:   retry.NewBudget(),
+		facts:     spread.NewStore(),
+		takers:    map[spread.Kind]func([]spread.Fact){},
 	}
 	d.peerServe = peer.NewServer(d.auth, d.log)
 	d.holders = newHolders(d.log)
@@ -129,6 +139,7 @@
 	}
 	group.Go(func() error { return d.followCatalogue(background) })
 	group.Go(func() error { return d.followHosts(background) })
+	group.Go(func() error { return d.followHolds(background) })
 	d.log.Info().Str("event", "daemon.ready").Str("incarnation", d.self.Incarnation).
 		Stringer("caller", d.CallerAddr()).Stringer("peer", d.PeerAddr()).Stringer("operator", d.OperatorAddr()).Send()
 	<-ctx.Done()
--- a/daemon/holder.go
+++ b/daemon/holder.go
@@ -2,17 +2,43 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
+	"bilberrytiller.example/tiller/coordination/hold"
 	"bilberrytiller.example/tiller/coordination/placement"
 	"bilberrytiller.example/tiller/coordination/schedule"
+	"bilberrytiller.example/tiller/protocol/wire"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/state/request"
 	"bilberrytiller.example/tiller/transport/backendhttp"
 )
 
+const (
+	// waitingPerSlot is the length of an upstream's queue for each slot.
+	waitingPerSlot = 64
+	// failingAfter is the number of failed connections in a row after which
+	// an upstream counts as failing.
+	failingAfter = 3
+)
+
+// errNotHolder ends requests that wait for a slot of an upstream that this
+// daemon no longer holds.
+var errNotHolder = errors.New("not the holder of the upstream")
+
+// holdState is where a daemon stands with an upstream.
+type holdState int
+
+const (
+	holdClosed holdState = iota
+	// holdClaiming is the state while other members are asked.
+	holdClaiming
+	holdOpen
+)
+
 // holders keeps the upstreams whose slots this daemon schedules.
 type holders struct {
 	log  zerolog.Logger
@@ -22,37 +48,138 @@
 
 // held is one upstream with its slots and its connections.
 type held struct {
-	upstream  catalogue.Upstream
+	log       zerolog.Logger
 	scheduler *schedule.Scheduler
-	client    *backendhttp.Client
+
+	mu       sync.Mutex
+	upstream catalogue.Upstream
+	client   *backendhttp.Client
+	state    holdState
+	// generation counts the changes of state.
+	generation int
+	// alone is true if other members were outwaited.
+	alone bool
+	// usable is when the upstream became usable, zero if it always was.
+	usable time.Time
+	// failures counts failed connections in a row.
+	failures int
+	service  time.Duration
+	lastDone time.Time
 }
 
 func newHolders(log zerolog.Logger) *holders {
 	return &holders{log: log, held: map[string]*held{}}
 }
 
-// run waits for a slot of the upstream and runs the request there.
-func (h *holders) run(ctx context.Context, u *catalogue.Upstream, req *request.Request) request.Answer {
-	held := h.get(u)
-	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
-	defer cancel()
-	if err := held.scheduler.Acquire(ctx, req.Rank); err != nil {
-		return request.Refuse(request.ReasonTooLate, err.Error())
+// dispatchHere runs a request on an upstream whose slots this daemon holds.
+func (d *Daemon) dispatchHere(ctx context.Context, upstream string, req *request.Request) request.Answer {
+	set := d.catalogue.Load()
+	u := set.Upstream(upstream)
+	if u == nil || set.Leaving(u) {
+		return request.Refuse(request.ReasonNoUpstream, upstream)
+	}
+	h := d.holders.get(u)
+	generation, ok := h.mayDispatch(d.lease)
+	if !ok {
+		return request.Refuse(request.ReasonNotHolder, upstream)
+	}
+	release, err := h.scheduler.Acquire(ctx, classOf(set, req), req.Deadline)
+	if err != nil {
+		return refuseSlot(upstream, err)
+	}
+	defer release()
+	// The daemon may have been paused or replaced while the request waited.
+	if now, ok := h.mayDispatch(d.lease); !ok || now != generation {
+		return request.Refuse(request.ReasonNotHolder, upstream)
+	}
+	answer := h.run(ctx, req)
+	answer.Upstream = upstream
+	return answer
+}
+
+// classOf returns what the catalogue says of a request's work.
+func classOf(set *catalogue.Set, req *request.Request) schedule.Class {
+	class := schedule.Class{Service: req.Service, Owner: req.Owner, Rank: req.Rank}
+	if service := set.Service(req.Service); service != nil {
+		class.Guaranteed = service.Class.Guaranteed
+		class.Worth = service.Class.Worth
 	}
-	defer held.scheduler.Release()
-	return held.client.Run(ctx, req)
+	return class
+}
+
+// refuseSlot returns the outcome of a request that got no slot.
+func refuseSlot(upstream string, err error) request.Answer {
+	reason := request.ReasonTooLate
+	switch {
+	case errors.Is(err, schedule.ErrFull):
+		reason = request.ReasonQueueFull
+	case errors.Is(err, errNotHolder):
+		reason = request.ReasonNotHolder
+	case errors.Is(err, context.Canceled):
+		reason = request.ReasonCancelled
+	}
+	return request.Refuse(reason, upstream+": "+err.Error())
+}
+
+// mayDispatch reports whether the daemon holds the upstream, and since which
+// change of state.
+func (h *held) mayDispatch(lease *hold.Lease) (generation int, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.generation, h.state == holdOpen && lease.Valid(time.Now(), h.alone)
+}
+
+// run runs a request that has a slot.
+func (h *held) run(ctx context.Context, req *request.Request) request.Answer {
+	h.mu.Lock()
+	client := h.client
+	h.mu.Unlock()
+	started := time.Now()
+	answer := client.Run(ctx, req)
+	h.note(answer, started, time.Now())
+	return answer
+}
+
+// note learns from an answer how the upstream does.
+func (h *held) note(answer request.Answer, started, now time.Time) {
+	const weight = 10
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if answer.Reason == request.ReasonConnect {
+		h.failures++
+		return
+	}
+	if answer.Outcome != request.Done {
+		return
+	}
+	if h.failures >= failingAfter {
+		h.usable = now
+	}
+	h.failures = 0
+	h.service += (now.Sub(started) - h.service) / weight
+	h.lastDone = now
 }
 
 // load returns the load of an upstream that this daemon holds.
+func (h *held) load(now time.Time) placement.Load {
+	inUse, waiting := h.scheduler.Load()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return placement.Load{
+		InUse: inUse, Waiting: waiting, Service: h.service, At: now,
+		Warm: !h.lastDone.IsZero(), Failing: h.failures >= failingAfter,
+	}
+}
+
+// load returns the load of an upstream as its holder knows it.
 func (h *holders) load(upstream string) placement.Load {
 	h.mu.Lock()
-	held, ok := h.held[upstream]
+	found, ok := h.held[upstream]
 	h.mu.Unlock()
 	if !ok {
 		return placement.Load{}
 	}
-	inUse, waiting := held.scheduler.Load()
-	return placement.Load{InUse: inUse, Waiting: waiting}
+	return found.load(time.Now())
 }
 
 // update takes changes of the catalogue over.
@@ -60,18 +187,38 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for name, held := range h.held {
-		u := set.Upstream(name)
-		if u == nil {
-			continue
+		if u := set.Upstream(name); u != nil {
+			held.update(u, set.Leaving(u), time.Now())
 		}
-		held.scheduler.SetSlots(u.Slots)
-		if u.Address != held.upstream.Address {
-			held.client = backendhttp.New(u.Address, u.Connections)
-		}
-		held.upstream = *u
 	}
 }
 
+func (h *held) update(u *catalogue.Upstream, leaving bool, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if u.Address != h.upstream.Address || u.Connections != h.upstream.Connections {
+		old := h.client
+		h.client = backendhttp.New(u.Address, u.Connections)
+		h.usable = now
+		old.Close()
+	}
+	if leaving {
+		// Work that comes back starts slowly.
+		h.usable = now
+	}
+	h.upstream = *u
+	h.scheduler.SetLimits(h.limits(now))
+}
+
+// limits are the scheduler's limits. The lock must be held.
+func (h *held) limits(now time.Time) schedule.Limits {
+	slots := h.upstream.Slots
+	if !h.usable.IsZero() {
+		slots = hold.Ramp(slots, now.Sub(h.usable))
+	}
+	return schedule.Limits{Slots: slots, Waiting: h.upstream.Slots * waitingPerSlot}
+}
+
 func (h *holders) get(u *catalogue.Upstream) *held {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -79,14 +226,29 @@
 		return found
 	}
 	created := &held{
+		log:       h.log.With().Str("upstream", u.Name).Logger(),
 		upstream:  *u,
-		scheduler: schedule.New(u.Slots),
+		scheduler: schedule.New(schedule.Limits{Slots: u.Slots, Waiting: u.Slots * waitingPerSlot}),
 		client:    backendhttp.New(u.Address, u.Connections),
 	}
 	h.held[u.Name] = created
 	return created
 }
 
+// answerDispatch runs a request on an upstream whose slots this daemon holds.
+func (d *Daemon) answerDispatch(ctx context.Context, _ string, in *wire.Dispatch) (*wire.Answered, error) {
+	defer d.inFlight.begin()()
+	if in.Holder != d.self.Incarnation {
+		return &wire.Answered{Answer: request.Refuse(request.ReasonNotHolder, in.Upstream+": other incarnation")}, nil
+	}
+	req := in.Request.Open(time.Now())
+	answer := d.dispatchHere(ctx, in.Upstream, req)
+	load := d.holders.load(in.Upstream)
+	return &wire.Answered{Answer: answer, Load: wire.Load{
+		InUse: load.InUse, Waiting: load.Waiting, Service: load.Service, Warm: load.Warm, Failing: load.Failing,
+	}}, nil
+}
+
 // loads keeps the latest known load of each upstream.
 type loads struct {
 	mu    sync.Mutex
@@ -106,3 +268,13 @@
 	defer l.mu.Unlock()
 	l.known[upstream] = load
 }
+
+// fail marks an upstream whose holder could not be reached.
+func (l *loads) fail(upstream string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	load := l.known[upstream]
+	load.Failing = true
+	load.At = now
+	l.known[upstream] = load
+}
--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -56,11 +56,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
+	sent := time.Now()
 	hello, err := peer.Call[wire.Hello](ctx, d.peers, h.Peer, wire.TypeHello, &wire.Hello{ID: d.self.ID})
 	if err != nil {
 		return m
 	}
 	m.Incarnation = hello.Incarnation
+	d.lease.Heard(m.ID, sent)
 	d.repair(ctx, m, hello.Digest)
 	m.State = membership.Alive
 	if hello.Leaving || h.State == platform.HostLeaving {
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/duty"
@@ -17,6 +18,10 @@
 // maxAttempts bounds the upstreams that one request is offered to.
 const maxAttempts = 3
 
+// placePause is the wait before upstreams are tried again whose holders are
+// changing.
+const placePause = 25 * time.Millisecond
+
 // serve takes a caller's request to its end.
 func (d *Daemon) serve(ctx context.Context, req *request.Request) request.Answer {
 	set := d.catalogue.Load()
@@ -44,23 +49,88 @@
 	}
 }
 
-// place offers a request to upstreams until one takes it. Only a request
-// that is proved not to have run is offered to another upstream.
+// place admits a request and offers it to upstreams until one takes it.
 func (d *Daemon) place(ctx context.Context, set *catalogue.Set, req *request.Request) request.Answer {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	answer := request.Refuse(request.ReasonNoUpstream, req.Service)
-	for attempt, c := range placement.Upstreams(set, d.self, req.Service, d.loads.get) {
-		if attempt == maxAttempts || ctx.Err() != nil {
-			break
+	release, err := d.admission.Admit(ctx, classOf(set, req), req.Deadline)
+	if err != nil {
+		return refuseSlot("entry host "+d.self.ID, err)
+	}
+	defer release()
+	p := placing{req: req, answer: request.Refuse(request.ReasonNoUpstream, req.Service)}
+	for d.offerAll(ctx, &p) && sleep(ctx, placePause) {
+	}
+	return p.answer
+}
+
+// placing is a request on its way to an upstream.
+type placing struct {
+	req      *request.Request
+	attempts int
+	// answer is the last one, or the one that left the outcome unknown.
+	answer request.Answer
+}
+
+// take keeps an answer. A request that may have run once stays undecided
+// until it is done.
+func (p *placing) take(answer request.Answer) {
+	if p.answer.Outcome == request.Unknown && answer.Outcome != request.Done {
+		return
+	}
+	p.answer = answer
+}
+
+// offerAll offers a request to the upstreams that may run it, best first. It
+// returns true if it is to be called again a little later, because holders
+// are changing.
+func (d *Daemon) offerAll(ctx context.Context, p *placing) (again bool) {
+	set := d.catalogue.Load()
+	for _, c := range d.candidates(set, p.req.Service) {
+		if ctx.Err() != nil {
+			return false
+		}
+		answer := d.offer(ctx, set, c, p.req)
+		d.logDecision(p.req, c, p.attempts, answer)
+		p.take(answer)
+		if holderChanges(answer) {
+			again = true
+			d.loads.fail(c.Upstream.Name, time.Now())
+			continue
 		}
-		answer = d.offer(ctx, set, c, req)
-		d.logDecision(req, c, attempt, answer)
-		if answer.Outcome != request.NotRun {
-			break
+		p.attempts++
+		if !d.retry(set, p, answer) {
+			return false
 		}
 	}
-	return answer
+	return again
+}
+
+// retry decides whether a request goes to another upstream. Only work that is
+// idempotent, or proved not to have run, does, and within the retry budget.
+func (d *Daemon) retry(set *catalogue.Set, p *placing, answer request.Answer) bool {
+	service := set.Service(p.req.Service)
+	switch {
+	case answer.Outcome == request.Done:
+		d.retries.Earn(p.req.Service)
+		return false
+	case answer.Outcome == request.Unknown && (service == nil || !service.Class.Idempotent):
+		return false
+	case p.attempts >= maxAttempts:
+		return false
+	}
+	return d.retries.Spend(p.req.Service)
+}
+
+func (d *Daemon) candidates(set *catalogue.Set, service string) []placement.Candidate {
+	return placement.Upstreams(placement.Inputs{
+		Set: set, Self: d.self, Service: service, Load: d.loads.get, Now: time.Now(), Random: rand.IntN,
+	})
+}
+
+// holderChanges reports whether an answer says that no holder was reached.
+func holderChanges(a request.Answer) bool {
+	return a.Outcome == request.NotRun && (a.Reason == request.ReasonNotHolder || a.Reason == request.ReasonPeerUnreachable)
 }
 
 // offer sends a request to the holder of one upstream.
@@ -75,12 +145,15 @@
 		d.loads.set(name, d.holders.load(name))
 		return answer
 	}
-	in := &wire.Dispatch{Upstream: name, Request: wire.NewRequest(req, time.Now())}
+	in := &wire.Dispatch{Upstream: name, Holder: holder.Incarnation, Request: wire.NewRequest(req, time.Now())}
 	out, err := peer.Call[wire.Answered](ctx, d.peers, holder.Peer, wire.TypeDispatch, in)
 	if err != nil {
 		return peerFailure(holder, err)
 	}
-	d.loads.set(name, placement.Load{InUse: out.Load.InUse, Waiting: out.Load.Waiting})
+	d.loads.set(name, placement.Load{
+		InUse: out.Load.InUse, Waiting: out.Load.Waiting, Service: out.Load.Service,
+		Warm: out.Load.Warm, Failing: out.Load.Failing, At: time.Now(),
+	})
 	return out.Answer
 }
 
@@ -96,21 +169,6 @@
 	return duty.Holder(d.view.Load(), "upstream/"+u.Name, set.RegionOf(u.DataCentre))
 }
 
-// dispatchHere runs a request on an upstream whose slots this daemon holds.
-func (d *Daemon) dispatchHere(ctx context.Context, upstream string, req *request.Request) request.Answer {
-	set := d.catalogue.Load()
-	u := set.Upstream(upstream)
-	if u == nil || set.Leaving(u) {
-		return request.Refuse(request.ReasonNoUpstream, upstream)
-	}
-	if holder, ok := d.holderOf(set, u); !ok || holder.ID != d.self.ID {
-		return request.Refuse(request.ReasonNotHolder, upstream)
-	}
-	answer := d.holders.run(ctx, u, req)
-	answer.Upstream = upstream
-	return answer
-}
-
 func (d *Daemon) logDecision(req *request.Request, c placement.Candidate, attempt int, answer request.Answer) {
 	d.log.Info().Str("event", "route.decision").Str("request", req.ID).Str("service", req.Service).
 		Stringer("rank", req.Rank).Str("upstream", c.Upstream.Name).Int("distance", c.Distance).
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -88,14 +88,22 @@
 
 // Dispatch asks the holder of an upstream to run a request there.
 type Dispatch struct {
-	Upstream string  `cbor:"up"`
-	Request  Request `cbor:"req"`
+	Upstream string `cbor:"up"`
+	// Holder is the incarnation that the sender takes for the holder.
+	Holder  string  `cbor:"h"`
+	Request Request `cbor:"req"`
 }
 
 // Load is an upstream's load as its holder knows it.
 type Load struct {
 	InUse   int `cbor:"u"`
 	Waiting int `cbor:"w"`
+	// Service is the mean time of an answer.
+	Service time.Duration `cbor:"s,omitempty"`
+	// Warm is true if connections to the upstream are open.
+	Warm bool `cbor:"hot,omitempty"`
+	// Failing is true if the upstream cannot be reached.
+	Failing bool `cbor:"f,omitempty"`
 }
 
 // Answered is the answer to Run and Dispatch.
