--- a/daemon/facts.go
+++ b/daemon/facts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/membership"
@@ -19,12 +20,18 @@
 // publish makes facts known to the whole fleet.
 func (d *Daemon) publish(facts ...spread.Fact) { d.learn("", facts) }
 
+// publishNow makes facts known and returns when the neighbours know them, or
+// after spreadTimeout.
+func (d *Daemon) publishNow(facts ...spread.Fact) { d.learn("", facts).Wait() }
+
 // learn takes facts over and passes those on that were new to this daemon.
-// The peer they came from is named by its host.
-func (d *Daemon) learn(from string, facts []spread.Fact) {
+// The peer they came from is named by its host. What it returns waits for the
+// neighbours to be told.
+func (d *Daemon) learn(from string, facts []spread.Fact) *sync.WaitGroup {
+	told := new(sync.WaitGroup)
 	newer := d.facts.Merge(facts, time.Now())
 	if len(newer) == 0 {
-		return
+		return told
 	}
 	byKind := map[spread.Kind][]spread.Fact{}
 	for _, f := range newer {
@@ -37,9 +44,10 @@
 	}
 	for _, m := range d.neighbours() {
 		if m.ID != from {
-			go d.tell(m, newer)
+			told.Go(func() { d.tell(m, newer) })
 		}
 	}
+	return told
 }
 
 // neighbours are the members that this daemon spreads facts to.
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -20,6 +20,9 @@
 	isolated         *expvar.Int
 	relay            *expvar.Int
 	repairs          *expvar.Int
+	// loadReportsDropped counts load reports out of range, stale or from the
+	// future.
+	loadReportsDropped *expvar.Int
 }
 
 func newMetrics() *metrics {
@@ -33,6 +36,7 @@
 	m.isolated = m.counter("isolated")
 	m.relay = m.counter("relay")
 	m.repairs = m.counter("fact_repairs")
+	m.loadReportsDropped = m.counter("load_reports_dropped")
 	for outcome, name := range map[request.Outcome]string{
 		request.Done:    "requests_done",
 		request.NotRun:  "requests_not_run",
