Measure what control costs a daemon by size of the fleet

Cause: docs/CAPACITY.md is to be worked out from slopes that can be measured again.

A relay counts the bytes it carries; a fleet can be started by a program as well as by a test.

--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -52,6 +52,15 @@
 	})
 }
 
+// T is what a fleet needs of the test or program that starts it. A testing.TB
+// is one.
+type T interface {
+	Helper()
+	Cleanup(func())
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // Options describe a fleet.
 type Options struct {
 	// DataCentres maps each data centre to its region.
@@ -78,7 +87,7 @@
 
 // Fleet is a running fleet. It ends with its test.
 type Fleet struct {
-	t        testing.TB
+	t        T
 	opts     Options
 	Platform *platform.Server
 	// PlatformURL is the platform's base URL.
@@ -96,7 +105,7 @@
 	Caller     netip.AddrPort
 	Operator   netip.AddrPort
 	relay      *relay.Relay
-	t          testing.TB
+	t          T
 	cmd        *exec.Cmd
 	log        *logBuffer
 	exited     chan struct{}
@@ -111,7 +120,7 @@
 
 // Start starts a fleet and waits until every daemon sees every other and has
 // the catalogue in force.
-func Start(t testing.TB, opts Options) *Fleet {
+func Start(t T, opts Options) *Fleet {
 	t.Helper()
 	f := &Fleet{t: t, opts: opts, Platform: platform.New(), Backends: map[string]*backend.Server{}}
 	server := httptest.NewServer(f.Platform)
@@ -176,6 +185,18 @@
 	return caller.New(entries)
 }
 
+// PeerBytes returns the bytes that a host has exchanged with its peers so
+// far, on connections that it opened and that they opened.
+func (f *Fleet) PeerBytes(h *Host) int64 {
+	var sum int64
+	for _, other := range f.Hosts {
+		if other != h {
+			sum += other.relay.Bytes(h.IP) + h.relay.Bytes(other.IP)
+		}
+	}
+	return sum
+}
+
 // Set changes what happens on the path from one host to another.
 func (f *Fleet) Set(from, to *Host, mode relay.Mode) { to.relay.Set(from.IP, mode) }
 
@@ -320,6 +341,9 @@
 	return out
 }
 
+// PID is the process of the host's daemon.
+func (h *Host) PID() int { return h.cmd.Process.Pid }
+
 // Running reports whether the host's daemon runs.
 func (h *Host) Running() bool {
 	select {
@@ -386,7 +410,7 @@
 
 // Eventually waits until a condition holds. It fails the test only when the
 // condition has not held for far longer than anything in a fleet takes.
-func Eventually(t testing.TB, what string, holds func() bool) {
+func Eventually(t T, what string, holds func() bool) {
 	t.Helper()
 	const limit, period = time.Minute, 20 * time.Millisecond
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(period) {
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 )
 
 // Mode is what a relay does with the connections of a source.
@@ -32,6 +33,7 @@
 	mu    sync.Mutex
 	modes map[netip.Addr]Mode
 	pairs map[*pair]bool
+	bytes map[netip.Addr]*atomic.Int64
 }
 
 type pair struct {
@@ -39,6 +41,7 @@
 	in     net.Conn
 	out    net.Conn
 	gate   *gate
+	bytes  *atomic.Int64
 }
 
 // New returns a relay that listens on a free port of the IP address ip.
@@ -47,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: l, target: target, modes: map[netip.Addr]Mode{}, pairs: map[*pair]bool{}}
+	r := &Relay{listener: l, target: target, modes: map[netip.Addr]Mode{}, pairs: map[*pair]bool{}, bytes: map[netip.Addr]*atomic.Int64{}}
 	go r.accept()
 	return r, nil
 }
@@ -83,6 +86,18 @@
 	}
 }
 
+// Bytes returns the bytes carried so far for a source, both ways.
+func (r *Relay) Bytes(source netip.Addr) int64 { return r.counter(source).Load() }
+
+func (r *Relay) counter(source netip.Addr) *atomic.Int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.bytes[source] == nil {
+		r.bytes[source] = new(atomic.Int64)
+	}
+	return r.bytes[source]
+}
+
 // Close ends the relay and its connections.
 func (r *Relay) Close() {
 	_ = r.listener.Close()
@@ -117,7 +132,7 @@
 		_ = in.Close()
 		return
 	}
-	p := &pair{source: source, in: in, out: out, gate: newGate()}
+	p := &pair{source: source, in: in, out: out, gate: newGate(), bytes: r.counter(source)}
 	r.mu.Lock()
 	r.pairs[p] = true
 	p.set(r.modes[source])
@@ -154,6 +169,7 @@
 	for {
 		n, err := src.Read(buf)
 		p.gate.wait()
+		p.bytes.Add(int64(n))
 		if n > 0 {
 			if _, werr := dst.Write(buf[:n]); werr != nil {
 				return
