--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -52,6 +52,7 @@
 	invalid   *invalidObjects
 	view      atomic.Pointer[membership.View]
 	roster    *roster
+	steered   atomic.Pointer[steering]
 
 	facts  *spread.Store
 	takers map[spread.Kind]func([]spread.Fact)
