Bring about the failures of membership and catalogue on nine hosts

Cause: the tests knew no failure of the platform, of a relay or between regions.

Change: the fleet has a relay between each daemon and the platform, seeds, and hosts that join later. A heartbeat that times out is sent once more over a new connection at once: an open connection may be silent while new ones work. Heartbeats answered and failed are counted.

The test of silent connections first failed for a wrong reason: a listed host that was never heard from is logged as dead when a daemon starts; it now reads the log from the cut on.

--- a/coordination/membership/tracker_test.go
+++ b/coordination/membership/tracker_test.go
@@ -161,6 +161,20 @@
 	}
 }
 
+func TestNeighbourThatHoldsAMemberForDeadIsRefuted(t *testing.T) {
+	n := newNetwork(t, 3)
+	member := n.trackers["host-3"]
+	n.now = n.now.Add(2 * timing.Lease)
+	death := member.Self()
+	death.State = Dead
+	if out := member.Confirm(death.Version(), n.now); len(out) != 1 || out[0].Version() <= death.Version() {
+		t.Errorf("the member says %v to its death", out)
+	}
+	if member.Confirmed(n.now) {
+		t.Error("the word of a neighbour that holds the daemon for dead confirmed it")
+	}
+}
+
 func TestRestartedMemberReplacesTheOldAtOnce(t *testing.T) {
 	n := newNetwork(t, 9)
 	n.down["host-5"] = true
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -19,6 +19,8 @@
 	isolated         *expvar.Int
 	relay            *expvar.Int
 	repairs          *expvar.Int
+	heartbeats       *expvar.Int
+	heartbeatsFailed *expvar.Int
 }
 
 func newMetrics() *metrics {
@@ -31,6 +33,8 @@
 	m.isolated = m.counter("isolated")
 	m.relay = m.counter("relay")
 	m.repairs = m.counter("fact_repairs")
+	m.heartbeats = m.counter("heartbeats_answered")
+	m.heartbeatsFailed = m.counter("heartbeats_failed")
 	for outcome, name := range map[request.Outcome]string{
 		request.Done:    "requests_done",
 		request.NotRun:  "requests_not_run",
--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -18,7 +19,7 @@
 
 const (
 	heartbeatPeriod  = 250 * time.Millisecond
-	heartbeatTimeout = 500 * time.Millisecond
+	heartbeatTimeout = 400 * time.Millisecond
 	// purgePeriod is how often expired facts are forgotten.
 	purgePeriod = 10 * time.Second
 	// mismatchesBeforeRepair is how many heartbeats in a row find a
@@ -176,11 +177,16 @@
 func (d *Daemon) heartbeat(ctx context.Context, m membership.Member) {
 	sent := time.Now()
 	hello, err := d.callHello(ctx, m)
+	if errors.Is(err, context.DeadlineExceeded) {
+		// The connection may be silent and a new one not.
+		sent = time.Now()
+		hello, err = d.callHello(ctx, m)
+	}
 	if err != nil {
-		d.control.Renew(m.Peer)
 		d.log.Debug().Str("event", "member.not-heard").Str("peer", m.ID).Stringer("address", m.Peer).Err(err).Send()
 		return
 	}
+	d.metrics.heartbeats.Add(1)
 	if hello.ID == d.self.ID || (m.ID != "" && hello.ID != m.ID) {
 		return
 	}
@@ -198,7 +204,12 @@
 func (d *Daemon) callHello(ctx context.Context, m membership.Member) (*wire.Hello, error) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	return peer.Call[wire.Hello](ctx, d.control, m.Peer, wire.TypeHello, d.hello(m.ID))
+	hello, err := peer.Call[wire.Hello](ctx, d.control, m.Peer, wire.TypeHello, d.hello(m.ID))
+	if err != nil {
+		d.metrics.heartbeatsFailed.Add(1)
+		d.control.Renew(m.Peer)
+	}
+	return hello, err
 }
 
 // lifeOf returns the incarnation known of a member, or "".
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -39,6 +40,9 @@
 	"bilberrytiller.example/standin/relay"
 )
 
+// loopback is where a daemon's connections to the platform come from.
+var loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
+
 // Secret is the secret of every fleet.
 const Secret = "a-secret-of-a-test-fleet"
 
@@ -66,6 +70,9 @@
 	Links []catalogue.Link
 	// Args are more flags for every daemon.
 	Args []string
+	// Seeds tells each daemon that starts the peer addresses of the hosts
+	// that run.
+	Seeds bool
 }
 
 // Upstream describes one backend server.
@@ -96,10 +103,12 @@
 	Caller     netip.AddrPort
 	Operator   netip.AddrPort
 	relay      *relay.Relay
-	t          testing.TB
-	cmd        *exec.Cmd
-	log        *logBuffer
-	exited     chan struct{}
+	// platform stands between the daemon and the platform.
+	platform *relay.Relay
+	t        testing.TB
+	cmd      *exec.Cmd
+	log      *logBuffer
+	exited   chan struct{}
 }
 
 // Service returns a service entry of the given rank with common values.
@@ -154,14 +163,17 @@
 }
 
 // ListHosts tells the platform the hosts as they are.
-func (f *Fleet) ListHosts() {
+func (f *Fleet) ListHosts() { f.Platform.SetHosts(f.Listed()) }
+
+// Listed returns the hosts as ListHosts lists them.
+func (f *Fleet) Listed() []tiller.Host {
 	var hosts []tiller.Host
 	for _, h := range f.Hosts {
 		hosts = append(hosts, tiller.Host{
 			ID: h.ID, DataCentre: h.DataCentre, Region: h.Region, Peer: h.relay.Addr(), Caller: h.Caller, State: tiller.HostLive,
 		})
 	}
-	f.Platform.SetHosts(hosts)
+	return hosts
 }
 
 // Client returns a caller that knows the given hosts, or all hosts.
@@ -179,6 +191,9 @@
 // Set changes what happens on the path from one host to another.
 func (f *Fleet) Set(from, to *Host, mode relay.Mode) { to.relay.Set(from.IP, mode) }
 
+// SetPlatform changes what happens on the path from a host to the platform.
+func (f *Fleet) SetPlatform(h *Host, mode relay.Mode) { h.platform.Set(loopback, mode) }
+
 // CutOff changes the paths between one host and all others, both ways.
 func (f *Fleet) CutOff(h *Host, mode relay.Mode) {
 	for _, other := range f.Hosts {
@@ -253,10 +268,24 @@
 	f.t.Helper()
 	ip := netip.AddrFrom4([4]byte{127, 0, 1, byte(i + 1)})
 	h := &Host{ID: fmt.Sprintf("host-%d", i+1), DataCentre: dc, Region: f.opts.DataCentres[dc], IP: ip, t: f.t}
+	var err error
+	if h.platform, err = relay.New(ip.String(), strings.TrimPrefix(f.PlatformURL, "http://")); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(h.platform.Close)
 	f.launch(h)
 	return h
 }
 
+// AddHost starts a daemon on a new host, which the platform does not list
+// until ListHosts.
+func (f *Fleet) AddHost(dc string) *Host {
+	f.t.Helper()
+	h := f.startHost(len(f.Hosts), dc)
+	f.Hosts = append(f.Hosts, h)
+	return h
+}
+
 // Restart starts a new daemon on a host whose daemon has ended.
 func (f *Fleet) Restart(h *Host) {
 	f.t.Helper()
@@ -273,10 +302,11 @@
 	}
 	f.t.Cleanup(relayListener.Close)
 	args := append([]string{
-		"--host-id", h.ID, "--datacentre", h.DataCentre, "--region", h.Region, "--platform", f.PlatformURL,
+		"--host-id", h.ID, "--datacentre", h.DataCentre, "--region", h.Region, "--platform", "http://" + h.platform.Addr().String(),
 		"--caller-listen", listen, "--peer-listen", listen, "--operator-listen", listen, "--secret", Secret,
 		"--peer-advertise", relayListener.Addr().String(),
 	}, f.opts.Args...)
+	args = append(args, f.seeds(h)...)
 	h.log = &logBuffer{ready: make(chan string, 1)}
 	h.cmd = exec.Command("tillerd", args...)
 	h.cmd.Stderr = h.log
@@ -295,6 +325,16 @@
 	h.relay = relayListener
 }
 
+func (f *Fleet) seeds(h *Host) []string {
+	var args []string
+	for _, other := range f.Hosts {
+		if f.opts.Seeds && other != h && other.Running() {
+			args = append(args, "--peer", other.relay.Addr().String())
+		}
+	}
+	return args
+}
+
 func (h *Host) reap(cmd *exec.Cmd, exited chan struct{}) {
 	_ = cmd.Wait()
 	close(exited)
@@ -367,16 +407,26 @@
 	return status, err
 }
 
-// Read gets a page of the daemon's operators' listener.
-func (h *Host) Read(path string, into any) error {
+// Peer is the address at which other daemons reach the daemon.
+func (h *Host) Peer() netip.AddrPort { return h.relay.Addr() }
+
+// Post sends a JSON document to a page of the daemon's operators' listener
+// and returns the status of the answer.
+func (h *Host) Post(path string, body []byte) (int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Operator.String()+path, nil)
+	resp, err := h.do(ctx, http.MethodPost, path, body)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	req.Header.Set(peer.HeaderAuth, peer.NewAuth("fleet", []byte(Secret)).Token(time.Now()))
-	resp, err := http.DefaultClient.Do(req)
+	return resp.StatusCode, resp.Body.Close()
+}
+
+// Read gets a page of the daemon's operators' listener.
+func (h *Host) Read(path string, into any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	resp, err := h.do(ctx, http.MethodGet, path, nil)
 	if err != nil {
 		return err
 	}
@@ -384,6 +434,15 @@
 	return json.NewDecoder(resp.Body).Decode(into)
 }
 
+func (h *Host) do(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.Operator.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set(peer.HeaderAuth, peer.NewAuth("fleet", []byte(Secret)).Token(time.Now()))
+	return http.DefaultClient.Do(req)
+}
+
 // Eventually waits until a condition holds. It fails the test only when the
 // condition has not held for far longer than anything in a fleet takes.
 func Eventually(t testing.TB, what string, holds func() bool) {
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -129,6 +129,9 @@
 	return s.store.put(kind, name, current.Version, data)
 }
 
+// Object returns an object as it stands, whatever the faults.
+func (s *Server) Object(kind, name string) (platform.Object, error) { return s.store.get(kind, name) }
+
 // CatalogueVersion returns the highest version of a catalogue entry.
 func (s *Server) CatalogueVersion() uint64 {
 	var newest uint64
--- /dev/null
+++ b/standin/proofs/membership_test.go
@@ -0,0 +1,266 @@
+package proofs
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+
+	tiller "bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/protocol/operatorapi"
+	"bilberrytiller.example/tiller/protocol/wire"
+	"bilberrytiller.example/tiller/transport/peer"
+
+	"bilberrytiller.example/standin/fleet"
+	"bilberrytiller.example/standin/platform"
+	"bilberrytiller.example/standin/relay"
+)
+
+// nineHosts is a fleet of the size of today: six data centres in three
+// regions, and no upstreams.
+func nineHosts() fleet.Options {
+	return fleet.Options{
+		DataCentres: map[string]string{
+			"east-1": "east", "east-2": "east", "mid-1": "mid", "mid-2": "mid", "west-1": "west", "west-2": "west",
+		},
+		Hosts: []string{"east-1", "east-1", "east-2", "mid-1", "mid-1", "mid-2", "west-1", "west-1", "west-2"},
+		Seeds: true,
+	}
+}
+
+// statusOf reads what a daemon knows, or fails the test.
+func statusOf(t *testing.T, h *fleet.Host) operatorapi.Status {
+	t.Helper()
+	status, err := h.Status()
+	if err != nil {
+		t.Fatalf("status of %s: %v", h.ID, err)
+	}
+	return status
+}
+
+// memberOf returns a member as a daemon sees it.
+func memberOf(status operatorapi.Status, id string) operatorapi.Member {
+	i := slices.IndexFunc(status.Members, func(m operatorapi.Member) bool { return m.Host == id })
+	if i < 0 {
+		return operatorapi.Member{}
+	}
+	return status.Members[i]
+}
+
+// everywhere waits until a condition holds of the status of every running
+// daemon but those given.
+func everywhere(t *testing.T, f *fleet.Fleet, what string, holds func(operatorapi.Status) bool, but ...*fleet.Host) {
+	t.Helper()
+	fleet.Eventually(t, what, func() bool {
+		for _, h := range f.Hosts {
+			if !h.Running() || slices.Contains(but, h) {
+				continue
+			}
+			if status, err := h.Status(); err != nil || !holds(status) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// seen waits until a host is in a state for every other running daemon.
+func seen(t *testing.T, f *fleet.Fleet, h *fleet.Host, state string) {
+	t.Helper()
+	everywhere(t, f, h.ID+" is "+state, func(s operatorapi.Status) bool { return memberOf(s, h.ID).State == state }, h)
+}
+
+// metric reads a counter or gauge of a daemon, or fails the test.
+func metric(t *testing.T, h *fleet.Host, name string) int64 {
+	t.Helper()
+	var all map[string]any
+	if err := h.Read(operatorapi.PathMetrics, &all); err != nil {
+		t.Fatalf("metrics of %s: %v", h.ID, err)
+	}
+	value, ok := all[name].(float64)
+	if !ok {
+		t.Fatalf("%s has no metric %s", h.ID, name)
+	}
+	return int64(value)
+}
+
+// grown waits until a counter of a daemon has grown by an amount.
+func grown(t *testing.T, h *fleet.Host, name string, by int64) {
+	t.Helper()
+	before := metric(t, h, name)
+	fleet.Eventually(t, name+" grows", func() bool { return metric(t, h, name) >= before+by })
+}
+
+func TestKilledHostIsDeadAndItsSuccessorAlive(t *testing.T) {
+	f := fleet.Start(t, nineHosts())
+	h := f.Hosts[4]
+	before := statusOf(t, h).Incarnation
+	h.Kill()
+	seen(t, f, h, "dead")
+	f.Restart(h)
+	f.WaitConverged()
+	if after := memberOf(statusOf(t, f.Hosts[0]), h.ID).Incarnation; after == before || after != statusOf(t, h).Incarnation {
+		t.Errorf("incarnation %s is seen after the restart, was %s", after, before)
+	}
+}
+
+func TestPausedHostIsDeadThenAliveAgain(t *testing.T) {
+	f := fleet.Start(t, nineHosts())
+	h := f.Hosts[4]
+	before, logged := statusOf(t, h).Incarnation, h.Log()
+	h.Pause()
+	seen(t, f, h, "dead")
+	h.Resume()
+	f.WaitConverged()
+	fleet.Eventually(t, "the resumed daemon is confirmed", func() bool { return statusOf(t, h).Standing.Confirmed })
+	if after := memberOf(statusOf(t, f.Hosts[0]), h.ID).Incarnation; after != before {
+		t.Errorf("incarnation %s is seen after the pause, was %s", after, before)
+	}
+	if strings.Contains(strings.TrimPrefix(h.Log(), logged), "state=dead") {
+		t.Errorf("the paused daemon took others for dead:\n%s", h.Log())
+	}
+}
+
+func TestHostJoinsThroughPeersWhileThePlatformIsDown(t *testing.T) {
+	f := fleet.Start(t, nineHosts())
+	f.Platform.SetFaults(platform.Faults{Down: true})
+	joined := f.AddHost("mid-2")
+	f.WaitConverged()
+	h := f.Hosts[0]
+	h.Kill()
+	seen(t, f, h, "dead")
+	if got := statusOf(t, joined); !got.Standing.Confirmed || got.Standing.Isolated {
+		t.Errorf("the joined daemon's standing is %+v", got.Standing)
+	}
+}
+
+func TestCutOffHostKeepsItsLastView(t *testing.T) {
+	for name, mode := range map[string]relay.Mode{"cut": relay.Cut, "silent": relay.Silent} {
+		t.Run(name, func(t *testing.T) {
+			f := fleet.Start(t, nineHosts())
+			h := f.Hosts[4]
+			f.CutOff(h, mode)
+			seen(t, f, h, "dead")
+			fleet.Eventually(t, "the daemon is isolated and not confirmed", func() bool {
+				s := statusOf(t, h).Standing
+				return s.Isolated && !s.Confirmed
+			})
+			grown(t, h, "heartbeats_failed", 36)
+			for _, m := range statusOf(t, h).Members {
+				if m.State != "alive" && m.State != "suspect" {
+					t.Errorf("the isolated daemon sees %s %s", m.Host, m.State)
+				}
+			}
+			f.CutOff(h, relay.Pass)
+			f.WaitConverged()
+		})
+	}
+}
+
+func TestConnectionsThatGoSilentCostNoMember(t *testing.T) {
+	f := fleet.Start(t, nineHosts())
+	h := f.Hosts[4]
+	before := map[*fleet.Host]string{}
+	for _, other := range f.Hosts {
+		before[other] = other.Log()
+	}
+	f.CutOff(h, relay.SilentOpen)
+	grown(t, h, "heartbeats_failed", 4)
+	grown(t, h, "heartbeats_answered", 60)
+	f.WaitConverged()
+	for _, other := range f.Hosts {
+		if strings.Contains(strings.TrimPrefix(other.Log(), before[other]), "member="+h.ID+" state=dead") {
+			t.Errorf("%s took the host with silent connections for dead", other.ID)
+		}
+	}
+}
+
+func TestAllHostsReplacedOneAfterTheOtherWhileThePlatformIsDown(t *testing.T) {
+	f := fleet.Start(t, nineHosts())
+	want := statusOf(t, f.Hosts[0]).CatalogueVersion
+	f.Platform.SetFaults(platform.Faults{Down: true})
+	for _, h := range f.Hosts {
+		h.Kill()
+		f.Restart(h)
+		f.WaitConverged()
+	}
+	everywhere(t, f, "catalogue outlives all hosts", func(s operatorapi.Status) bool { return s.CatalogueVersion == want })
+}
+
+func TestPeersThatSpeakGarbageHarmNothing(t *testing.T) {
+	f := fleet.Start(t, nineHosts())
+	frames := map[string][]byte{"garbage": []byte("\xff\x00 not a frame"), "unknown version": unknownVersion(t)}
+	for name, frame := range frames {
+		for _, h := range f.Hosts {
+			if err := sendFrame(t, h.Peer(), frame); err == nil {
+				t.Fatalf("%s takes %s and leaves the connection open", h.ID, name)
+			}
+		}
+	}
+	garbled := httptest.NewServer(http.HandlerFunc(answerGarbage))
+	defer garbled.Close()
+	addr := netip.MustParseAddrPort(garbled.Listener.Addr().String())
+	f.Platform.SetHosts(append(f.Listed(), tiller.Host{
+		ID: "garbled", DataCentre: "east-1", Region: "east", Peer: addr, Caller: addr, State: tiller.HostLive,
+	}))
+	everywhere(t, f, "the garbled host is listed and dead", func(s operatorapi.Status) bool {
+		return memberOf(s, "garbled").State == "dead"
+	})
+	f.WaitConverged()
+}
+
+func unknownVersion(t *testing.T) []byte {
+	t.Helper()
+	frame, err := wire.Encode(wire.Envelope{Type: wire.TypeHello, ID: 1}, &wire.Hello{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	i := slices.Index(frame, 'v')
+	frame[i+1] = wire.Version + 6
+	return frame
+}
+
+// sendFrame sends a frame to a daemon and returns how its connection ended.
+func sendFrame(t *testing.T, to netip.AddrPort, frame []byte) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	header := http.Header{}
+	header.Set(peer.HeaderAuth, peer.NewAuth("stranger", []byte(fleet.Secret)).Token(time.Now()))
+	ws, _, err := websocket.Dial(ctx, "ws://"+to.String()+peer.Path, &websocket.DialOptions{HTTPHeader: header})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ws.CloseNow() }()
+	if err := ws.Write(ctx, websocket.MessageBinary, frame); err != nil {
+		return err
+	}
+	_, _, err = ws.Read(ctx)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// answerGarbage answers each frame of a daemon with one that is not CBOR.
+func answerGarbage(w http.ResponseWriter, r *http.Request) {
+	ws, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	defer func() { _ = ws.CloseNow() }()
+	for {
+		if _, _, err := ws.Read(r.Context()); err != nil {
+			return
+		}
+		if err := ws.Write(r.Context(), websocket.MessageBinary, []byte("\xff\xff")); err != nil {
+			return
+		}
+	}
+}
