--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,9 +15,12 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"bilberrytiller.example/tiller/coordination/admission"
+	"bilberrytiller.example/tiller/coordination/hold"
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/permit"
 	"bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/coordination/retry"
 	"bilberrytiller.example/tiller/coordination/spread"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/transport/peer"
@@ -51,8 +54,8 @@
 	catalogue atomic.Pointer[catalogue.Set]
 	invalid   *invalidObjects
 	view      atomic.Pointer[membership.View]
-	roster    *roster
 	steered   atomic.Pointer[steering]
+	roster    *roster
 
 	facts  *spread.Store
 	takers map[spread.Kind]func([]spread.Fact)
@@ -61,6 +64,12 @@
 	keys    *permit.Table
 	holders *holders
 	loads   *loads
+	// suspects are the requests that backend servers crashed on.
+	suspects *suspects
+	// lease tells whether this daemon may dispatch.
+	lease     *hold.Lease
+	admission *admission.Controller
+	retries   *retry.Budget
 
 	listeners listeners
 	// inFlight counts callers' requests that are being served.
@@ -82,17 +91,21 @@
 		return nil, err
 	}
 	d := &Daemon{
-		settings: settings,
-		log:      log.With().Str("host", settings.HostID).Logger(),
-		metrics:  newMetrics(),
-		platform: platformhttp.New(settings.Platform),
-		auth:     peer.NewAuth(settings.HostID, []byte(settings.Secret)),
-		issuer:   permit.NewIssuer([]byte(settings.Secret), rand.Reader),
-		keys:     permit.NewTable(maxKeys),
-		loads:    newLoads(),
-		facts:    spread.NewStore(),
-		takers:   map[spread.Kind]func([]spread.Fact){},
-		invalid:  newInvalidObjects(),
+		settings:  settings,
+		log:       log.With().Str("host", settings.HostID).Logger(),
+		metrics:   newMetrics(),
+		platform:  platformhttp.New(settings.Platform),
+		auth:      peer.NewAuth(settings.HostID, []byte(settings.Secret)),
+		issuer:    permit.NewIssuer([]byte(settings.Secret), rand.Reader),
+		keys:      permit.NewTable(maxKeys),
+		loads:     newLoads(),
+		lease:     hold.NewLease(time.Now()),
+		admission: admission.New(),
+		retries:   retry.NewBudget(),
+		facts:     spread.NewStore(),
+		suspects:  newSuspects(),
+		invalid:   newInvalidObjects(),
+		takers:    map[spread.Kind]func([]spread.Fact){},
 	}
 	d.peerServe = peer.NewServer(d.auth, d.log)
 	d.holders = newHolders(d.log)
@@ -114,6 +127,7 @@
 	d.view.Store(membership.NewView(d.self, []membership.Member{d.self}))
 	d.registerCalls()
 	d.onFact(factCatalogue, d.takeCatalogue)
+	d.onFact(factCrash, d.takeCrashes)
 	d.onFact(factInvalid, d.takeInvalid)
 	d.onFact(factMember, d.takeMembers)
 	d.onFact(factHost, d.takeHosts)
@@ -142,6 +156,7 @@
 	group.Go(func() error { return d.followCatalogue(background) })
 	group.Go(func() error { return d.followHosts(background) })
 	group.Go(func() error { return d.followMembers(background) })
+	group.Go(func() error { return d.followHolds(background) })
 	d.log.Info().Str("event", "daemon.ready").Str("incarnation", d.self.Incarnation).
 		Stringer("caller", d.CallerAddr()).Stringer("peer", d.PeerAddr()).Stringer("operator", d.OperatorAddr()).Send()
 	<-ctx.Done()
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -15,12 +15,16 @@
 	catalogueVersion *expvar.Int
 	catalogueInvalid *expvar.Int
 	members          *expvar.Int
+	poisonCharged    *expvar.Int
 	neighbours       *expvar.Int
 	isolated         *expvar.Int
 	relay            *expvar.Int
 	repairs          *expvar.Int
 	heartbeats       *expvar.Int
 	heartbeatsFailed *expvar.Int
+	// loadReportsDropped counts load reports out of range, stale or from the
+	// future.
+	loadReportsDropped *expvar.Int
 }
 
 func newMetrics() *metrics {
@@ -29,12 +33,14 @@
 	m.catalogueVersion = m.counter("catalogue_version")
 	m.catalogueInvalid = m.counter("catalogue_invalid")
 	m.members = m.counter("members")
+	m.poisonCharged = m.counter("poison_charged")
 	m.neighbours = m.counter("neighbours")
 	m.isolated = m.counter("isolated")
 	m.relay = m.counter("relay")
 	m.repairs = m.counter("fact_repairs")
 	m.heartbeats = m.counter("heartbeats_answered")
 	m.heartbeatsFailed = m.counter("heartbeats_failed")
+	m.loadReportsDropped = m.counter("load_reports_dropped")
 	for outcome, name := range map[request.Outcome]string{
 		request.Done:    "requests_done",
 		request.NotRun:  "requests_not_run",
