Decode entries strictly and check entries against each other

encoding/json accepts a field in another case, a field given twice, null, and an array of another length than the type's, each with another meaning than its writer's: the last of two values wins, null and a third end of a link vanish. A decoder of its own was ruled out: a walk over the tokens beside the target type finds all of these and leaves the values to encoding/json.

Set.Check names what is wrong between entries by entry, field and cause. Minimums are counted in whole slots, so that a server of one slot cannot promise two services a part of it each. Both deployments stand in full size under examples and check clean.

Seen without the walk: TestDecodeIsStrict fails for field_in_another_case, field_twice, null, three_ends_of_a_link and bad_UTF-8.

--- /dev/null
+++ b/state/catalogue/check_test.go
@@ -0,0 +1,166 @@
+package catalogue_test
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"bilberrytiller.example/tiller/state/catalogue"
+)
+
+const places = `
+{"schema":1,"kind":"region","name":"north","owner":"o"}
+{"schema":1,"kind":"datacentre","name":"north-1","owner":"o","region":"north"}
+{"schema":1,"kind":"service","name":"pay","owner":"o","class":{"rank":"payment","idempotent":false,"deadline":"1s","guaranteed":0.6},"limits":{}}
+{"schema":1,"kind":"service","name":"look","owner":"o","class":{"rank":"lookup","idempotent":true,"deadline":"1s","guaranteed":0.6},"limits":{}}
+`
+
+const upstreamForm = `{"schema":1,"kind":"upstream","name":"NAME","owner":"o","services":["SERVICES"],"datacentre":"north-1","address":"10.0.0.1:80","slots":4,"connections":9}`
+
+func upstream(name, services string) string {
+	return strings.NewReplacer("NAME", name, "SERVICES", services).Replace(upstreamForm)
+}
+
+func setOf(t *testing.T, lines string) *catalogue.Set {
+	t.Helper()
+	var records []catalogue.Record
+	for line := range strings.Lines(lines) {
+		if strings.TrimSpace(line) == "" {
+			continue
+		}
+		entry, err := catalogue.Decode([]byte(line))
+		if err != nil {
+			t.Fatal(err)
+		}
+		records = append(records, catalogue.Record{ID: entry.ID(), Version: catalogue.Version(len(records) + 1), Entry: entry})
+	}
+	set, _ := catalogue.Empty().Merge(records)
+	return set
+}
+
+func TestCheckNamesEntryFieldAndCause(t *testing.T) {
+	cases := []struct {
+		name, more, entry, field string
+		cause                    error
+	}{
+		{"missing region", `{"schema":1,"kind":"datacentre","name":"dc","owner":"o","region":"gone"}`, "datacentre.dc", "region", catalogue.ErrNoEntry},
+		{"missing service", upstream("u", "gone"), "upstream.u", "services[0]", catalogue.ErrNoEntry},
+		{"missing data centre", strings.Replace(upstream("u", "pay"), "north-1", "gone", 1), "upstream.u", "datacentre", catalogue.ErrNoEntry},
+		{"link to nowhere", `{"schema":1,"kind":"link","name":"l","owner":"o","between":["north","gone"],"cap_mbit":1,"delay":"1ms"}`, "link.l", "between[1]", catalogue.ErrNoEntry},
+		{"minimums over the whole", upstream("u", `pay","look`), "upstream.u", "services", catalogue.ErrRange},
+		{"one address twice", upstream("a", "pay") + "\n" + upstream("b", "pay"), "upstream.b", "address", catalogue.ErrDuplicate},
+		{"unknown site", `{"schema":1,"kind":"block","name":"b","owner":"o","prefix":"10.0.0.0/8","sites":["gone"]}`, "block.b", "sites[0]", catalogue.ErrNoEntry},
+		{"duplicate prefix", `{"schema":1,"kind":"block","name":"a","owner":"o","prefix":"10.0.0.0/8","sites":["north-1"]}
+			{"schema":1,"kind":"block","name":"b","owner":"o","prefix":"10.0.0.0/8","sites":["north-1"]}`, "block.b", "prefix", catalogue.ErrDuplicate},
+		{"minimum above the limit", `{"schema":1,"kind":"service","name":"tight","owner":"o","class":{"rank":"lookup","idempotent":true,"deadline":"1s","guaranteed":0.5},"limits":{"concurrency":1}}
+			` + upstream("u", "tight"), "service.tight", "class.guaranteed", catalogue.ErrRange},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			problems := setOf(t, places+c.more).Check()
+			if len(problems) != 1 {
+				t.Fatalf("got %v, want one problem", problems)
+			}
+			p := problems[0]
+			if p.ID.String() != c.entry || p.Field != c.field || !errors.Is(p, c.cause) {
+				t.Errorf("got %v, want %s field %s: %v", p, c.entry, c.field, c.cause)
+			}
+		})
+	}
+}
+
+func TestCheckCountsWholeSlots(t *testing.T) {
+	third := strings.NewReplacer(`0.6`, `0.3`).Replace(places)
+	narrow := strings.Replace(upstream("u", `pay","look`), `"slots":4`, `"slots":1`, 1)
+	problems := setOf(t, third+narrow).Check()
+	if len(problems) != 1 || problems[0].Field != "slots" {
+		t.Errorf("got %v, want one problem of field slots", problems)
+	}
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	for name, upstreams := range map[string]int{"association": 36, "steinvelta": 36} {
+		t.Run(name, func(t *testing.T) {
+			data, err := os.ReadFile(filepath.Join("../../examples", name, "catalogue.json"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var entries []json.RawMessage
+			if err := json.Unmarshal(data, &entries); err != nil {
+				t.Fatal(err)
+			}
+			lines := ""
+			for _, entry := range entries {
+				lines += string(entry) + "\n"
+			}
+			set := setOf(t, lines)
+			for _, problem := range set.Check() {
+				t.Error(problem)
+			}
+			if got := len(set.AllUpstreams()); got != upstreams {
+				t.Errorf("%d upstreams, want %d", got, upstreams)
+			}
+		})
+	}
+}
+
+func TestDecodeIsStrict(t *testing.T) {
+	valid := upstream("u", "pay")
+	cases := []struct {
+		name, data, field string
+		cause             error
+	}{
+		{"field in another case", strings.Replace(valid, `"slots"`, `"Slots"`, 1), "Slots", catalogue.ErrUnknownField},
+		{"field twice", strings.Replace(valid, `"slots":4`, `"slots":4,"slots":5`, 1), "slots", catalogue.ErrDuplicate},
+		{"null", strings.Replace(valid, `"slots":4`, `"slots":4,"drain":null`, 1), "drain", catalogue.ErrNull},
+		{"trailing data", valid + "{}", "", catalogue.ErrTrailingData},
+		{"trailing word", valid + "x", "", catalogue.ErrTrailingData},
+		{"three ends of a link", `{"schema":1,"kind":"link","name":"l","owner":"o","between":["a","b","c"],"cap_mbit":1,"delay":"1ms"}`, "between", catalogue.ErrLength},
+		{"bad UTF-8", strings.Replace(valid, `"owner":"o"`, "\"owner\":\"\xff\"", 1), "", catalogue.ErrNotUTF8},
+		{"service twice", strings.Replace(valid, `["pay"]`, `["pay","pay"]`, 1), "services", catalogue.ErrDuplicate},
+		{"control character", strings.Replace(valid, `"owner":"o"`, `"owner":"a\nb"`, 1), "owner", catalogue.ErrRange},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := catalogue.Decode([]byte(c.data))
+			var entry *catalogue.EntryError
+			if !errors.As(err, &entry) || entry.Field != c.field || !errors.Is(err, c.cause) {
+				t.Errorf("got %v, want field %q: %v", err, c.field, c.cause)
+			}
+		})
+	}
+}
+
+// FuzzDecode checks that what Decode accepts is written and read back
+// unchanged.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(upstream("u", "pay")))
+	for line := range strings.Lines(places) {
+		f.Add([]byte(line))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		entry, err := catalogue.Decode(data)
+		if err != nil {
+			var named *catalogue.EntryError
+			if !errors.As(err, &named) {
+				t.Fatalf("%v is no EntryError", err)
+			}
+			return
+		}
+		first, err := catalogue.Encode(entry)
+		if err != nil {
+			t.Fatalf("encode %q: %v", data, err)
+		}
+		again, err := catalogue.Decode(first)
+		if err != nil {
+			t.Fatalf("decode %q: %v", first, err)
+		}
+		second, err := catalogue.Encode(again)
+		if err != nil || string(second) != string(first) {
+			t.Fatalf("%q became %q: %v", first, second, err)
+		}
+	})
+}
--- a/state/catalogue/decode.go
+++ b/state/catalogue/decode.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
+	"reflect"
 )
 
 // MaxEntryBytes is the largest encoded entry that is read.
@@ -78,7 +78,7 @@
 	}
 	var meta Meta
 	if err := json.Unmarshal(data, &meta); err != nil {
-		return nil, &EntryError{ID: meta.ID(), Field: jsonField(err), Err: err}
+		return nil, &EntryError{ID: meta.ID(), Field: jsonField(err), Err: trailing(data, err)}
 	}
 	if meta.Schema != SchemaVersion {
 		return nil, &EntryError{ID: meta.ID(), Field: "schema", Err: SchemaError{Got: meta.Schema}}
@@ -105,16 +105,22 @@
 	return append(data, '\n'), nil
 }
 
-func decodeStrict(data []byte, into any) error {
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(into); err != nil {
+func decodeStrict(data []byte, into Entry) error {
+	if err := checkStrict(data, reflect.TypeOf(into).Elem()); err != nil {
 		return err
 	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+	return json.Unmarshal(data, into)
+}
+
+// trailing returns ErrTrailingData for a syntax error behind a whole value,
+// else err.
+func trailing(data []byte, err error) error {
+	var first json.RawMessage
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) && json.NewDecoder(bytes.NewReader(data)).Decode(&first) == nil {
 		return ErrTrailingData
 	}
-	return nil
+	return err
 }
 
 // jsonField returns the field that a JSON error names, if it names one.
@@ -123,5 +129,9 @@
 	if errors.As(err, &typeErr) {
 		return typeErr.Field
 	}
+	var strict *fieldError
+	if errors.As(err, &strict) {
+		return strict.field
+	}
 	return ""
 }
--- a/state/catalogue/entry.go
+++ b/state/catalogue/entry.go
@@ -10,6 +10,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 
 	"bilberrytiller.example/tiller/state/request"
@@ -41,6 +42,18 @@
 // String returns the name of the platform object that holds the entry.
 func (id ID) String() string { return string(id.Kind) + "." + id.Name }
 
+// ParseID reads the name of a platform object that holds an entry.
+func ParseID(text string) (ID, error) {
+	kind, name, ok := strings.Cut(text, ".")
+	if !ok || !namePattern.MatchString(name) {
+		return ID{}, &EntryError{Field: "name", Err: fmt.Errorf("%q, want KIND.NAME: %w", text, ErrName)}
+	}
+	if _, err := newEntry(Kind(kind)); err != nil {
+		return ID{}, &EntryError{Field: "kind", Err: err}
+	}
+	return ID{Kind: Kind(kind), Name: name}, nil
+}
+
 // Duration is a time.Duration written as text, such as "1.5s".
 type Duration time.Duration
 
--- a/state/catalogue/validate.go
+++ b/state/catalogue/validate.go
@@ -4,7 +4,10 @@
 	"errors"
 	"fmt"
 	"regexp"
+	"slices"
+	"strings"
 	"time"
+	"unicode"
 )
 
 // Bounds of an entry's fields.
@@ -13,6 +16,7 @@
 	MaxConnections = 100_000
 	MaxDeadline    = time.Hour
 	MaxSites       = 64
+	MaxOwnerBytes  = 128
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
@@ -40,6 +44,9 @@
 	if m.Owner == "" {
 		return m.fail("owner", ErrMissing)
 	}
+	if len(m.Owner) > MaxOwnerBytes || strings.ContainsFunc(m.Owner, unicode.IsControl) {
+		return m.fail("owner", fmt.Errorf("want at most %d bytes and no control characters: %w", MaxOwnerBytes, ErrRange))
+	}
 	return nil
 }
 
@@ -95,6 +102,9 @@
 }
 
 func (s *Service) validateLimits() error {
+	if w := s.Class.Worth; w < 0 {
+		return s.fail("class.worth", fmt.Errorf("%g, want 0 or more: %w", w, ErrRange))
+	}
 	if s.Limits.Rate < 0 {
 		return s.fail("limits.rate", ErrRange)
 	}
@@ -115,6 +125,9 @@
 	if len(u.Services) == 0 {
 		return u.fail("services", ErrMissing)
 	}
+	if name, ok := repeated(u.Services); ok {
+		return u.fail("services", fmt.Errorf("%q: %w", name, ErrDuplicate))
+	}
 	if u.DataCentre == "" {
 		return u.fail("datacentre", ErrMissing)
 	}
@@ -144,5 +157,18 @@
 	if len(b.Sites) == 0 || len(b.Sites) > MaxSites {
 		return b.fail("sites", fmt.Errorf("%d sites, want 1 to %d: %w", len(b.Sites), MaxSites, ErrRange))
 	}
+	if name, ok := repeated(b.Sites); ok {
+		return b.fail("sites", fmt.Errorf("%q: %w", name, ErrDuplicate))
+	}
 	return nil
 }
+
+// repeated returns the first name that stands twice in a list.
+func repeated(names []string) (string, bool) {
+	for i, name := range names {
+		if slices.Contains(names[:i], name) {
+			return name, true
+		}
+	}
+	return "", false
+}
