Let operators change, compare, explain and await entries

tillerctl had get, list, apply, delete and status; apply took the version it read itself, so that a change made between an operator's reading and writing was overwritten in silence, and a lost answer ended as a failure.

coordination/change decides without I/O: what differs, at which version each write asks for, what contradicts, and what became of a write without an answer. A lost answer is settled by reading the entry back; where it has changed again, by the platform's history, since a conditional write took effect as the first change after its plan or never. A marker of the writer inside the entry was ruled out: it would be part of the schema for ever. apply takes what get -o json prints, with its version, so that read, change and write are one conditional step.

explain and entries are new on the daemon's operators' listener. The version flag no longer panics.

--- /dev/null
+++ b/cli/tillerctl/report.go
@@ -0,0 +1,160 @@
+package tillerctl
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/jessevdk/go-flags"
+
+	"bilberrytiller.example/tiller/coordination/change"
+	"bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/state/catalogue"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitConflict = 3
+	exitNotFound = 4
+	exitInvalid  = 5
+	exitUnknown  = 6
+	exitTimeout  = 7
+	exitDiffers  = 8
+)
+
+func exitCode(err error) int {
+	var flagErr *flags.Error
+	var usage *UsageError
+	var notSet *NotSetError
+	var assignment *change.AssignmentError
+	var stale *change.StaleError
+	var invalid *catalogue.EntryError
+	var unknown *UnknownError
+	var timeout *TimeoutError
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &flagErr), errors.As(err, &usage), errors.As(err, &notSet), errors.As(err, &assignment):
+		return exitUsage
+	case errors.As(err, &stale):
+		return exitConflict
+	case errors.As(err, &unknown):
+		return exitUnknown
+	case errors.As(err, &timeout):
+		return exitTimeout
+	case errors.As(err, &invalid):
+		return exitInvalid
+	case errors.Is(err, platform.ErrNotFound):
+		return exitNotFound
+	case errors.Is(err, errDiffers):
+		return exitDiffers
+	}
+	return exitFailed
+}
+
+// report prints an error and returns the exit code for it.
+func (e *env) report(err error) int {
+	var flagErr *flags.Error
+	if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+		fmt.Fprintln(e.stdout, strings.TrimRight(flagErr.Message, "\n"))
+		return exitOK
+	}
+	if err == nil || errors.Is(err, errDiffers) {
+		return exitCode(err)
+	}
+	for line := range strings.Lines(err.Error()) {
+		fmt.Fprintln(e.stderr, "tillerctl:", strings.TrimRight(line, "\n"))
+	}
+	for _, stale := range staleErrors(err) {
+		if err := e.printConflict(stale); err != nil {
+			fmt.Fprintln(e.stderr, "tillerctl:", err)
+		}
+	}
+	return exitCode(err)
+}
+
+// staleErrors returns all conflicts in a tree of errors.
+func staleErrors(err error) []*change.StaleError {
+	if stale, ok := err.(*change.StaleError); ok {
+		return []*change.StaleError{stale}
+	}
+	var out []*change.StaleError
+	switch e := err.(type) {
+	case interface{ Unwrap() error }:
+		out = staleErrors(e.Unwrap())
+	case interface{ Unwrap() []error }:
+		for _, inner := range e.Unwrap() {
+			out = append(out, staleErrors(inner)...)
+		}
+	}
+	return out
+}
+
+// conflict is the JSON form of a conflict.
+type conflict struct {
+	Entry         string              `json:"entry"`
+	StartedFrom   uint64              `json:"started_from"`
+	StandsAt      uint64              `json:"stands_at"`
+	Differences   []change.Difference `json:"differences"`
+	BaseIsUnknown bool                `json:"base_is_unknown,omitempty"`
+	Yours         json.RawMessage     `json:"yours,omitempty"`
+	Theirs        json.RawMessage     `json:"theirs,omitempty"`
+}
+
+func (e *env) printConflict(stale *change.StaleError) error {
+	differences, err := change.Differences(stale.Step.Base, stale.Current.Data, stale.Step.Data)
+	if err != nil {
+		return err
+	}
+	out := conflict{
+		Entry: stale.Step.ID.String(), StartedFrom: stale.Step.Version, StandsAt: stale.Current.Version,
+		Differences: differences, BaseIsUnknown: stale.Step.Base == nil && stale.Step.Version != 0,
+		Yours: stale.Step.Data, Theirs: stale.Current.Data,
+	}
+	if e.json() {
+		return printJSON(e.stdout, out)
+	}
+	fmt.Fprintf(e.stdout, "%s: nothing was written.\n", out.Entry)
+	rows := [][]string{{"FIELD", fmt.Sprintf("BASE (%d)", out.StartedFrom), fmt.Sprintf("THEIRS (%d)", out.StandsAt), "YOURS"}}
+	for _, d := range differences {
+		base := orNone(d.Base)
+		if out.BaseIsUnknown {
+			base = "?"
+		}
+		rows = append(rows, []string{d.Field, base, orNone(d.Theirs), orNone(d.Yours)})
+	}
+	if err := printTable(e.stdout, rows); err != nil {
+		return err
+	}
+	if stale.Step.Data != nil {
+		fmt.Fprintf(e.stdout, "Your version, which is saved nowhere else:\n%s\n", strings.TrimSpace(string(stale.Step.Data)))
+	}
+	return nil
+}
+
+func orNone(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+func printTable(w io.Writer, rows [][]string) error {
+	table := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	for _, row := range rows {
+		fmt.Fprintln(table, strings.Join(row, "\t"))
+	}
+	return table.Flush()
+}
+
+func printJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
--- a/cli/tillerctl/tillerctl.go
+++ b/cli/tillerctl/tillerctl.go
@@ -4,109 +4,160 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
 	"bilberrytiller.example/tiller/coordination/platform"
 	"bilberrytiller.example/tiller/internal/version"
+	"bilberrytiller.example/tiller/transport/operatorhttp"
 	"bilberrytiller.example/tiller/transport/platformhttp"
 )
 
-// Exit codes.
-const (
-	exitOK       = 0
-	exitFailed   = 1
-	exitUsage    = 2
-	exitConflict = 3
-	exitNotFound = 4
-	exitInvalid  = 5
-)
+const longDescription = `tillerctl changes catalogue entries in the platform and shows what daemons do. An entry is named KIND.NAME, such as upstream.stock-1; kinds are region, datacentre, link, service, upstream, host and block.
+
+Each write is conditional on the version that was read. A conflict shows both versions field by field and writes nothing.
+
+Exit codes:
+  0  done
+  1  failed: the platform or a daemon gave no usable answer
+  2  wrong command line or setting
+  3  conflict: the entry was changed by someone else
+  4  no such entry
+  5  invalid entry, or entries that contradict each other
+  6  unknown: the answer to a write was lost and could not be read back
+  7  timed out
+  8  differences were found (diff)
+
+Example:
+  tillerctl --platform http://10.0.0.9:7000 apply -f catalogue.json`
 
 // options are the settings that all commands share.
 type options struct {
-	Platform string   `long:"platform" env:"TILLER_PLATFORM" description:"base URL of the platform's object API"`
-	Daemons  []string `long:"daemon" env:"TILLER_DAEMONS" env-delim:"," description:"operator address of a daemon; may be repeated"`
-	Secret   string   `long:"secret" env:"TILLER_SECRET" description:"secret shared with the daemons; prefer the environment variable"`
-	Output   string   `long:"output" short:"o" default:"table" choice:"table" choice:"json" description:"form of the output"`
-	Version  func()   `long:"version" description:"print the version and exit"`
+	Connection struct {
+		Platform string   `long:"platform" env:"TILLER_PLATFORM" value-name:"URL" description:"base URL of the platform's object API"`
+		Daemons  []string `long:"daemon" env:"TILLER_DAEMONS" env-delim:"," value-name:"IP:PORT" description:"operators' address of a daemon; may be repeated"`
+		Secret   string   `long:"secret" env:"TILLER_SECRET" value-name:"SECRET" default-mask:"-" description:"secret shared with the daemons; prefer the environment variable"`
+	} `group:"Connection"`
+	Print struct {
+		Output  string `long:"output" short:"o" default:"table" choice:"table" choice:"json" description:"form of the output"`
+		Version bool   `long:"version" description:"print the version and exit"`
+	} `group:"Output"`
 }
 
 // env is what a command needs to run.
 type env struct {
 	ctx    context.Context
 	opts   *options
+	stdin  io.Reader
 	stdout io.Writer
 	stderr io.Writer
+	// settleTimeout bounds the attempts to learn what became of a write.
+	settleTimeout time.Duration
 }
 
+func (e *env) json() bool { return e.opts.Print.Output == "json" }
+
 func (e *env) platform() (platform.Client, error) {
-	if e.opts.Platform == "" {
-		return nil, &UsageError{Flag: "platform", Env: "TILLER_PLATFORM"}
+	if e.opts.Connection.Platform == "" {
+		return nil, &NotSetError{Flag: "platform", Env: "TILLER_PLATFORM"}
 	}
-	return platformhttp.New(e.opts.Platform), nil
+	return platformhttp.New(e.opts.Connection.Platform), nil
 }
 
-// UsageError names a setting that a command needs and that is not set.
-type UsageError struct{ Flag, Env string }
+// daemons returns a client of each daemon that was given.
+func (e *env) daemons() []*operatorhttp.Client {
+	var out []*operatorhttp.Client
+	for _, address := range e.opts.Connection.Daemons {
+		out = append(out, operatorhttp.New(address, e.opts.Connection.Secret))
+	}
+	return out
+}
 
-func (e *UsageError) Error() string { return fmt.Sprintf("--%s (%s) is not set", e.Flag, e.Env) }
+// needDaemons is daemons, or an error if none was given.
+func (e *env) needDaemons() ([]*operatorhttp.Client, error) {
+	if len(e.opts.Connection.Daemons) == 0 {
+		return nil, &NotSetError{Flag: "daemon", Env: "TILLER_DAEMONS"}
+	}
+	if e.opts.Connection.Secret == "" {
+		return nil, &NotSetError{Flag: "secret", Env: "TILLER_SECRET"}
+	}
+	return e.daemons(), nil
+}
+
+// NotSetError names a setting that a command needs and that is not set.
+type NotSetError struct{ Flag, Env string }
+
+func (e *NotSetError) Error() string { return fmt.Sprintf("--%s (%s) is not set", e.Flag, e.Env) }
+
+// UsageError says what is wrong with a command line.
+type UsageError struct{ Problem string }
+
+func (e *UsageError) Error() string { return e.Problem + "; see tillerctl --help" }
 
 // Main runs the command line of the process and returns its exit code.
 func Main() int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	e := &env{ctx: ctx, opts: &options{}, stdin: os.Stdin, stdout: os.Stdout, stderr: os.Stderr, settleTimeout: settleTimeout}
+	return e.run(os.Args[1:])
 }
 
-// versionError ends parsing when the version was asked for.
-type versionError struct{}
-
-func (versionError) Error() string { return "version" }
-
-func run(ctx context.Context, args []string, stdout, stderr io.Writer) (code int) {
-	opts := &options{}
-	opts.Version = func() { panic(versionError{}) }
-	defer func() {
-		if r := recover(); r != nil {
-			if _, ok := r.(versionError); !ok {
-				panic(r)
-			}
-			fmt.Fprintln(stdout, "tillerctl", version.Version)
-			code = exitOK
-		}
-	}()
-	parser := flags.NewParser(opts, flags.HelpFlag|flags.PassDoubleDash)
+func (e *env) run(args []string) int {
+	parser := flags.NewParser(e.opts, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = "tillerctl"
-	parser.LongDescription = "tillerctl changes catalogue entries in the platform and shows what daemons do."
-	e := &env{ctx: ctx, opts: opts, stdout: stdout, stderr: stderr}
-	for _, c := range commands(e) {
-		if _, err := parser.AddCommand(c.name, c.short, c.long, c.run); err != nil {
-			panic(err) // Only a wrong struct tag in this package gets here.
+	parser.LongDescription = longDescription
+	parser.SubcommandsOptional = true
+	parser.CommandHandler = e.handle
+	for _, c := range e.commands() {
+		long := c.long + "\n\nExample:\n  " + c.example
+		if _, err := parser.AddCommand(c.name, c.short, long, c.run); err != nil {
+			return e.report(err)
 		}
 	}
 	_, err := parser.ParseArgs(args)
-	return report(err, stdout, stderr)
+	return e.report(err)
 }
 
+// handle runs the command that the command line names.
+func (e *env) handle(command flags.Commander, rest []string) error {
+	switch {
+	case e.opts.Print.Version:
+		fmt.Fprintln(e.stdout, "tillerctl", version.Version)
+		return nil
+	case command == nil:
+		return &UsageError{Problem: "no command given"}
+	case len(rest) > 0:
+		return &UsageError{Problem: fmt.Sprintf("unexpected arguments %q", rest)}
+	}
+	return command.Execute(nil)
+}
+
+// command is one command of the command line.
 type command struct {
-	name, short, long string
-	run               flags.Commander
+	name, short, long, example string
+	run                        flags.Commander
 }
 
-func report(err error, stdout, stderr io.Writer) int {
-	var flagErr *flags.Error
-	if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
-		fmt.Fprintln(stdout, flagErr.Message)
-		return exitOK
-	}
-	if err != nil {
-		fmt.Fprintln(stderr, "tillerctl:", err)
+func (e *env) commands() []command {
+	return []command{
+		{"get", "print an entry", "Prints one entry; with -o json also its version, in a form that apply takes.", "tillerctl get service.stock-lookup", &getCommand{env: e}},
+		{"list", "list entries", "Lists entries, of one kind or of all.", "tillerctl list upstream", &listCommand{env: e}},
+		{"apply", "create or change entries", "Checks all entries of a file, then writes those that differ, each at the version that was read. It stops at the first write that fails and says which were written.", "tillerctl apply -f catalogue.json", &applyCommand{env: e}},
+		{"edit", "change fields of an entry", "Changes fields of one entry. A value is JSON, or else text; null removes a field.", "tillerctl edit upstream.stock-1 slots=6 address=10.0.0.7:8080", &editCommand{env: e}},
+		{"delete", "delete an entry", "Deletes one entry at the version that was read.", "tillerctl delete upstream.stock-1", &deleteCommand{env: e}},
+		{"diff", "show what apply would change", "Compares the entries of a file with the platform's. Exits with 8 if any differs.", "tillerctl diff -f catalogue.json", &diffCommand{env: e}},
+		{"watch", "print changes as they happen", "Prints each change of an entry until it is interrupted, --count changes have come or --timeout is over.", "tillerctl watch --count 1", &watchCommand{env: e}},
+		{"status", "show what daemons know", "Shows the members and the catalogue version that each daemon knows.", "tillerctl --daemon 10.0.0.1:7402 status", &statusCommand{env: e}},
+		{"explain", "show why callers are sent where", "Asks the first daemon given which entry hosts it would tell a caller of a service now, which upstreams may run the request, in which order and why.", "tillerctl --daemon 10.0.0.1:7402 explain stock-lookup 10.9.0.7", &explainCommand{env: e}},
+		{"wait", "wait until a version is in force", "Waits until every daemon given has the platform's entries in force, or with a VERSION at least that one. Progress is shown on a terminal.", "tillerctl --daemon 10.0.0.1:7402 wait --timeout 30s", &waitCommand{env: e}},
+		{"drain", "take an upstream, host or data centre out of use", "Sets drain in one entry. A host without an entry gets one.", "tillerctl drain upstream.stock-1", &drainCommand{env: e, drain: true}},
+		{"undrain", "put an upstream, host or data centre back in use", "Unsets drain in one entry.", "tillerctl undrain upstream.stock-1", &drainCommand{env: e}},
+		{"metrics", "print the metrics of daemons", "Prints the metrics of each daemon given, by name.", "tillerctl --daemon 10.0.0.1:7402 metrics", &metricsCommand{env: e}},
 	}
-	return exitCode(err)
 }
--- /dev/null
+++ b/cli/tillerctl/writer.go
@@ -0,0 +1,272 @@
+package tillerctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"bilberrytiller.example/tiller/coordination/change"
+	"bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/protocol/operatorapi"
+	"bilberrytiller.example/tiller/transport/operatorhttp"
+)
+
+const (
+	// settleTimeout bounds the attempts to learn what became of a write.
+	settleTimeout = 10 * time.Second
+	settlePause   = 200 * time.Millisecond
+	historyWait   = 2 * time.Second
+)
+
+// UnknownError says that a write may or may not have taken effect.
+type UnknownError struct {
+	Step change.Step
+	Err  error
+}
+
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("%s %s: may have taken effect, look with tillerctl get: %v", e.Step.Action, e.Step.ID, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// StoppedError says which writes were made before one failed.
+type StoppedError struct {
+	Written, Left int
+	Err           error
+}
+
+func (e *StoppedError) Error() string {
+	return fmt.Sprintf("%v\nstopped: %d written, %d not written", e.Err, e.Written, e.Left)
+}
+
+// Unwrap returns the cause.
+func (e *StoppedError) Unwrap() error { return e.Err }
+
+// written is the report of one step.
+type written struct {
+	Entry   string        `json:"entry"`
+	Action  change.Action `json:"action"`
+	Version uint64        `json:"version,omitempty"`
+	Note    string        `json:"note,omitempty"`
+}
+
+// change reads the entries, plans the wanted changes and makes them.
+func (e *env) change(wanted func(platform.List) ([]change.Wanted, error)) error {
+	p, err := e.platform()
+	if err != nil {
+		return err
+	}
+	list, err := p.List(e.ctx, platform.KindCatalogue)
+	if err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	entries, err := wanted(list)
+	if err != nil {
+		return err
+	}
+	steps, err := change.Plan(list, entries)
+	if err != nil {
+		e.findBases(p, err)
+		return err
+	}
+	w := &writer{env: e, platform: p}
+	done, err := w.writeAll(steps)
+	return errors.Join(e.printWritten(done), err)
+}
+
+// findBases fills in, where the platform still has it, the version of each
+// entry that the operator's change started from.
+func (e *env) findBases(p platform.Client, err error) {
+	for _, stale := range staleErrors(err) {
+		if stale.Step.Base != nil || stale.Step.Version == 0 {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(e.ctx, historyWait)
+		changes, err := p.Watch(ctx, platform.KindCatalogue, stale.Step.Version-1)
+		cancel()
+		if err != nil {
+			continue
+		}
+		stale.Step.Base = change.At(stale.Step, changes.Events)
+	}
+}
+
+func (e *env) printWritten(done []written) error {
+	if e.json() {
+		return printJSON(e.stdout, done)
+	}
+	for _, d := range done {
+		line := d.Entry + " " + string(d.Action)
+		if d.Version != 0 {
+			line += fmt.Sprintf(" version %d", d.Version)
+		}
+		if d.Note != "" {
+			line += " (" + d.Note + ")"
+		}
+		fmt.Fprintln(e.stdout, line)
+	}
+	return nil
+}
+
+// writer makes planned changes.
+type writer struct {
+	env      *env
+	platform platform.Client
+}
+
+func (w *writer) writeAll(steps []change.Step) ([]written, error) {
+	done := []written{}
+	for i, step := range steps {
+		result, err := w.write(step)
+		if err != nil && len(steps) > 1 {
+			return done, &StoppedError{Written: i, Left: len(steps) - i, Err: err}
+		}
+		if err != nil {
+			return done, err
+		}
+		done = append(done, result)
+	}
+	return done, nil
+}
+
+func (w *writer) write(step change.Step) (written, error) {
+	result := written{Entry: step.ID.String(), Action: step.Action, Version: step.Version}
+	if step.Action == change.Unchanged {
+		return result, nil
+	}
+	version, err := w.send(step)
+	if err == nil {
+		result.Version = version
+		w.tell(step, version)
+		return result, nil
+	}
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return result, &change.StaleError{Step: step, Current: conflict.Current}
+	}
+	if refused(err) || errors.Is(err, platform.ErrNotFound) {
+		return result, fmt.Errorf("%s %s: %w", step.Action, step.ID, err)
+	}
+	settled, err := w.settle(step, err)
+	if err != nil {
+		return result, err
+	}
+	result.Version, result.Note = settled.Version, notes[settled.Fate]
+	w.tell(step, settled.Version)
+	return result, nil
+}
+
+// notes tell operators what became of a write whose answer was lost.
+var notes = map[change.Fate]string{
+	change.NotApplied: "answer lost, written again",
+	change.Applied:    "answer lost, found written",
+	change.Superseded: "answer lost, found written and changed again since",
+}
+
+// send makes one attempt at a write.
+func (w *writer) send(step change.Step) (uint64, error) {
+	name := step.ID.String()
+	if step.Action == change.Delete {
+		return 0, w.platform.Delete(w.env.ctx, platform.KindCatalogue, name, step.Version)
+	}
+	return w.platform.Put(w.env.ctx, platform.KindCatalogue, name, step.Version, step.Data)
+}
+
+// refused reports whether a write has certainly not taken effect, for a
+// reason other than the entry's version.
+func refused(err error) bool {
+	var status interface{ Refused() bool }
+	return errors.As(err, &status) && status.Refused()
+}
+
+// settle finds out what became of a write without a clear answer, and sends
+// it again where it has not taken effect. Its fate is that of the first
+// attempt.
+func (w *writer) settle(step change.Step, cause error) (change.Settlement, error) {
+	ctx, cancel := context.WithTimeout(w.env.ctx, w.env.settleTimeout)
+	defer cancel()
+	for {
+		settled, current, err := w.readBack(ctx, step)
+		if err == nil && settled.Fate != change.NotApplied {
+			return settled, w.fateError(step, settled, current, cause)
+		}
+		if err == nil {
+			version, sendErr := w.send(step)
+			if sendErr == nil {
+				return change.Settlement{Fate: change.NotApplied, Version: version}, nil
+			}
+			cause = sendErr
+		}
+		if !pause(ctx, settlePause) {
+			return change.Settlement{}, &UnknownError{Step: step, Err: errors.Join(cause, err)}
+		}
+	}
+}
+
+func (w *writer) fateError(step change.Step, settled change.Settlement, current platform.Object, cause error) error {
+	switch settled.Fate {
+	case change.Rejected:
+		return &change.StaleError{Step: step, Current: current}
+	case change.Undecided:
+		return &UnknownError{Step: step, Err: cause}
+	}
+	return nil
+}
+
+// readBack reads the entry and, where it has changed, its history.
+func (w *writer) readBack(ctx context.Context, step change.Step) (change.Settlement, platform.Object, error) {
+	found, err := w.platform.Get(ctx, platform.KindCatalogue, step.ID.String())
+	if errors.Is(err, platform.ErrNotFound) {
+		found, err = platform.Object{Name: step.ID.String()}, nil
+	}
+	if err != nil {
+		return change.Settlement{}, found, err
+	}
+	settled := change.Settle(step, found, nil, false)
+	if settled.Fate != change.Undecided {
+		return settled, found, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, historyWait)
+	defer cancel()
+	changes, err := w.platform.Watch(ctx, platform.KindCatalogue, step.After)
+	return change.Settle(step, found, changes.Events, err == nil), found, nil
+}
+
+// tell gives a change to one daemon, so that it comes in force without the
+// platform's watch.
+func (w *writer) tell(step change.Step, version uint64) {
+	if step.Action == change.Delete || version == 0 {
+		return
+	}
+	var last error
+	for _, d := range w.env.daemons() {
+		last = d.Accept(w.env.ctx, operatorapi.Accept{Name: step.ID.String(), Version: version, Data: step.Data})
+		if last == nil || notServed(last) {
+			return
+		}
+	}
+	if last != nil {
+		fmt.Fprintln(w.env.stderr, "tillerctl: written, but no daemon was told; it reaches them through the platform:", last)
+	}
+}
+
+// notServed reports whether a daemon does not take changes from operators.
+func notServed(err error) bool {
+	var answer *operatorhttp.AnswerError
+	return errors.As(err, &answer) && answer.Status == http.StatusNotFound
+}
+
+func pause(ctx context.Context, t time.Duration) bool {
+	timer := time.NewTimer(t)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/coordination/change/plan.go
@@ -0,0 +1,161 @@
+package change
+
+import (
+	"errors"
+	"fmt"
+
+	"bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/state/catalogue"
+)
+
+// Action is what a step does to its entry.
+type Action string
+
+// The actions of a step.
+const (
+	Create    Action = "create"
+	Change    Action = "change"
+	Delete    Action = "delete"
+	Unchanged Action = "unchanged"
+)
+
+// Wanted is an entry as an operator wants it.
+type Wanted struct {
+	ID catalogue.ID
+	// Data is the encoded entry, nil for one that is to be deleted.
+	Data []byte
+	// IfVersion is the version that the operator started from, if known; 0
+	// is an entry that must not exist.
+	IfVersion *uint64
+}
+
+// Step is one write, conditional on the version that was read.
+type Step struct {
+	ID      catalogue.ID
+	Action  Action
+	Version uint64
+	// After is the version of the list that the step was planned from.
+	After uint64
+	// Base is the entry at Version, nil where its content is not known.
+	Base []byte
+	Data []byte
+}
+
+// StaleError says that an entry no longer stands at the version that an
+// operator started from.
+type StaleError struct {
+	Step Step
+	// Current is the entry as it stands, with Version 0 for none.
+	Current platform.Object
+}
+
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("%s is at version %d, your change started from version %d", e.Step.ID, e.Current.Version, e.Step.Version)
+}
+
+// Plan returns the steps that lead from the listed entries to the wanted
+// ones, or why not all of them may be taken.
+func Plan(list platform.List, wanted []Wanted) ([]Step, error) {
+	current := map[string]platform.Object{}
+	for _, obj := range list.Objects {
+		current[obj.Name] = obj
+	}
+	var steps []Step
+	var errs []error
+	seen := map[catalogue.ID]bool{}
+	for _, w := range wanted {
+		if seen[w.ID] {
+			errs = append(errs, &catalogue.EntryError{ID: w.ID, Err: catalogue.ErrDuplicate})
+			continue
+		}
+		seen[w.ID] = true
+		step, err := plan(current[w.ID.String()], w)
+		step.After = list.Version
+		errs = append(errs, err)
+		steps = append(steps, step)
+	}
+	if err := errors.Join(errs...); err != nil {
+		return nil, err
+	}
+	return steps, contradictions(list, steps)
+}
+
+func plan(current platform.Object, w Wanted) (Step, error) {
+	step := Step{ID: w.ID, Action: Change, Version: current.Version, Base: current.Data, Data: w.Data}
+	stale := w.IfVersion != nil && *w.IfVersion != current.Version
+	if stale {
+		step.Version, step.Base = *w.IfVersion, nil
+	}
+	switch {
+	case w.Data == nil:
+		step.Action = Delete
+		if current.Version == 0 {
+			return step, fmt.Errorf("%s: %w", w.ID, platform.ErrNotFound)
+		}
+	case current.Version == 0:
+		step.Action = Create
+	case Same(current.Data, w.Data):
+		step.Action = Unchanged
+		return step, nil
+	}
+	if stale {
+		return step, &StaleError{Step: step, Current: current}
+	}
+	return step, nil
+}
+
+// contradictions returns what the steps would make wrong between entries.
+// What is wrong already does not keep an operator from other changes.
+func contradictions(list platform.List, steps []Step) error {
+	before := set(list)
+	known := map[string]bool{}
+	for _, problem := range before.Check() {
+		known[problem.Error()] = true
+	}
+	after, err := apply(before, steps)
+	if err != nil {
+		return err
+	}
+	var errs []error
+	for _, problem := range after.Check() {
+		if !known[problem.Error()] {
+			errs = append(errs, problem)
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// set returns the entries of a list that can be read.
+func set(list platform.List) *catalogue.Set {
+	var records []catalogue.Record
+	for _, obj := range list.Objects {
+		id, err := catalogue.ParseID(obj.Name)
+		if err != nil {
+			continue
+		}
+		if r, err := catalogue.NewRecord(id, catalogue.Version(obj.Version), obj.Data); err == nil {
+			records = append(records, r)
+		}
+	}
+	out, _ := catalogue.Empty().Merge(records)
+	return out
+}
+
+func apply(before *catalogue.Set, steps []Step) (*catalogue.Set, error) {
+	next := before.Version
+	var records []catalogue.Record
+	for _, step := range steps {
+		next++
+		if step.Action == Delete {
+			records = append(records, catalogue.Record{ID: step.ID, Version: next, Deleted: true})
+			continue
+		}
+		r, err := catalogue.NewRecord(step.ID, next, step.Data)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, r)
+	}
+	after, _ := before.Merge(records)
+	return after, nil
+}
--- /dev/null
+++ b/daemon/explain.go
@@ -0,0 +1,117 @@
+package daemon
+
+import (
+	"net/http"
+	"net/netip"
+
+	"bilberrytiller.example/tiller/coordination/membership"
+	"bilberrytiller.example/tiller/coordination/placement"
+	"bilberrytiller.example/tiller/protocol/operatorapi"
+	"bilberrytiller.example/tiller/state/catalogue"
+)
+
+// handleExplain says where a caller of a service would be sent now.
+func (d *Daemon) handleExplain(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	set := d.catalogue.Load()
+	service := set.Service(query.Get(operatorapi.ParamService))
+	if service == nil {
+		failOperator(w, http.StatusNotFound, operatorapi.ParamService, "unknown service "+query.Get(operatorapi.ParamService))
+		return
+	}
+	caller := query.Get(operatorapi.ParamCaller)
+	if _, err := netip.ParseAddr(caller); caller != "" && err != nil {
+		failOperator(w, http.StatusBadRequest, operatorapi.ParamCaller, err.Error())
+		return
+	}
+	view := d.view.Load()
+	writeJSON(w, http.StatusOK, operatorapi.Explanation{
+		Host:             d.self.ID,
+		CatalogueVersion: uint64(set.Version),
+		Service:          service.Name,
+		Rank:             service.Class.Rank.String(),
+		Caller:           caller,
+		Hosts:            explainHosts(set, view),
+		Upstreams:        explainUpstreams(set, service.Name, placement.Upstreams(set, d.self, service.Name, d.loads.get)),
+	})
+}
+
+// explainHosts lists the hosts that callers are told in order, then the
+// others.
+func explainHosts(set *catalogue.Set, view *membership.View) []operatorapi.HostChoice {
+	out := []operatorapi.HostChoice{}
+	told := map[string]bool{}
+	for i, m := range placement.Hosts(set, view) {
+		told[m.ID] = true
+		out = append(out, hostChoice(m, i+1, nearness(view.Self, m)))
+	}
+	for _, m := range view.Members() {
+		if !told[m.ID] {
+			out = append(out, hostChoice(m, 0, excluded(set, m)))
+		}
+	}
+	return out
+}
+
+func hostChoice(m membership.Member, order int, reason string) operatorapi.HostChoice {
+	return operatorapi.HostChoice{
+		Order: order, Host: m.ID, DataCentre: m.DataCentre, Region: m.Region, State: m.State.String(), Reason: reason,
+	}
+}
+
+func nearness(self, m membership.Member) string {
+	switch {
+	case m.DataCentre == self.DataCentre:
+		return "same-datacentre"
+	case m.Region == self.Region:
+		return "same-region"
+	}
+	return "other-region"
+}
+
+func excluded(set *catalogue.Set, m membership.Member) string {
+	if set.HostLeaving(m.ID, m.DataCentre) {
+		return "drained"
+	}
+	return m.State.String()
+}
+
+// explainUpstreams lists the candidates in order, then the upstreams that
+// get no new work.
+func explainUpstreams(set *catalogue.Set, service string, candidates []placement.Candidate) []operatorapi.UpstreamChoice {
+	out := []operatorapi.UpstreamChoice{}
+	used := map[string]bool{}
+	for i, c := range candidates {
+		used[c.Upstream.Name] = true
+		out = append(out, operatorapi.UpstreamChoice{
+			Order: i + 1, Upstream: c.Upstream.Name, DataCentre: c.Upstream.DataCentre, Distance: c.Distance,
+			Slots: c.Upstream.Slots, InUse: c.Load.InUse, Waiting: c.Load.Waiting, Reason: occupancy(c),
+		})
+	}
+	for _, u := range set.Upstreams(service) {
+		if !used[u.Name] {
+			out = append(out, operatorapi.UpstreamChoice{Upstream: u.Name, DataCentre: u.DataCentre, Slots: u.Slots, Reason: "drained"})
+		}
+	}
+	return out
+}
+
+func occupancy(c placement.Candidate) string {
+	if c.Load.InUse+c.Load.Waiting >= c.Upstream.Slots {
+		return "no-free-slot"
+	}
+	return "free-slot"
+}
+
+// handleEntries lists the entries in force.
+func (d *Daemon) handleEntries(w http.ResponseWriter, _ *http.Request) {
+	out := []operatorapi.Entry{}
+	for _, r := range d.catalogue.Load().Records() {
+		out = append(out, operatorapi.Entry{Entry: r.ID.String(), Version: uint64(r.Version), Deleted: r.Deleted})
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
+func failOperator(w http.ResponseWriter, status int, field, text string) {
+	writeJSON(w, status, operatorapi.Failure{Field: field, Error: text})
+}
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -12,6 +12,8 @@
 func (d *Daemon) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+operatorapi.PathStatus, d.handleStatus)
+	mux.HandleFunc("GET "+operatorapi.PathEntries, d.handleEntries)
+	mux.HandleFunc("GET "+operatorapi.PathExplain, d.handleExplain)
 	mux.HandleFunc("GET "+operatorapi.PathMetrics, d.handleMetrics)
 	return d.authenticated(mux)
 }
@@ -20,7 +22,7 @@
 func (d *Daemon) authenticated(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, err := d.auth.Check(r.Header.Get(peer.HeaderAuth), time.Now()); err != nil {
-			http.Error(w, err.Error(), http.StatusUnauthorized)
+			failOperator(w, http.StatusUnauthorized, peer.HeaderAuth, err.Error())
 			return
 		}
 		next.ServeHTTP(w, r)
--- a/protocol/operatorapi/operatorapi.go
+++ b/protocol/operatorapi/operatorapi.go
@@ -1,13 +1,26 @@
 // Package operatorapi defines what operators read from a daemon's listener
-// for operators.
+// for operators, and how they tell a daemon of a change.
 package operatorapi
 
+import "encoding/json"
+
 // Paths of the operators' listener.
 const (
 	PathStatus  = "/v1/status"
+	PathEntries = "/v1/entries"
+	// PathExplain takes the parameters ParamService and ParamCaller.
+	PathExplain = "/v1/explain"
+	// PathAccept takes an Accept.
+	PathAccept  = "/v1/accept"
 	PathMetrics = "/debug/vars"
 )
 
+// Parameters of PathExplain.
+const (
+	ParamService = "service"
+	ParamCaller  = "caller"
+)
+
 // Status is what a daemon knows of itself and the fleet.
 type Status struct {
 	Host             string   `json:"host"`
@@ -27,3 +40,60 @@
 	Region      string `json:"region"`
 	State       string `json:"state"`
 }
+
+// Entry is one catalogue entry at the version that is in force.
+type Entry struct {
+	Entry   string `json:"entry"`
+	Version uint64 `json:"version"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// Accept tells a daemon of a change that the platform has accepted. Data is
+// the entry.
+type Accept struct {
+	Name    string          `json:"name"`
+	Version uint64          `json:"version"`
+	Data    json.RawMessage `json:"data"`
+}
+
+// Explanation says where a caller would be sent now, and why.
+type Explanation struct {
+	Host             string           `json:"host"`
+	CatalogueVersion uint64           `json:"catalogue_version"`
+	Service          string           `json:"service"`
+	Rank             string           `json:"rank"`
+	Caller           string           `json:"caller,omitempty"`
+	Hosts            []HostChoice     `json:"hosts"`
+	Upstreams        []UpstreamChoice `json:"upstreams"`
+}
+
+// HostChoice is one entry host in an Explanation. Order counts from 1; 0 is
+// a host that callers are not told.
+type HostChoice struct {
+	Order      int    `json:"order"`
+	Host       string `json:"host"`
+	DataCentre string `json:"datacentre"`
+	Region     string `json:"region"`
+	State      string `json:"state"`
+	Reason     string `json:"reason"`
+}
+
+// UpstreamChoice is one upstream in an Explanation. Order counts from 1; 0
+// is an upstream that gets no new work.
+type UpstreamChoice struct {
+	Order      int    `json:"order"`
+	Upstream   string `json:"upstream"`
+	DataCentre string `json:"datacentre"`
+	// Distance is 0 in the daemon's data centre, 1 in its region, 2 beyond.
+	Distance int    `json:"distance"`
+	Slots    int    `json:"slots"`
+	InUse    int    `json:"in_use"`
+	Waiting  int    `json:"waiting"`
+	Reason   string `json:"reason"`
+}
+
+// Failure is the body of an answer with another status than 200.
+type Failure struct {
+	Field string `json:"field,omitempty"`
+	Error string `json:"error"`
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -66,15 +66,13 @@
 	--host "south,south-1,south,$(field south peer),$(field south caller)"
 
 say "put the catalogue in force"
+tillerctl apply -f examples/demo/places.json
 for name in lookups payments reports; do
 	sed "s/@$name@/$(field "$name" address)/" "examples/demo/$name.json" >"$work/$name.json"
 	tillerctl apply -f "$work/$name.json"
 done
-tillerctl apply -f examples/demo/places.json
 export TILLER_DAEMONS="$(field north operator),$(field south operator)"
-# in_force VERSION MEMBERS tells whether all daemons have both.
-in_force() { [ "$(tillerctl status | awk 'NR > 1 {print $(NF-2), $(NF-1)}' | sort -u)" = "$1 $2" ]; }
-until_true in_force 8 2
+tillerctl wait --members 2
 tillerctl status
 
 say "a caller asks either entry host, and each service answers"
@@ -85,13 +83,12 @@
 done
 
 say "drain a backend server by changing its entry"
-sed 's/"drain": false/"drain": true/' "$work/lookups.json" >"$work/drained.json"
-tillerctl apply -f "$work/drained.json"
+tillerctl drain upstream.lookups-1
 # refused tells whether the service takes no work.
 refused() { (standin caller --entry "$(field north caller)" --service "$1" --body drained --timeout 1s || true) | grep -q 'outcome=not-run'; }
 until_true refused lookups
 echo "no new work for lookups"
-tillerctl apply -f "$work/lookups.json"
+tillerctl undrain upstream.lookups-1
 until_true standin caller --entry "$(field north caller)" --service lookups --body back --timeout 1s
 echo "lookups are answered again"
 
--- a/transport/platformhttp/client.go
+++ b/transport/platformhttp/client.go
@@ -34,6 +34,12 @@
 	return fmt.Sprintf("platform answered %d: %s", e.Status, e.Body)
 }
 
+// Refused reports whether the platform understood the call and turned it
+// down, so that a write has not taken effect.
+func (e *StatusError) Refused() bool {
+	return e.Status/100 == 4 && e.Status != http.StatusRequestTimeout
+}
+
 // Client implements platform.Client. It is safe for concurrent use.
 type Client struct {
 	base string
