Name every wrong setting, and write log lines without parsing twice

Settings: go-flags stops at the first value that it cannot read and names no environment variable. Such values are now set aside one by one, so that all wrong settings are named together with flag, variable, value and what is allowed. A stop shorter than a look-up lives is refused, and the secret may come from a file. Flags as plain text with a parser of our own were ruled out: they would stand twice.

Logs: zerolog's console writer parses each event again. transport/logline finds the pairs in zerolog's flat JSON in place. Hooks were ruled out: they add fields and cannot change the form. Lines of levels debug and info wait up to 100 ms; others, and those at a stop, do not.

--- a/cli/tillerd/tillerd.go
+++ b/cli/tillerd/tillerd.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
@@ -15,6 +16,7 @@
 
 	"bilberrytiller.example/tiller/daemon"
 	"bilberrytiller.example/tiller/internal/version"
+	"bilberrytiller.example/tiller/transport/logline"
 )
 
 // Exit codes.
@@ -26,60 +28,63 @@
 	exitCut = 3
 )
 
+const longDescription = `tillerd is the daemon of one entry host. It answers callers' look-ups, admits their requests by rank and forwards them to backend servers.
+
+Each setting has a flag and an environment variable; the flag wins. Durations are written like 250ms, 5s or 15m.
+
+SIGTERM stops gracefully: look-ups name other hosts, held look-ups run out, requests in flight end. A second SIGTERM ends at once and logs what is cut.
+
+Exit codes:
+  0  stopped gracefully
+  1  failed while serving
+  2  wrong settings; nothing was started
+  3  a stop cut requests in flight
+
+Example:
+  TILLER_SECRET_FILE=/run/tiller/secret tillerd --host-id nairobi-a \
+    --datacentre nairobi-1 --region nairobi --platform http://10.0.0.9:7000 \
+    --caller-listen 10.0.0.1:7400 --peer-listen 10.0.0.1:7401`
+
 type options struct {
 	daemon.Settings
-	Check   bool `long:"check" description:"check the settings and exit"`
-	Version bool `long:"version" description:"print the version and exit"`
+	Run struct {
+		Check   bool `long:"check" description:"check the settings and exit"`
+		Version bool `long:"version" description:"print the version and exit"`
+	} `group:"Instead of serving"`
 }
 
 // Main runs the command line of the process and returns its exit code.
 func Main() int { return run(os.Args[1:], os.Stdout, os.Stderr) }
 
 func run(args []string, stdout, stderr io.Writer) int {
-	var opts options
-	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
-	parser.Name = "tillerd"
-	parser.ShortDescription = "entry host daemon of bilberrytiller"
-	parser.LongDescription = "tillerd answers callers' look-ups, admits their requests and forwards them to backend servers."
-	rest, err := parser.ParseArgs(args)
-	if code, done := parsed(rest, err, stdout, stderr); done {
-		return code
-	}
-	if opts.Version {
+	opts, wrong, err := parse(args)
+	var flagErr *flags.Error
+	switch {
+	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
+		fmt.Fprintln(stdout, strings.TrimRight(flagErr.Message, "\n"))
+		return exitOK
+	case err != nil:
+		fmt.Fprintln(stderr, "tillerd:", err)
+		return exitSettings
+	case opts.Run.Version:
 		fmt.Fprintln(stdout, "tillerd", version.Version)
 		return exitOK
 	}
-	if err := opts.Settings.Check(); err != nil {
+	if err := check(opts, wrong); err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitSettings
 	}
-	if opts.Check {
+	if opts.Run.Check {
 		fmt.Fprintln(stdout, "settings are valid")
 		return exitOK
 	}
 	return serve(opts.Settings, stderr)
 }
 
-// parsed reports whether the command line alone decides the exit code.
-func parsed(rest []string, err error, stdout, stderr io.Writer) (int, bool) {
-	var flagErr *flags.Error
-	if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
-		fmt.Fprintln(stdout, flagErr.Message)
-		return exitOK, true
-	}
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitSettings, true
-	}
-	if len(rest) > 0 {
-		fmt.Fprintf(stderr, "unexpected arguments: %q\n", rest)
-		return exitSettings, true
-	}
-	return 0, false
-}
-
 func serve(settings daemon.Settings, stderr io.Writer) int {
-	log, err := daemon.NewLogger(stderr, settings.LogLevel)
+	lines := logline.NewWriter(stderr)
+	defer lines.Close()
+	log, err := daemon.NewLogger(lines, settings.LogLevel)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitSettings
@@ -91,17 +96,18 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go exitOnSecondSignal(ctx, d, log)
+	go exitOnSecondSignal(ctx, d, log, lines)
 	return exitCode(d.Run(ctx), stderr)
 }
 
 // exitOnSecondSignal ends the process at a second signal, saying what it cuts.
-func exitOnSecondSignal(ctx context.Context, d *daemon.Daemon, log zerolog.Logger) {
+func exitOnSecondSignal(ctx context.Context, d *daemon.Daemon, log zerolog.Logger, lines *logline.Writer) {
 	<-ctx.Done()
 	second := make(chan os.Signal, 1)
 	signal.Notify(second, syscall.SIGTERM, syscall.SIGINT)
 	<-second
 	log.Error().Str("event", "daemon.cut").Int64("requests", d.InFlight()).Send()
+	_ = lines.Close()
 	os.Exit(exitCut)
 }
 
--- a/daemon/logging.go
+++ b/daemon/logging.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"fmt"
 	"io"
 
 	"github.com/rs/zerolog"
@@ -14,9 +13,9 @@
 // default name is needed for the system's callers.
 const sourceField = "source"
 
-// NewLogger returns a logger that writes one line of key=value pairs for
-// each event of at least the given level: time, level and event first, then
-// the other pairs by name.
+// NewLogger returns a logger of the events of at least the given level. It
+// gives each event to w as one JSON object in one call; a logline.Writer
+// makes a line of key=value pairs of it.
 func NewLogger(w io.Writer, level string) (zerolog.Logger, error) {
 	parsed, err := zerolog.ParseLevel(level)
 	if err != nil {
@@ -24,16 +23,5 @@
 	}
 	zerolog.CallerFieldName = sourceField
 	zerolog.TimeFieldFormat = timeFormat
-	out := zerolog.ConsoleWriter{
-		Out:                   w,
-		NoColor:               true,
-		PartsOrder:            []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, "event"},
-		FormatTimestamp:       func(v any) string { return pair(zerolog.TimestampFieldName, v) },
-		FormatLevel:           func(v any) string { return pair(zerolog.LevelFieldName, v) },
-		FormatPartValueByName: func(v any, name string) string { return pair(name, v) },
-		FieldsExclude:         []string{"event"},
-	}
-	return zerolog.New(zerolog.SyncWriter(out)).Level(parsed).With().Timestamp().Logger(), nil
+	return zerolog.New(w).Level(parsed).With().Timestamp().Logger(), nil
 }
-
-func pair(name string, v any) string { return fmt.Sprintf("%s=%v", name, v) }
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"net/url"
+	"os"
 	"regexp"
 	"slices"
 	"strings"
@@ -16,26 +17,42 @@
 // Settings are the settings of one daemon. Each has a flag and an
 // environment variable.
 type Settings struct {
-	HostID     string `long:"host-id" env:"TILLER_HOST_ID" description:"name of this host, 1 to 40 of a-z, 0-9 and -"`
-	DataCentre string `long:"datacentre" env:"TILLER_DATACENTRE" description:"data centre this host stands in"`
-	Region     string `long:"region" env:"TILLER_REGION" description:"region of the data centre"`
-
-	CallerListen   string `long:"caller-listen" env:"TILLER_CALLER_LISTEN" default:"127.0.0.1:7400" description:"IP address and port for callers"`
-	PeerListen     string `long:"peer-listen" env:"TILLER_PEER_LISTEN" default:"127.0.0.1:7401" description:"IP address and port for other daemons"`
-	OperatorListen string `long:"operator-listen" env:"TILLER_OPERATOR_LISTEN" default:"127.0.0.1:7402" description:"IP address and port for operators"`
+	HostSettings      `group:"This host"`
+	ListenSettings    `group:"Listeners"`
+	FleetSettings     `group:"Platform and peers"`
+	BehaviourSettings `group:"Behaviour"`
+}
 
-	CallerAdvertise string `long:"caller-advertise" env:"TILLER_CALLER_ADVERTISE" description:"address that callers are told, if not the one listened on"`
-	PeerAdvertise   string `long:"peer-advertise" env:"TILLER_PEER_ADVERTISE" description:"address that other daemons are told, if not the one listened on"`
+// HostSettings say which host the daemon runs on.
+type HostSettings struct {
+	HostID     string `long:"host-id" env:"TILLER_HOST_ID" value-name:"NAME" description:"name of this host, 1 to 40 of a-z, 0-9 and -"`
+	DataCentre string `long:"datacentre" env:"TILLER_DATACENTRE" value-name:"NAME" description:"data centre this host stands in"`
+	Region     string `long:"region" env:"TILLER_REGION" value-name:"NAME" description:"region of the data centre"`
+}
 
-	Platform string   `long:"platform" env:"TILLER_PLATFORM" description:"base URL of the platform's object API"`
-	Seeds    []string `long:"peer" env:"TILLER_PEERS" env-delim:"," description:"peer address to join through while the platform is down; may be repeated"`
-	Secret   string   `long:"secret" env:"TILLER_SECRET" description:"secret shared by all daemons and operators, at least 16 characters; prefer the environment variable"`
+// ListenSettings say where the daemon is reached.
+type ListenSettings struct {
+	CallerListen    string `long:"caller-listen" env:"TILLER_CALLER_LISTEN" value-name:"IP:PORT" default:"127.0.0.1:7400" description:"where callers are served"`
+	PeerListen      string `long:"peer-listen" env:"TILLER_PEER_LISTEN" value-name:"IP:PORT" default:"127.0.0.1:7401" description:"where other daemons are served"`
+	OperatorListen  string `long:"operator-listen" env:"TILLER_OPERATOR_LISTEN" value-name:"IP:PORT" default:"127.0.0.1:7402" description:"where operators are served"`
+	CallerAdvertise string `long:"caller-advertise" env:"TILLER_CALLER_ADVERTISE" value-name:"IP:PORT" description:"address that callers are told, if not the one listened on"`
+	PeerAdvertise   string `long:"peer-advertise" env:"TILLER_PEER_ADVERTISE" value-name:"IP:PORT" description:"address that other daemons are told, if not the one listened on"`
+}
 
-	LookupTTL   time.Duration `long:"lookup-ttl" env:"TILLER_LOOKUP_TTL" default:"5s" description:"how long callers may keep a look-up, 100ms to 1m"`
-	KeyTTL      time.Duration `long:"key-ttl" env:"TILLER_KEY_TTL" default:"15m" description:"how long a key of a non-idempotent request is accepted, 1m to 24h"`
-	StopTimeout time.Duration `long:"stop-timeout" env:"TILLER_STOP_TIMEOUT" default:"60s" description:"bound of a graceful stop, 1s to 1h"`
+// FleetSettings say how the daemon reaches the platform and its peers.
+type FleetSettings struct {
+	Platform   string   `long:"platform" env:"TILLER_PLATFORM" value-name:"URL" description:"base URL of the platform's object API"`
+	Seeds      []string `long:"peer" env:"TILLER_PEERS" env-delim:"," value-name:"IP:PORT" description:"peer to join through while the platform is down; may be repeated"`
+	Secret     string   `long:"secret" env:"TILLER_SECRET" value-name:"SECRET" default-mask:"-" description:"secret shared by all daemons and operators, at least 16 characters; prefer the variable or a file"`
+	SecretFile string   `long:"secret-file" env:"TILLER_SECRET_FILE" value-name:"PATH" description:"file that holds the secret, in place of --secret"`
+}
 
-	LogLevel string `long:"log-level" env:"TILLER_LOG_LEVEL" default:"info" description:"least level that is logged: debug, info, warn or error"`
+// BehaviourSettings say how the daemon behaves.
+type BehaviourSettings struct {
+	LookupTTL   time.Duration `long:"lookup-ttl" env:"TILLER_LOOKUP_TTL" value-name:"DURATION" default:"5s" description:"how long callers may keep a look-up, 100ms to 1m"`
+	KeyTTL      time.Duration `long:"key-ttl" env:"TILLER_KEY_TTL" value-name:"DURATION" default:"15m" description:"how long a key of a non-idempotent request is accepted, 1m to 24h"`
+	StopTimeout time.Duration `long:"stop-timeout" env:"TILLER_STOP_TIMEOUT" value-name:"DURATION" default:"60s" description:"bound of a graceful stop, above --lookup-ttl, 1s to 1h"`
+	LogLevel    string        `long:"log-level" env:"TILLER_LOG_LEVEL" value-name:"LEVEL" default:"info" description:"least level that is logged: debug, info, warn or error"`
 }
 
 // MinSecretBytes is the shortest secret that is accepted.
@@ -82,10 +99,40 @@
 		checkDuration("lookup-ttl", s.LookupTTL, 100*time.Millisecond, time.Minute),
 		checkDuration("key-ttl", s.KeyTTL, time.Minute, 24*time.Hour),
 		checkLevel(s.LogLevel),
-		checkDuration("stop-timeout", s.StopTimeout, time.Second, time.Hour),
+		s.checkStopTimeout(),
 	)
 }
 
+// ReadSecret reads the secret from its file, if one is named.
+func (s *Settings) ReadSecret() error {
+	const allowed = "a readable file, and no --secret beside it"
+	if s.SecretFile == "" {
+		return nil
+	}
+	if s.Secret != "" {
+		return settingError("secret-file", s.SecretFile, allowed, ErrNotAllowed)
+	}
+	data, err := os.ReadFile(s.SecretFile)
+	if err != nil {
+		return settingError("secret-file", s.SecretFile, allowed, err)
+	}
+	s.Secret = strings.TrimSpace(string(data))
+	return nil
+}
+
+// checkStopTimeout also checks that a stop outlasts the look-ups that callers
+// hold, since they are served until those expire.
+func (s *Settings) checkStopTimeout() error {
+	if err := checkDuration("stop-timeout", s.StopTimeout, time.Second, time.Hour); err != nil {
+		return err
+	}
+	if s.StopTimeout <= s.LookupTTL {
+		allowed := fmt.Sprintf("above --lookup-ttl, which is %v", s.LookupTTL)
+		return settingError("stop-timeout", s.StopTimeout.String(), allowed, ErrNotAllowed)
+	}
+	return nil
+}
+
 func settingError(flag, value, allowed string, err error) error {
 	env := "TILLER_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
 	if flag == "peer" {
--- /dev/null
+++ b/transport/logline/logline_test.go
@@ -0,0 +1,111 @@
+package logline_test
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"bilberrytiller.example/tiller/transport/logline"
+)
+
+func TestAppend(t *testing.T) {
+	cases := map[string]struct{ event, want string }{
+		"order":        {`{"level":"info","host":"a","event":"x.y","n":3,"ok":true,"time":"t"}`, "time=t level=info event=x.y host=a n=3 ok=true"},
+		"words quoted": {`{"event":"x","a":"two words","b":"k=v","c":"","d":"say \"no\"","e":"line\nbreak"}`, `event=x a="two words" b="k=v" c="" d="say \"no\"" e="line\nbreak"`},
+		"brackets":     {`{"a":["x, y",{"b":"}"}],"event":"e"}`, `event=e a=["x, y",{"b":"}"}]`},
+		"name twice":   {`{"a":1,"event":"e","a":2}`, `event=e a=1 a=2`},
+		"no object":    {"text", "text"},
+		"empty object": {"{}", "{}"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := string(logline.Append(nil, []byte(c.event)))
+			if strings.TrimSuffix(got, "\n") != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func TestAppendDoesNotAllocate(t *testing.T) {
+	event := []byte(`{"level":"info","event":"route.decision","host":"a","detail":"two words","time":"t"}`)
+	line := make([]byte, 0, 1024)
+	if n := testing.AllocsPerRun(100, func() { line = logline.Append(line[:0], event) }); n != 0 {
+		t.Errorf("%v allocations, want 0", n)
+	}
+}
+
+func TestNothingIsLostAtClose(t *testing.T) {
+	var out bytes.Buffer
+	w := logline.NewWriter(&out)
+	log := zerolog.New(w)
+	const events = 5000
+	for range events {
+		log.Info().Str("event", "x").Send()
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if got := strings.Count(out.String(), "\n"); got != events {
+		t.Errorf("%d lines at Close, want %d", got, events)
+	}
+	log.Info().Str("event", "after-close").Send()
+	if got := strings.Count(out.String(), "\n"); got != events+1 {
+		t.Errorf("%d lines after Close, want %d", got, events+1)
+	}
+}
+
+func TestWarningsAreWrittenAtOnce(t *testing.T) {
+	var out bytes.Buffer
+	w := logline.NewWriter(&out)
+	defer w.Close()
+	log := zerolog.New(w)
+	log.Info().Str("event", "first").Send()
+	log.Warn().Str("event", "second").Send()
+	if got := strings.Count(out.String(), "\n"); got != 2 {
+		t.Errorf("%d lines, want 2", got)
+	}
+}
+
+func decide(log *zerolog.Logger) {
+	log.Info().Str("event", "route.decision").Str("request", "7KQZ3M5WJ2XN4D6RBYTCVEAHGS").Str("service", "stock-lookup").
+		Str("rank", "lookup").Str("upstream", "stock-lookup-7").Int("distance", 1).Int("in_use", 5).Int("waiting", 0).
+		Int("attempt", 0).Str("outcome", "done").Str("reason", "answered").Str("detail", "").Send()
+}
+
+// BenchmarkDecision logs one decision to a pipe, in each way that was
+// weighed. docs/design/logging.md has the figures.
+func BenchmarkDecision(b *testing.B) {
+	console := func(w io.Writer) io.Writer {
+		return zerolog.SyncWriter(zerolog.ConsoleWriter{Out: w, NoColor: true, PartsOrder: []string{"time", "level", "event"}, FieldsExclude: []string{"event"}})
+	}
+	lines := func(w io.Writer) io.Writer { return logline.NewWriter(w) }
+	unbuffered := func(w io.Writer) io.Writer {
+		l := logline.NewWriter(w)
+		_ = l.Close()
+		return l
+	}
+	ways := []struct {
+		name string
+		wrap func(io.Writer) io.Writer
+	}{{"console", console}, {"json", zerolog.SyncWriter}, {"logline-unbuffered", unbuffered}, {"logline", lines}}
+	for _, way := range ways {
+		b.Run(way.name, func(b *testing.B) {
+			reader, pipe, err := os.Pipe()
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer pipe.Close()
+			go func() { _, _ = io.Copy(io.Discard, reader) }()
+			log := zerolog.New(way.wrap(pipe)).With().Timestamp().Str("host", "nairobi-a").Logger()
+			b.ReportAllocs()
+			for b.Loop() {
+				decide(&log)
+			}
+		})
+	}
+}
