--- a/standin/cli/cli.go
+++ b/standin/cli/cli.go
@@ -37,6 +37,7 @@
 	add(parser, "hosts", "tell a platform its hosts", &hostsCommand{})
 	add(parser, "put", "send a JSON body to a stand-in", &putCommand{})
 	add(parser, "get", "print what a stand-in answers", &getCommand{})
+	add(parser, "request", "send one raw request", &requestCommand{})
 	if _, err := parser.Parse(); err != nil {
 		return exitCode(err)
 	}
--- a/state/catalogue/check_test.go
+++ b/state/catalogue/check_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"bilberrytiller.example/tiller/state/catalogue"
+	"bilberrytiller.example/tiller/state/request"
 )
 
 const places = `
@@ -20,6 +21,8 @@
 
 const upstreamForm = `{"schema":1,"kind":"upstream","name":"NAME","owner":"o","services":["SERVICES"],"datacentre":"north-1","address":"10.0.0.1:80","slots":4,"connections":9}`
 
+const rankless = `{"schema":1,"kind":"service","name":"s","owner":"o","class":{"rank":"RANK","idempotent":true,"deadline":"1s"},"limits":{}}`
+
 func upstream(name, services string) string {
 	return strings.NewReplacer("NAME", name, "SERVICES", services).Replace(upstreamForm)
 }
@@ -120,6 +123,7 @@
 		{"trailing word", valid + "x", "", catalogue.ErrTrailingData},
 		{"three ends of a link", `{"schema":1,"kind":"link","name":"l","owner":"o","between":["a","b","c"],"cap_mbit":1,"delay":"1ms"}`, "between", catalogue.ErrLength},
 		{"bad UTF-8", strings.Replace(valid, `"owner":"o"`, "\"owner\":\"\xff\"", 1), "", catalogue.ErrNotUTF8},
+		{"unknown rank", strings.Replace(rankless, "RANK", "soon", 1), "class.rank", request.ErrUnknownRank{Name: "soon"}},
 		{"service twice", strings.Replace(valid, `["pay"]`, `["pay","pay"]`, 1), "services", catalogue.ErrDuplicate},
 		{"control character", strings.Replace(valid, `"owner":"o"`, `"owner":"a\nb"`, 1), "owner", catalogue.ErrRange},
 	}
--- a/state/catalogue/strict.go
+++ b/state/catalogue/strict.go
@@ -66,6 +66,19 @@
 	case json.Delim('['):
 		return checkArray(dec, t, path)
 	}
+	return checkText(token, t, path)
+}
+
+// checkText reads a value that its type reads from text, such as a duration.
+func checkText(token json.Token, t reflect.Type, path string) error {
+	text, ok := token.(string)
+	if !ok || !isText(t) {
+		return nil
+	}
+	into, _ := reflect.New(t).Interface().(encoding.TextUnmarshaler)
+	if err := into.UnmarshalText([]byte(text)); err != nil {
+		return &fieldError{field: path, err: err}
+	}
 	return nil
 }
 
