--- a/cli/tillerctl/tillerctl.go
+++ b/cli/tillerctl/tillerctl.go
@@ -19,7 +19,7 @@
 	"bilberrytiller.example/tiller/transport/platformhttp"
 )
 
-const longDescription = `tillerctl changes catalogue entries in the platform and shows what daemons do. An entry is named KIND.NAME, such as upstream.stock-1; kinds are region, datacentre, link, service, upstream, host and block.
+const longDescription = `tillerctl changes catalogue entries in the platform and shows what daemons do. An entry is named KIND.NAME, such as upstream.stock-1; kinds are region, datacentre, link, service, upstream, host and blocks.
 
 Each write is conditional on the version that was read. A conflict shows both versions field by field and writes nothing.
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -47,6 +47,7 @@
 
 	catalogue atomic.Pointer[catalogue.Set]
 	view      atomic.Pointer[membership.View]
+	steered   atomic.Pointer[steering]
 
 	facts  *spread.Store
 	takers map[spread.Kind]func([]spread.Fact)
@@ -55,6 +56,8 @@
 	keys    *permit.Table
 	holders *holders
 	loads   *loads
+	// suspects are the requests that backend servers crashed on.
+	suspects *suspects
 
 	listeners listeners
 	// inFlight counts callers' requests that are being served.
@@ -84,6 +87,7 @@
 		issuer:   permit.NewIssuer([]byte(settings.Secret), rand.Reader),
 		keys:     permit.NewTable(maxKeys),
 		loads:    newLoads(),
+		suspects: newSuspects(),
 		facts:    spread.NewStore(),
 		takers:   map[spread.Kind]func([]spread.Fact){},
 	}
@@ -105,6 +109,7 @@
 	d.view.Store(membership.NewView(d.self, []membership.Member{d.self}))
 	d.registerCalls()
 	d.onFact(factCatalogue, d.takeCatalogue)
+	d.onFact(factCrash, d.takeCrashes)
 	return d, nil
 }
 
--- a/daemon/explain.go
+++ b/daemon/explain.go
@@ -2,10 +2,10 @@
 
 import (
 	"net/http"
-	"net/netip"
 
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/placement"
+	"bilberrytiller.example/tiller/coordination/steer"
 	"bilberrytiller.example/tiller/protocol/operatorapi"
 	"bilberrytiller.example/tiller/state/catalogue"
 )
@@ -19,31 +19,33 @@
 		failOperator(w, http.StatusNotFound, operatorapi.ParamService, "unknown service "+query.Get(operatorapi.ParamService))
 		return
 	}
-	caller := query.Get(operatorapi.ParamCaller)
-	if _, err := netip.ParseAddr(caller); caller != "" && err != nil {
+	caller, err := clientOf(r, query.Get(operatorapi.ParamCaller))
+	if err != nil {
 		failOperator(w, http.StatusBadRequest, operatorapi.ParamCaller, err.Error())
 		return
 	}
-	view := d.view.Load()
+	st := d.steering()
+	choice := st.table.Choose(caller)
 	writeJSON(w, http.StatusOK, operatorapi.Explanation{
 		Host:             d.self.ID,
 		CatalogueVersion: uint64(set.Version),
 		Service:          service.Name,
 		Rank:             service.Class.Rank.String(),
-		Caller:           caller,
-		Hosts:            explainHosts(set, view),
+		Caller:           caller.String(),
+		Hosts:            explainHosts(st.set, st.view, &choice),
 		Upstreams:        explainUpstreams(set, service.Name, placement.Upstreams(set, d.self, service.Name, d.loads.get)),
 	})
 }
 
 // explainHosts lists the hosts that callers are told in order, then the
 // others.
-func explainHosts(set *catalogue.Set, view *membership.View) []operatorapi.HostChoice {
+func explainHosts(set *catalogue.Set, view *membership.View, choice *steer.Choice) []operatorapi.HostChoice {
 	out := []operatorapi.HostChoice{}
 	told := map[string]bool{}
-	for i, m := range placement.Hosts(set, view) {
+	for i := range choice.Len() {
+		m := choice.Host(i)
 		told[m.ID] = true
-		out = append(out, hostChoice(m, i+1, nearness(view.Self, m)))
+		out = append(out, hostChoice(*m, i+1, string(choice.Reason)+","+nearness(view.Self, *m)))
 	}
 	for _, m := range view.Members() {
 		if !told[m.ID] {
@@ -73,6 +75,9 @@
 	if set.HostLeaving(m.ID, m.DataCentre) {
 		return "drained"
 	}
+	if m.State == membership.Alive {
+		return "further-than-others"
+	}
 	return m.State.String()
 }
 
--- a/state/catalogue/check.go
+++ b/state/catalogue/check.go
@@ -34,7 +34,7 @@
 	c := &checker{set: s, entries: map[ID]Entry{}}
 	for id, r := range s.records {
 		if !r.Deleted {
-			c.entries[id] = r.Entry
+			c.entries[id] = r.Decoded()
 		}
 	}
 	for _, id := range slices.SortedFunc(maps.Keys(c.entries), compareIDs) {
@@ -71,9 +71,15 @@
 		c.checkUpstream(e)
 	case *Service:
 		c.checkMinimum(e)
-	case *Block:
-		for i, site := range e.Sites {
-			c.reference(e.ID(), fmt.Sprintf("sites[%d]", i), KindDataCentre, site)
+	case *Blocks:
+		c.checkSites(e)
+	}
+}
+
+func (c *checker) checkSites(entry *Blocks) {
+	for i, b := range entry.Blocks {
+		for j, site := range b.Sites {
+			c.reference(entry.ID(), fmt.Sprintf("blocks[%d].sites[%d]", i, j), KindDataCentre, site)
 		}
 	}
 }
@@ -144,12 +150,14 @@
 
 func (c *checker) checkPrefixes() {
 	first := map[netip.Prefix]ID{}
-	for _, b := range entriesOf[*Block](c) {
-		if other, ok := first[b.Prefix]; ok {
-			c.fail(b.ID(), "prefix", other, fmt.Errorf("%v: %w", b.Prefix, ErrDuplicate))
-			continue
+	for _, entry := range entriesOf[*Blocks](c) {
+		for i, b := range entry.Blocks {
+			if other, ok := first[b.Prefix]; ok {
+				c.fail(entry.ID(), fmt.Sprintf("blocks[%d].prefix", i), other, fmt.Errorf("%v: %w", b.Prefix, ErrDuplicate))
+				continue
+			}
+			first[b.Prefix] = entry.ID()
 		}
-		first[b.Prefix] = b.ID()
 	}
 }
 
--- a/state/catalogue/check_test.go
+++ b/state/catalogue/check_test.go
@@ -55,9 +55,9 @@
 		{"link to nowhere", `{"schema":1,"kind":"link","name":"l","owner":"o","between":["north","gone"],"cap_mbit":1,"delay":"1ms"}`, "link.l", "between[1]", catalogue.ErrNoEntry},
 		{"minimums over the whole", upstream("u", `pay","look`), "upstream.u", "services", catalogue.ErrRange},
 		{"one address twice", upstream("a", "pay") + "\n" + upstream("b", "pay"), "upstream.b", "address", catalogue.ErrDuplicate},
-		{"unknown site", `{"schema":1,"kind":"block","name":"b","owner":"o","prefix":"10.0.0.0/8","sites":["gone"]}`, "block.b", "sites[0]", catalogue.ErrNoEntry},
-		{"duplicate prefix", `{"schema":1,"kind":"block","name":"a","owner":"o","prefix":"10.0.0.0/8","sites":["north-1"]}
-			{"schema":1,"kind":"block","name":"b","owner":"o","prefix":"10.0.0.0/8","sites":["north-1"]}`, "block.b", "prefix", catalogue.ErrDuplicate},
+		{"unknown site", `{"schema":1,"kind":"blocks","name":"b","owner":"o","blocks":[{"prefix":"10.0.0.0/8","sites":["gone"]}]}`, "blocks.b", "blocks[0].sites[0]", catalogue.ErrNoEntry},
+		{"duplicate prefix", `{"schema":1,"kind":"blocks","name":"a","owner":"o","blocks":[{"prefix":"10.0.0.0/8","sites":["north-1"]}]}
+			{"schema":1,"kind":"blocks","name":"b","owner":"o","blocks":[{"prefix":"10.0.0.0/8","sites":["north-1"]}]}`, "blocks.b", "blocks[0].prefix", catalogue.ErrDuplicate},
 		{"minimum above the limit", `{"schema":1,"kind":"service","name":"tight","owner":"o","class":{"rank":"lookup","idempotent":true,"deadline":"1s","guaranteed":0.5},"limits":{"concurrency":1}}
 			` + upstream("u", "tight"), "service.tight", "class.guaranteed", catalogue.ErrRange},
 	}
