--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -43,8 +43,7 @@
 // Crash is one crash charged to one request.
 type Crash struct {
 	Digest Digest
-	// ID tells this crash from others of the same request: the attempt's
-	// identity and its upstream.
+	// ID tells this crash from others of the same request.
 	ID      string
 	Expires time.Time
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,9 +15,12 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"bilberrytiller.example/tiller/coordination/admission"
+	"bilberrytiller.example/tiller/coordination/hold"
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/permit"
 	"bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/coordination/retry"
 	"bilberrytiller.example/tiller/coordination/spread"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/transport/peer"
@@ -40,14 +43,19 @@
 	self     membership.Member
 	metrics  *metrics
 
-	platform  platform.Client
-	peers     *peer.Client
+	platform platform.Client
+	peers    *peer.Client
+	// control carries heartbeats and facts, apart from the requests that peers
+	// carries, so that a heartbeat waits for no request's bytes.
+	control   *peer.Client
 	peerServe *peer.Server
 	auth      *peer.Auth
 
 	catalogue atomic.Pointer[catalogue.Set]
+	invalid   *invalidObjects
 	view      atomic.Pointer[membership.View]
 	steered   atomic.Pointer[steering]
+	roster    *roster
 
 	facts  *spread.Store
 	takers map[spread.Kind]func([]spread.Fact)
@@ -58,6 +66,10 @@
 	loads   *loads
 	// suspects are the requests that backend servers crashed on.
 	suspects *suspects
+	// lease tells whether this daemon may dispatch.
+	lease     *hold.Lease
+	admission *admission.Controller
+	retries   *retry.Budget
 
 	listeners listeners
 	// inFlight counts callers' requests that are being served.
@@ -79,17 +91,21 @@
 		return nil, err
 	}
 	d := &Daemon{
-		settings: settings,
-		log:      log.With().Str("host", settings.HostID).Logger(),
-		metrics:  newMetrics(),
-		platform: platformhttp.New(settings.Platform),
-		auth:     peer.NewAuth(settings.HostID, []byte(settings.Secret)),
-		issuer:   permit.NewIssuer([]byte(settings.Secret), rand.Reader),
-		keys:     permit.NewTable(maxKeys),
-		loads:    newLoads(),
-		suspects: newSuspects(),
-		facts:    spread.NewStore(),
-		takers:   map[spread.Kind]func([]spread.Fact){},
+		settings:  settings,
+		log:       log.With().Str("host", settings.HostID).Logger(),
+		metrics:   newMetrics(),
+		platform:  platformhttp.New(settings.Platform),
+		auth:      peer.NewAuth(settings.HostID, []byte(settings.Secret)),
+		issuer:    permit.NewIssuer([]byte(settings.Secret), rand.Reader),
+		keys:      permit.NewTable(maxKeys),
+		loads:     newLoads(),
+		lease:     hold.NewLease(time.Now()),
+		admission: admission.New(),
+		retries:   retry.NewBudget(),
+		facts:     spread.NewStore(),
+		suspects:  newSuspects(),
+		invalid:   newInvalidObjects(),
+		takers:    map[spread.Kind]func([]spread.Fact){},
 	}
 	d.peerServe = peer.NewServer(d.auth, d.log)
 	d.holders = newHolders(d.log)
@@ -105,11 +121,16 @@
 		Caller:      advertised(settings.CallerAdvertise, d.listeners.caller),
 	}
 	d.peers = peer.NewClient(d.auth, addrOf(d.listeners.peer).Addr())
+	d.control = peer.NewClient(d.auth, addrOf(d.listeners.peer).Addr())
+	d.roster = newRoster(d.self, time.Now())
 	d.catalogue.Store(catalogue.Empty())
 	d.view.Store(membership.NewView(d.self, []membership.Member{d.self}))
 	d.registerCalls()
 	d.onFact(factCatalogue, d.takeCatalogue)
 	d.onFact(factCrash, d.takeCrashes)
+	d.onFact(factInvalid, d.takeInvalid)
+	d.onFact(factMember, d.takeMembers)
+	d.onFact(factHost, d.takeHosts)
 	return d, nil
 }
 
@@ -134,12 +155,15 @@
 	}
 	group.Go(func() error { return d.followCatalogue(background) })
 	group.Go(func() error { return d.followHosts(background) })
+	group.Go(func() error { return d.followMembers(background) })
+	group.Go(func() error { return d.followHolds(background) })
 	d.log.Info().Str("event", "daemon.ready").Str("incarnation", d.self.Incarnation).
 		Stringer("caller", d.CallerAddr()).Stringer("peer", d.PeerAddr()).Stringer("operator", d.OperatorAddr()).Send()
 	<-ctx.Done()
 	err := d.stop(servers)
 	stopBackground()
 	d.peers.Close()
+	d.control.Close()
 	return errors.Join(err, group.Wait())
 }
 
