--- a/cli/tillerctl/read.go
+++ b/cli/tillerctl/read.go
@@ -120,10 +120,13 @@
 	if c.env.json() {
 		return printJSON(c.env.stdout, all)
 	}
-	rows := [][]string{{"HOST", "DATA CENTRE", "REGION", "CATALOGUE", "MEMBERS", "LEAVING"}}
+	rows := [][]string{{"HOST", "DATA CENTRE", "REGION", "CATALOGUE", "INVALID", "MEMBERS", "RELAY", "LEAVING"}}
 	for _, s := range all {
 		version := strconv.FormatUint(s.CatalogueVersion, 10)
-		rows = append(rows, []string{s.Host, s.DataCentre, s.Region, version, strconv.Itoa(len(s.Members)), strconv.FormatBool(s.Leaving)})
+		rows = append(rows, []string{
+			s.Host, s.DataCentre, s.Region, version, strconv.Itoa(len(s.Invalid)), strconv.Itoa(len(s.Members)),
+			strconv.FormatBool(s.Standing.Relay), strconv.FormatBool(s.Leaving),
+		})
 	}
 	return printTable(c.env.stdout, rows)
 }
@@ -162,11 +165,11 @@
 		return err
 	}
 	fmt.Fprintln(e.stdout)
-	rows = [][]string{{"ORDER", "UPSTREAM", "DATA CENTRE", "DISTANCE", "IN USE", "WAITING", "SLOTS", "REASON"}}
+	rows = [][]string{{"ORDER", "UPSTREAM", "DATA CENTRE", "HOLDER", "DISTANCE", "IN USE", "WAITING", "SLOTS", "COST MS", "REASON"}}
 	for _, u := range x.Upstreams {
 		rows = append(rows, []string{
-			order(u.Order), u.Upstream, u.DataCentre, strconv.Itoa(u.Distance),
-			strconv.Itoa(u.InUse), strconv.Itoa(u.Waiting), strconv.Itoa(u.Slots), u.Reason,
+			order(u.Order), u.Upstream, u.DataCentre, orNone(u.Holder), strconv.Itoa(u.Distance),
+			strconv.Itoa(u.InUse), strconv.Itoa(u.Waiting), strconv.Itoa(u.Slots), strconv.FormatInt(u.CostMs, 10), u.Reason,
 		})
 	}
 	return printTable(e.stdout, rows)
--- a/cli/tillerctl/watch.go
+++ b/cli/tillerctl/watch.go
@@ -12,6 +12,7 @@
 
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/transport/operatorhttp"
 )
 
@@ -141,6 +142,8 @@
 type target struct {
 	version uint64
 	entries map[string]uint64
+	// invalid names the objects that daemons skip.
+	invalid map[string]bool
 }
 
 func (c *waitCommand) target() (target, error) {
@@ -159,8 +162,13 @@
 	if err != nil {
 		return target{}, fmt.Errorf("list: %w", err)
 	}
-	want := target{entries: map[string]uint64{}}
+	want := target{entries: map[string]uint64{}, invalid: map[string]bool{}}
 	for _, obj := range list.Objects {
+		if _, err := catalogue.Decode(obj.Data); err != nil {
+			fmt.Fprintf(c.env.stderr, "tillerctl: not waiting for version %d of %s: %v\n", obj.Version, obj.Name, err)
+			want.invalid[obj.Name] = true
+			continue
+		}
 		want.entries[obj.Name] = obj.Version
 		want.version = max(want.version, obj.Version)
 	}
@@ -180,7 +188,7 @@
 		newest := uint64(0)
 		for _, e := range entries {
 			newest = max(newest, e.Version)
-			if e.Deleted || want.entries[e.Entry] != 0 || e.Version > want.version {
+			if e.Deleted || want.entries[e.Entry] != 0 || want.invalid[e.Entry] || e.Version > want.version {
 				held[e.Entry] = e.Version
 				continue
 			}
--- a/cli/tillerctl/writer.go
+++ b/cli/tillerctl/writer.go
@@ -4,13 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/change"
 	"bilberrytiller.example/tiller/coordination/platform"
 	"bilberrytiller.example/tiller/protocol/operatorapi"
-	"bilberrytiller.example/tiller/transport/operatorhttp"
 )
 
 const (
@@ -171,7 +169,7 @@
 func (w *writer) send(step change.Step) (uint64, error) {
 	name := step.ID.String()
 	if step.Action == change.Delete {
-		return 0, w.platform.Delete(w.env.ctx, platform.KindCatalogue, name, step.Version)
+		return w.platform.Delete(w.env.ctx, platform.KindCatalogue, name, step.Version)
 	}
 	return w.platform.Put(w.env.ctx, platform.KindCatalogue, name, step.Version, step.Data)
 }
@@ -239,13 +237,15 @@
 // tell gives a change to one daemon, so that it comes in force without the
 // platform's watch.
 func (w *writer) tell(step change.Step, version uint64) {
-	if step.Action == change.Delete || version == 0 {
+	if version == 0 {
 		return
 	}
+	accepted := operatorapi.Accepted{
+		Name: step.ID.String(), Version: version, Data: step.Data, Deleted: step.Action == change.Delete,
+	}
 	var last error
 	for _, d := range w.env.daemons() {
-		last = d.Accept(w.env.ctx, operatorapi.Accept{Name: step.ID.String(), Version: version, Data: step.Data})
-		if last == nil || notServed(last) {
+		if last = d.Accepted(w.env.ctx, accepted); last == nil {
 			return
 		}
 	}
@@ -254,12 +254,6 @@
 	}
 }
 
-// notServed reports whether a daemon does not take changes from operators.
-func notServed(err error) bool {
-	var answer *operatorhttp.AnswerError
-	return errors.As(err, &answer) && answer.Status == http.StatusNotFound
-}
-
 func pause(ctx context.Context, t time.Duration) bool {
 	timer := time.NewTimer(t)
 	defer timer.Stop()
--- a/coordination/platform/platform.go
+++ b/coordination/platform/platform.go
@@ -97,8 +97,9 @@
 	// Put writes an object if it stands at the given version, 0 for one that
 	// must not exist, and returns its new version, or a *ConflictError.
 	Put(ctx context.Context, kind, name string, ifVersion uint64, data []byte) (uint64, error)
-	// Delete deletes an object if it stands at the given version.
-	Delete(ctx context.Context, kind, name string, ifVersion uint64) error
+	// Delete deletes an object if it stands at the given version, and returns
+	// the version of its deletion.
+	Delete(ctx context.Context, kind, name string, ifVersion uint64) (uint64, error)
 	// Watch waits for changes of a kind after a version, or returns ErrTooOld.
 	Watch(ctx context.Context, kind string, after uint64) (Changes, error)
 	// Hosts returns the lagging list of hosts.
--- a/daemon/explain.go
+++ b/daemon/explain.go
@@ -4,7 +4,6 @@
 	"net/http"
 
 	"bilberrytiller.example/tiller/coordination/membership"
-	"bilberrytiller.example/tiller/coordination/placement"
 	"bilberrytiller.example/tiller/coordination/steer"
 	"bilberrytiller.example/tiller/protocol/operatorapi"
 	"bilberrytiller.example/tiller/state/catalogue"
@@ -13,8 +12,8 @@
 // handleExplain says where a caller of a service would be sent now.
 func (d *Daemon) handleExplain(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	set := d.catalogue.Load()
-	service := set.Service(query.Get(operatorapi.ParamService))
+	st := d.steering()
+	service := st.set.Service(query.Get(operatorapi.ParamService))
 	if service == nil {
 		failOperator(w, http.StatusNotFound, operatorapi.ParamService, "unknown service "+query.Get(operatorapi.ParamService))
 		return
@@ -24,16 +23,15 @@
 		failOperator(w, http.StatusBadRequest, operatorapi.ParamCaller, err.Error())
 		return
 	}
-	st := d.steering()
 	choice := st.table.Choose(caller)
 	writeJSON(w, http.StatusOK, operatorapi.Explanation{
 		Host:             d.self.ID,
-		CatalogueVersion: uint64(set.Version),
+		CatalogueVersion: uint64(st.set.Version),
 		Service:          service.Name,
 		Rank:             service.Class.Rank.String(),
 		Caller:           caller.String(),
 		Hosts:            explainHosts(st.set, st.view, &choice),
-		Upstreams:        explainUpstreams(set, service.Name, placement.Upstreams(set, d.self, service.Name, d.loads.get)),
+		Upstreams:        d.explainUpstreams(st.set, service.Name),
 	})
 }
 
@@ -83,14 +81,15 @@
 
 // explainUpstreams lists the candidates in order, then the upstreams that
 // get no new work.
-func explainUpstreams(set *catalogue.Set, service string, candidates []placement.Candidate) []operatorapi.UpstreamChoice {
+func (d *Daemon) explainUpstreams(set *catalogue.Set, service string) []operatorapi.UpstreamChoice {
 	out := []operatorapi.UpstreamChoice{}
 	used := map[string]bool{}
-	for i, c := range candidates {
+	for i, c := range d.candidates(set, service) {
 		used[c.Upstream.Name] = true
+		holder, _ := d.holderOf(set, c.Upstream)
 		out = append(out, operatorapi.UpstreamChoice{
-			Order: i + 1, Upstream: c.Upstream.Name, DataCentre: c.Upstream.DataCentre, Distance: c.Distance,
-			Slots: c.Upstream.Slots, InUse: c.Load.InUse, Waiting: c.Load.Waiting, Reason: occupancy(c),
+			Order: i + 1, Upstream: c.Upstream.Name, DataCentre: c.Upstream.DataCentre, Holder: holder.ID, Distance: c.Distance,
+			Slots: c.Upstream.Slots, InUse: c.Load.InUse, Waiting: c.Load.Waiting, CostMs: c.Cost.Milliseconds(), Reason: c.Reason(),
 		})
 	}
 	for _, u := range set.Upstreams(service) {
@@ -101,13 +100,6 @@
 	return out
 }
 
-func occupancy(c placement.Candidate) string {
-	if c.Load.InUse+c.Load.Waiting >= c.Upstream.Slots {
-		return "no-free-slot"
-	}
-	return "free-slot"
-}
-
 // handleEntries lists the entries in force.
 func (d *Daemon) handleEntries(w http.ResponseWriter, _ *http.Request) {
 	out := []operatorapi.Entry{}
--- a/protocol/operatorapi/operatorapi.go
+++ b/protocol/operatorapi/operatorapi.go
@@ -2,16 +2,12 @@
 // for operators, and how they tell a daemon of a change.
 package operatorapi
 
-import "encoding/json"
-
 // Paths of the operators' listener.
 const (
 	PathStatus  = "/v1/status"
 	PathEntries = "/v1/entries"
 	// PathExplain takes the parameters ParamService and ParamCaller.
 	PathExplain = "/v1/explain"
-	// PathAccept takes an Accept.
-	PathAccept  = "/v1/accept"
 	PathMetrics = "/debug/vars"
 )
 
@@ -51,14 +47,6 @@
 	Deleted bool   `json:"deleted,omitempty"`
 }
 
-// Accept tells a daemon of a change that the platform has accepted. Data is
-// the entry.
-type Accept struct {
-	Name    string          `json:"name"`
-	Version uint64          `json:"version"`
-	Data    json.RawMessage `json:"data"`
-}
-
 // Explanation says where a caller would be sent now, and why.
 type Explanation struct {
 	Host             string           `json:"host"`
@@ -87,12 +75,16 @@
 	Order      int    `json:"order"`
 	Upstream   string `json:"upstream"`
 	DataCentre string `json:"datacentre"`
+	// Holder is the host that schedules the upstream's slots.
+	Holder string `json:"holder,omitempty"`
 	// Distance is 0 in the daemon's data centre, 1 in its region, 2 beyond.
-	Distance int    `json:"distance"`
-	Slots    int    `json:"slots"`
-	InUse    int    `json:"in_use"`
-	Waiting  int    `json:"waiting"`
-	Reason   string `json:"reason"`
+	Distance int `json:"distance"`
+	Slots    int `json:"slots"`
+	InUse    int `json:"in_use"`
+	Waiting  int `json:"waiting"`
+	// CostMs is the time on the way and in the queue that is expected.
+	CostMs int64  `json:"cost_ms"`
+	Reason string `json:"reason"`
 }
 
 // Failure is the body of an answer with another status than 200.
--- a/transport/platformhttp/client.go
+++ b/transport/platformhttp/client.go
@@ -74,10 +74,12 @@
 	return written.Version, err
 }
 
-// Delete deletes an object if it stands at the given version.
-func (c *Client) Delete(ctx context.Context, kind, name string, ifVersion uint64) error {
+// Delete deletes an object if it stands at the given version, and returns the
+// version of its deletion.
+func (c *Client) Delete(ctx context.Context, kind, name string, ifVersion uint64) (uint64, error) {
 	var written platformapi.Written
-	return c.call(ctx, callTimeout, http.MethodDelete, objectPath(kind, name), &ifVersion, nil, &written)
+	err := c.call(ctx, callTimeout, http.MethodDelete, objectPath(kind, name), &ifVersion, nil, &written)
+	return written.Version, err
 }
 
 // Watch waits for changes of a kind after a version.
