Judge only the members that time may change

Cause: each heartbeat period sorted and judged all members, although only neighbours and suspected members change state with time: 2.1 ms four times a second at 5,500 hosts, 0.84 % of a core of the 2.3 % for control.

Change: judge the neighbours and the suspected ones.

--- a/coordination/membership/tracker.go
+++ b/coordination/membership/tracker.go
@@ -241,8 +241,11 @@
 		return nil
 	}
 	var out []Record
-	for _, id := range slices.Sorted(maps.Keys(t.records)) {
-		r := t.records[id]
+	for _, id := range t.judged() {
+		r, ok := t.records[id]
+		if !ok {
+			continue
+		}
 		if state := t.judge(r, now); state != r.State {
 			r.State = state
 			t.set(r, now)
@@ -252,6 +255,14 @@
 	return out
 }
 
+// judged returns the members whose state time may change, by ID: the
+// neighbours and the suspected ones.
+func (t *Tracker) judged() []string {
+	ids := slices.AppendSeq(slices.Collect(maps.Keys(t.heard)), maps.Keys(t.suspected))
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
 // grace starts all periods anew.
 func (t *Tracker) grace(now time.Time) {
 	for id := range t.heard {
