Prove what was written before calling a payment unknown

Cause: a request counted as written as soon as it had a connection, so that an idle connection that was lost made a payment's outcome unknown although no byte of it had left the host. A wrong answer with an empty body left its connection in use. A payment whose deadline passed was torn down with its answer lost for good.

Ruled out: sending the payment again after any failed write (the server may have read it); a health probe on the same connection (net/http gives no hold on which connection carries the next request).

Change: connections count the bytes that the system took; a failed request seals its connection first, so that nothing is written after the count is read. Requests with a key use connections idle for at most 1 s. A wrong, late, truncated, oversized or unidentified answer closes its connection. A payment that was written runs on for up to 30 s past its deadline, unless the backend server confirms that it had not started; one not yet written is given up with its caller.

Not proved: a byte that the system took and that never left the host still makes the outcome unknown.

--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -13,11 +13,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"bilberrytiller.example/tiller/protocol/backendapi"
@@ -30,12 +30,23 @@
 	dialTimeout    = 2 * time.Second
 	controlTimeout = 2 * time.Second
 	idleTimeout    = 90 * time.Second
+	// keyedIdleTimeout is how long a connection for requests with a key may
+	// be idle.
+	keyedIdleTimeout   = time.Second
+	controlConnections = 4
+	// MaxRunOn is how long the answer of a request with a key is waited for
+	// past its deadline.
+	MaxRunOn = 30 * time.Second
 )
 
 // Errors of an answer.
 var (
 	// ErrCrossed says that an answer carries another request's identity.
 	ErrCrossed = errors.New("answer belongs to another request")
+	// ErrNoIdentity says that an answer carries no request's identity.
+	ErrNoIdentity = errors.New("answer has no request identity")
+	// ErrShedStatus says that an answer claims to be shed with a wrong status.
+	ErrShedStatus = errors.New("shed answer has another status than 503")
 	// ErrTruncated says that an answer may not be whole.
 	ErrTruncated = errors.New("answer is not whole")
 	// ErrAnswerTooLarge says that an answer is over MaxAnswerBytes.
@@ -43,51 +54,108 @@
 )
 
 // Client runs requests on one backend server. It is safe for concurrent use.
+//
+// Requests with a key have connections of their own that are closed soon
+// after their last use: a connection that was lost while it was idle must not
+// be the reason that a payment's outcome is unknown.
 type Client struct {
-	base string
-	http *http.Client
+	base   string
+	shared *http.Client
+	keyed  *http.Client
+	side   *http.Client
 }
 
-// New returns a client that opens at most the given number of connections.
+// New returns a client that opens about the given number of connections.
 func New(addr netip.AddrPort, connections int) *Client {
+	half := max(1, (connections-controlConnections)/2)
 	return &Client{
-		base: "http://" + addr.String(),
-		http: &http.Client{
-			Transport: &http.Transport{
-				MaxConnsPerHost:       connections,
-				MaxIdleConnsPerHost:   connections,
-				IdleConnTimeout:       idleTimeout,
-				DisableCompression:    true,
-				ResponseHeaderTimeout: 0,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		base:   "http://" + addr.String(),
+		shared: newHTTP(half, idleTimeout),
+		keyed:  newHTTP(half, keyedIdleTimeout),
+		side:   newHTTP(controlConnections, idleTimeout),
+	}
+}
+
+func newHTTP(connections int, idle time.Duration) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialWith(dialer),
+			MaxConnsPerHost:     connections,
+			MaxIdleConnsPerHost: connections,
+			IdleConnTimeout:     idle,
+			DisableCompression:  true,
 		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
 // Close ends idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() {
+	for _, h := range []*http.Client{c.shared, c.keyed, c.side} {
+		h.CloseIdleConnections()
+	}
+}
 
-// Run sends a request and returns what became of it.
+// Run sends a request and returns what became of it. A request without a key
+// ends with ctx. One with a key that was written runs on when ctx ends, for
+// up to MaxRunOn past its deadline, unless the backend server confirms that
+// it had not started.
 func (c *Client) Run(ctx context.Context, req *request.Request) request.Answer {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	var written atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { written.Store(true) },
-	})
-	resp, err := c.send(ctx, req)
+	if ctx.Err() != nil {
+		return request.Refuse(request.ReasonTooLate, ctx.Err().Error())
+	}
+	if req.Key == "" {
+		return c.attempt(ctx, c.shared, req, new(writing))
+	}
+	return c.runOn(ctx, req)
+}
+
+// runOn runs a request with a key.
+func (c *Client) runOn(ctx context.Context, req *request.Request) request.Answer {
+	attemptCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.Deadline.Add(MaxRunOn))
+	defer cancel()
+	progress := new(writing)
+	answers := make(chan request.Answer, 1)
+	go func() { answers <- c.attempt(attemptCtx, c.keyed, req, progress) }()
+	select {
+	case answer := <-answers:
+		return answer
+	case <-ctx.Done():
+	}
+	if !progress.connected() {
+		cancel()
+		return <-answers
+	}
+	if c.Cancel(req.ID) != backendapi.CancelNotStarted {
+		return <-answers
+	}
+	cancel()
+	<-answers
+	return request.Refuse(request.ReasonCancelled, ctx.Err().Error())
+}
+
+// attempt sends a request once and reads its answer.
+func (c *Client) attempt(ctx context.Context, client *http.Client, req *request.Request, w *writing) request.Answer {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: w.gotConn})
+	resp, err := c.send(ctx, client, req)
 	if err != nil {
-		if !written.Load() {
+		if !w.abort() {
 			return request.Refuse(request.ReasonConnect, err.Error())
 		}
 		return c.settle(req, err)
 	}
 	defer resp.Body.Close()
-	return read(req, resp)
+	answer := read(req, resp)
+	if answer.Outcome == request.Unknown {
+		w.abort()
+	}
+	return answer
 }
 
-func (c *Client) send(ctx context.Context, req *request.Request) (*http.Response, error) {
+func (c *Client) send(ctx context.Context, client *http.Client, req *request.Request) (*http.Response, error) {
 	target := c.base + backendapi.PathRun + req.Service + "/" + req.Path
 	// A body that cannot be read twice keeps the HTTP library from sending
 	// the request again by itself.
@@ -105,7 +173,7 @@
 	if req.Key != "" {
 		out.Header.Set(backendapi.HeaderKey, req.Key)
 	}
-	return c.http.Do(out)
+	return client.Do(out)
 }
 
 // settle decides the outcome of a request that was written and not answered:
@@ -151,7 +219,7 @@
 	if err != nil {
 		return fmt.Errorf("backend request: %w", err)
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.side.Do(req)
 	if err != nil {
 		return fmt.Errorf("backend %s: %w", path, err)
 	}
@@ -166,14 +234,17 @@
 }
 
 func read(req *request.Request, resp *http.Response) request.Answer {
-	if got := resp.Header.Get(backendapi.HeaderRequestID); got != req.ID {
-		return request.Undecided(request.ReasonBadAnswer, fmt.Sprintf("%v: got %q", ErrCrossed, got))
+	if err := checkIdentity(req, resp); err != nil {
+		return request.Undecided(request.ReasonBadAnswer, err.Error())
 	}
 	body, err := readWhole(resp)
 	if err != nil {
 		return request.Undecided(request.ReasonBadAnswer, err.Error())
 	}
 	if resp.Header.Get(backendapi.HeaderShed) == "true" {
+		if resp.StatusCode != http.StatusServiceUnavailable {
+			return request.Undecided(request.ReasonBadAnswer, ErrShedStatus.Error())
+		}
 		return request.Refuse(request.ReasonShed, "")
 	}
 	return request.Answer{
@@ -185,6 +256,20 @@
 	}
 }
 
+// checkIdentity checks that an answer belongs to a request.
+func checkIdentity(req *request.Request, resp *http.Response) error {
+	ids := resp.Header.Values(backendapi.HeaderRequestID)
+	if len(ids) == 0 {
+		return ErrNoIdentity
+	}
+	for _, id := range ids {
+		if id != req.ID {
+			return fmt.Errorf("%w: got %q", ErrCrossed, id)
+		}
+	}
+	return nil
+}
+
 // readWhole reads an answer's body. An answer that ends with its connection
 // gives no sign of its end, so it cannot be told from a truncated one.
 func readWhole(resp *http.Response) ([]byte, error) {
