Carry cancellation between daemons and check answers of peers

Cause: a caller that went away left its request queued at the holder of an upstream, and a deadline that passed there came back as unknown although the request had never left the queue.

Change: CallSettled sends a cancel message when its context ends and waits a little for the verdict; the server cancels the context of that call. An answer with a wrong type or to a call that was never made closes the connection.

--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -38,6 +38,8 @@
 	// ID joins an answer to its call on one connection.
 	ID     uint64 `cbor:"i"`
 	Answer bool   `cbor:"a,omitempty"`
+	// Cancel says that the answer to an earlier call is no longer needed.
+	Cancel bool `cbor:"x,omitempty"`
 	// Error is set on the answer to a call that failed.
 	Error string          `cbor:"e,omitempty"`
 	Body  cbor.RawMessage `cbor:"b,omitempty"`
@@ -84,6 +86,10 @@
 // Run asks the owner of a key to run a request.
 type Run struct {
 	Request Request `cbor:"req"`
+	// Owner is the incarnation that is asked; no other may answer.
+	Owner string `cbor:"o"`
+	// Hops counts the daemons that the request was forwarded by.
+	Hops int `cbor:"h"`
 }
 
 // Dispatch asks the holder of an upstream to run a request there.
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -50,13 +50,20 @@
 	}
 }
 
-// Call sends a call and waits for its answer.
+// Call sends a call and waits for its answer until ctx ends.
 func Call[Out any](ctx context.Context, c *Client, addr netip.AddrPort, t wire.Type, in any) (*Out, error) {
+	return CallSettled[Out](ctx, c, addr, t, in, 0)
+}
+
+// CallSettled sends a call and waits for its answer. When ctx ends first it
+// cancels the call at the peer, which has the grace left to say what became
+// of it.
+func CallSettled[Out any](ctx context.Context, c *Client, addr netip.AddrPort, t wire.Type, in any, grace time.Duration) (*Out, error) {
 	conn, err := c.conn(ctx, addr)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	env, err := conn.call(ctx, t, in)
+	env, err := conn.call(ctx, t, in, grace)
 	if err != nil {
 		return nil, err
 	}
--- a/transport/peer/conn.go
+++ b/transport/peer/conn.go
@@ -23,6 +23,8 @@
 	ErrNotSent = errors.New("call was not sent")
 	// ErrLost says that the connection ended before the answer came.
 	ErrLost = errors.New("connection to peer was lost")
+	// ErrWrongAnswer says that the peer answered a call that was not made.
+	ErrWrongAnswer = errors.New("answer fits no call")
 )
 
 // RemoteError is a failure that the peer reported.
@@ -40,19 +42,27 @@
 	ws   *websocket.Conn
 	mu   sync.Mutex
 	next uint64
-	open map[uint64]chan wire.Envelope
+	open map[uint64]openCall
 	err  error
 	done chan struct{}
 }
 
+// openCall is a call that waits for its answer.
+type openCall struct {
+	callType wire.Type
+	answer   chan wire.Envelope
+}
+
 func newConn(ws *websocket.Conn) *conn {
-	c := &conn{ws: ws, open: map[uint64]chan wire.Envelope{}, done: make(chan struct{})}
+	c := &conn{ws: ws, open: map[uint64]openCall{}, done: make(chan struct{})}
 	go c.readLoop()
 	return c
 }
 
-func (c *conn) call(ctx context.Context, t wire.Type, body any) (wire.Envelope, error) {
-	id, answer, err := c.register()
+// call makes a call. When ctx ends first and grace is above zero, the peer is
+// told that the call is cancelled and has the grace left to answer.
+func (c *conn) call(ctx context.Context, t wire.Type, body any, grace time.Duration) (wire.Envelope, error) {
+	id, answer, err := c.register(t)
 	if err != nil {
 		return wire.Envelope{}, err
 	}
@@ -70,11 +80,34 @@
 	case <-c.done:
 		return wire.Envelope{}, fmt.Errorf("%w: %w", ErrLost, c.err)
 	case <-ctx.Done():
+	}
+	if grace > 0 {
+		return c.settle(ctx, t, id, answer, grace)
+	}
+	return wire.Envelope{}, context.Cause(ctx)
+}
+
+// settle cancels a call and waits for what became of it.
+func (c *conn) settle(ctx context.Context, t wire.Type, id uint64, answer chan wire.Envelope, grace time.Duration) (wire.Envelope, error) {
+	frame, err := wire.Encode(wire.Envelope{Type: t, ID: id, Cancel: true}, nil)
+	if err != nil {
+		return wire.Envelope{}, err
+	}
+	// A write to a silent connection may block for longer than the grace.
+	go func() { _ = c.write(frame) }()
+	timer := time.NewTimer(grace)
+	defer timer.Stop()
+	select {
+	case env := <-answer:
+		return env, nil
+	case <-c.done:
+		return wire.Envelope{}, fmt.Errorf("%w: %w", ErrLost, c.err)
+	case <-timer.C:
 		return wire.Envelope{}, context.Cause(ctx)
 	}
 }
 
-func (c *conn) register() (uint64, chan wire.Envelope, error) {
+func (c *conn) register(t wire.Type) (uint64, chan wire.Envelope, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.open == nil {
@@ -82,7 +115,7 @@
 	}
 	c.next++
 	answer := make(chan wire.Envelope, 1)
-	c.open[c.next] = answer
+	c.open[c.next] = openCall{callType: t, answer: answer}
 	return c.next, answer, nil
 }
 
@@ -116,19 +149,31 @@
 			c.close(err)
 			return
 		}
-		c.deliver(env)
+		if err := c.deliver(env); err != nil {
+			c.close(err)
+			return
+		}
 	}
 }
 
-func (c *conn) deliver(env wire.Envelope) {
+// deliver gives an answer to its call. An answer to a call that was given up
+// is dropped; one that fits no call ends the connection.
+func (c *conn) deliver(env wire.Envelope) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	answer, ok := c.open[env.ID]
-	if !ok || !env.Answer {
-		return
+	if !env.Answer || env.ID == 0 || env.ID > c.next {
+		return fmt.Errorf("%s %d: %w", env.Type, env.ID, ErrWrongAnswer)
+	}
+	call, ok := c.open[env.ID]
+	if !ok {
+		return nil
+	}
+	if call.callType != env.Type {
+		return fmt.Errorf("%s to %s: %w", env.Type, call.callType, ErrWrongAnswer)
 	}
 	delete(c.open, env.ID)
-	answer <- env
+	call.answer <- env
+	return nil
 }
 
 func (c *conn) close(err error) {
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -30,7 +30,8 @@
 }
 
 // Handle registers the handler of a call. It must be called before the
-// server is used. The context ends when the connection does.
+// server is used. The context ends when the peer cancels the call or the
+// connection ends.
 func Handle[In, Out any](s *Server, t wire.Type, h func(ctx context.Context, from string, in *In) (*Out, error)) {
 	s.handlers[t] = func(ctx context.Context, from string, body []byte) (any, error) {
 		in := new(In)
@@ -66,6 +67,7 @@
 		calls.Wait()
 	}()
 	open := make(chan struct{}, maxOpenCalls)
+	running := newRunning()
 	for {
 		_, frame, err := ws.Read(ctx)
 		if err != nil {
@@ -77,16 +79,52 @@
 			_ = ws.Close(websocket.StatusUnsupportedData, err.Error())
 			return
 		}
+		if env.Cancel {
+			running.cancel(env.ID)
+			continue
+		}
 		open <- struct{}{}
+		callCtx, end := running.begin(ctx, env.ID)
 		calls.Go(func() {
-			s.answer(ctx, ws, from, env)
+			out, err := s.dispatch(callCtx, from, env)
+			end()
+			s.answer(ctx, ws, env, out, err)
 			<-open
 		})
 	}
 }
 
-func (s *Server) answer(ctx context.Context, ws *websocket.Conn, from string, env wire.Envelope) {
-	out, err := s.dispatch(ctx, from, env)
+// running holds the calls of one connection that can be cancelled.
+type running struct {
+	mu      sync.Mutex
+	cancels map[uint64]context.CancelFunc
+}
+
+func newRunning() *running { return &running{cancels: map[uint64]context.CancelFunc{}} }
+
+func (r *running) begin(ctx context.Context, id uint64) (callCtx context.Context, end func()) {
+	callCtx, cancel := context.WithCancel(ctx)
+	r.mu.Lock()
+	r.cancels[id] = cancel
+	r.mu.Unlock()
+	return callCtx, func() {
+		cancel()
+		r.mu.Lock()
+		delete(r.cancels, id)
+		r.mu.Unlock()
+	}
+}
+
+func (r *running) cancel(id uint64) {
+	r.mu.Lock()
+	cancel := r.cancels[id]
+	r.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+func (s *Server) answer(ctx context.Context, ws *websocket.Conn, env wire.Envelope, out any, err error) {
 	reply := wire.Envelope{Type: env.Type, ID: env.ID, Answer: true}
 	if err != nil {
 		reply.Error = err.Error()
