Hand the keys of a planned stop to one successor

Cause: a daemon that stopped took its keys with it, so that callers with an old key got unknown until the key expired. The table grew without a bound in bytes and was scanned whole once full. Checks made on the way to the owner (no catalogue yet, unknown service, bad deadline) said not-run of requests whose earlier copy may have run.

Ruled out: a claim in the platform for each run (stops with the store); choosing another successor after an unanswered transfer (the model runs a key twice within 4 checks); dropping the oldest keys of a full table.

Change: the leaving daemon freezes its table, lets runs end, sends it in chunks to one successor, and makes the succession known as a fact; only an explicit refusal, which is for good, lets it choose another. Requests for old keys follow the chain of successions. A request with a key is decided by the owner of the key alone. The table is bounded in keys and bytes, orders keys by expiry, and keeps them 2 min past it. A run whose callers have all gone is given up while it waits for a slot.

Seen failing, each with one mechanism taken out: run where the owner cannot be reached (TestOwnerKilledMidRun: done instead of unknown); no hand-over (TestPlannedStopsHandKeysOver: unknown, owner-gone); no cancel message (TestCallerGoneBeforeDispatch); a started payment cancelled with its caller (TestCallerGoneAfterDispatch); no identity check (TestWrongAnswersNeverReachCallers: done with another's answer); no joining of a running key (TestKeySentToSeveralHostsAtOnce). Not seen failing: a frozen table that takes another in (it runs nothing, keys end unknown), and the wait of leaveNotice for look-ups with a short time to live.

--- /dev/null
+++ b/coordination/permit/machine_test.go
@@ -0,0 +1,246 @@
+package permit
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bilberrytiller.example/tiller/state/request"
+)
+
+func TestMain(m *testing.M) {
+	// A seed on the command line comes after this one.
+	for name, value := range map[string]string{"rapid.seed": "20", "rapid.checks": "1500", "rapid.steps": "150", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// node is one incarnation with its knowledge of successions.
+type node struct {
+	name        string
+	table       *Table
+	receiver    *Receiver
+	successions *Successions
+	transfer    *Transfer
+	dead        bool
+}
+
+// openRun is a run that has not ended at a node.
+type openRun struct {
+	node *node
+	key  Key
+	run  *Run
+}
+
+// fleet is the model: nodes, the messages between them, and how often each
+// key was run in truth.
+type fleet struct {
+	issuer   *Issuer
+	now      time.Time
+	nodes    []*node
+	keys     []Key
+	open     []openRun
+	messages []func()
+	runs     map[string]int
+}
+
+func newFleet() *fleet {
+	return &fleet{issuer: NewIssuer([]byte("secret"), rand.NewChaCha8([32]byte{})), now: time.Unix(1e9, 0), runs: map[string]int{}}
+}
+
+func (f *fleet) pick(t *rapid.T, label string) *node {
+	n := f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, label)]
+	if n.dead {
+		t.Skip("node is dead")
+	}
+	return n
+}
+
+func (f *fleet) start(t *rapid.T) {
+	if len(f.nodes) >= 5 {
+		t.Skip("enough nodes")
+	}
+	n := &node{name: fmt.Sprintf("n%d", len(f.nodes)), successions: NewSuccessions()}
+	n.table = NewTable(n.name, Limits{Keys: 20, AnswerBytes: 64})
+	n.receiver = NewReceiver(n.name, n.table)
+	f.nodes = append(f.nodes, n)
+}
+
+func (f *fleet) issue(t *rapid.T) {
+	if len(f.keys) >= 5 {
+		t.Skip("enough keys")
+	}
+	key, err := f.issuer.Issue(f.pick(t, "owner").name, f.now.Add(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.keys = append(f.keys, key)
+}
+
+// send takes a key to any node, which runs it or asks the owner it knows.
+func (f *fleet) send(t *rapid.T) {
+	if len(f.keys) == 0 {
+		t.Skip("no keys")
+	}
+	key := rapid.SampledFrom(f.keys).Draw(t, "key")
+	n := f.pick(t, "entry")
+	for range 4 {
+		run, first, err := n.table.Begin(key, &request.Request{Service: "payments"}, f.now)
+		if err == nil {
+			f.took(t, n, key, run, first)
+			return
+		}
+		owner, _ := n.successions.Resolve(key.Owner)
+		var next *node
+		for _, other := range f.nodes {
+			if other.name == owner && other != n && !other.dead {
+				next = other
+			}
+		}
+		if next == nil {
+			return
+		}
+		n = next
+	}
+}
+
+func (f *fleet) took(t *rapid.T, n *node, key Key, run *Run, first bool) {
+	if first {
+		f.open = append(f.open, openRun{n, key, run})
+		return
+	}
+	if run.ended() && run.Answer().Outcome == request.Done && f.runs[key.nonce] != 1 {
+		t.Fatalf("key %s replays as done after %d runs", key.nonce, f.runs[key.nonce])
+	}
+	if run.ended() && run.Answer().Outcome == request.NotRun {
+		t.Fatalf("key %s is kept as not run", key.nonce)
+	}
+}
+
+func (f *fleet) finish(t *rapid.T) {
+	if len(f.open) == 0 {
+		t.Skip("no runs")
+	}
+	i := rapid.IntRange(0, len(f.open)-1).Draw(t, "run")
+	o := f.open[i]
+	f.open = append(f.open[:i:i], f.open[i+1:]...)
+	outcome := rapid.SampledFrom([]request.Outcome{request.Done, request.NotRun, request.Unknown}).Draw(t, "outcome")
+	if outcome != request.NotRun {
+		f.runs[o.key.nonce]++
+	} else if f.runs[o.key.nonce] != 0 {
+		t.Fatalf("key %s is told as not run after a run", o.key.nonce)
+	}
+	if !o.node.dead {
+		o.node.table.Finish(o.key, o.run, request.Answer{Outcome: outcome, Body: make([]byte, 40)})
+	}
+}
+
+// handOver sends a stopping node's keys to the successor it chose. Runs may
+// still be open, as when the stop runs out of time.
+func (f *fleet) handOver(t *rapid.T) {
+	n := f.pick(t, "from")
+	to := f.pick(t, "to")
+	if n.transfer == nil && f.stopping() > len(f.nodes)-3 {
+		t.Skip("enough nodes stop")
+	}
+	if n.transfer == nil {
+		n.table.Freeze()
+		n.transfer = NewTransfer(n.table.Export(f.now.Add(time.Hour)))
+		n.transfer.chunkRecords = 1
+	}
+	if to == n || n.transfer.Refused(to.name) || n.transfer.Complete() {
+		t.Skip("no candidate")
+	}
+	chunks := n.transfer.Choose(to.name)
+	chosen, _ := n.transfer.Chosen()
+	for _, other := range f.nodes {
+		if other.name != chosen {
+			continue
+		}
+		for _, c := range chunks {
+			f.messages = append(f.messages, func() { f.deliver(n, other, c) })
+		}
+	}
+}
+
+func (f *fleet) deliver(from, to *node, c Chunk) {
+	if to.dead {
+		return
+	}
+	receipt, whole, err := to.receiver.Accept(c)
+	if err != nil {
+		return
+	}
+	f.messages = append(f.messages, func() { from.transfer.Receive(to.name, receipt) })
+	if whole == nil {
+		return
+	}
+	f.messages = append(f.messages, func() {
+		for _, n := range f.nodes {
+			_ = n.successions.Record(from.name, to.name, whole.Expires(), f.now)
+		}
+	})
+}
+
+func (f *fleet) stopping() int {
+	count := 0
+	for _, n := range f.nodes {
+		if n.transfer != nil {
+			count++
+		}
+	}
+	return count
+}
+
+// network delivers, repeats or loses any message.
+func (f *fleet) network(t *rapid.T) {
+	if len(f.messages) == 0 {
+		t.Skip("no messages")
+	}
+	i := rapid.IntRange(0, len(f.messages)-1).Draw(t, "message")
+	deliver := f.messages[i]
+	fate := rapid.SampledFrom([]string{"deliver", "deliver", "repeat", "lose"}).Draw(t, "fate")
+	if fate != "repeat" {
+		f.messages = append(f.messages[:i:i], f.messages[i+1:]...)
+	}
+	if fate != "lose" {
+		deliver()
+	}
+}
+
+func (f *fleet) kill(t *rapid.T) {
+	if len(f.nodes) < 3 || rapid.IntRange(0, 19).Draw(t, "rarely") > 0 {
+		t.Skip("not now")
+	}
+	f.pick(t, "victim").dead = true
+}
+
+func (f *fleet) check(t *rapid.T) {
+	for nonce, runs := range f.runs {
+		if runs > 1 {
+			t.Fatalf("key %s ran %d times", nonce, runs)
+		}
+	}
+}
+
+func TestNoKeyRunsTwiceAcrossHandovers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		for range 3 {
+			f.start(t)
+			f.issue(t)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"start": f.start, "issue": f.issue, "send": f.send, "finish": f.finish,
+			"handOver": f.handOver, "network": f.network, "kill": f.kill, "": f.check,
+		})
+	})
+}
--- /dev/null
+++ b/coordination/permit/table_test.go
@@ -0,0 +1,88 @@
+package permit
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"bilberrytiller.example/tiller/state/request"
+)
+
+var start = time.Unix(1e9, 0)
+
+// begin begins a new key of the table's own incarnation at the given time.
+func begin(t *testing.T, f *fleet, table *Table, now time.Time) (Key, *Run, error) {
+	t.Helper()
+	key, err := f.issuer.Issue("n0", now.Add(time.Minute))
+	if err != nil {
+		t.Fatal(err)
+	}
+	run, _, err := table.Begin(key, &request.Request{Body: []byte("one")}, now)
+	return key, run, err
+}
+
+func TestFullTableRefusesUntilKeysExpire(t *testing.T) {
+	table := NewTable("n0", Limits{Keys: 1, AnswerBytes: 10})
+	f := newFleet()
+	key, run, err := begin(t, f, table, start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := begin(t, f, table, start); !errors.Is(err, ErrFull) {
+		t.Fatalf("second key: got %v, want %v", err, ErrFull)
+	}
+	table.Finish(key, run, request.Answer{Outcome: request.Done})
+	for _, c := range []struct {
+		after time.Duration
+		want  error
+	}{{time.Minute, ErrFull}, {time.Minute + ExpiryMargin, ErrFull}, {time.Minute + ExpiryMargin + 1, nil}} {
+		if _, _, err := begin(t, f, table, start.Add(c.after)); !errors.Is(err, c.want) {
+			t.Errorf("after %v: got %v, want %v", c.after, err, c.want)
+		}
+	}
+	if _, _, err := table.Begin(key, &request.Request{Body: []byte("one")}, start.Add(time.Minute)); !errors.Is(err, ErrExpired) {
+		t.Errorf("expired key: got %v, want %v", err, ErrExpired)
+	}
+}
+
+func TestKeyServesOneContent(t *testing.T) {
+	table := NewTable("n0", Limits{Keys: 1, AnswerBytes: 10})
+	key, _, err := begin(t, newFleet(), table, start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := table.Begin(key, &request.Request{Body: []byte("two")}, start); !errors.Is(err, ErrReused) {
+		t.Errorf("other content: got %v, want %v", err, ErrReused)
+	}
+	if _, first, err := table.Begin(key, &request.Request{Body: []byte("one")}, start); first || err != nil {
+		t.Errorf("same content: got first %v, error %v", first, err)
+	}
+}
+
+func TestAnswerBeyondBytesIsDoneNotKept(t *testing.T) {
+	table := NewTable("n0", Limits{Keys: 3, AnswerBytes: 10})
+	f := newFleet()
+	var keys []Key
+	for _, body := range []string{"12345", "123456", "12345678901"} {
+		key, run, err := begin(t, f, table, start)
+		if err != nil {
+			t.Fatal(err)
+		}
+		table.Finish(key, run, request.Answer{Outcome: request.Done, Body: []byte(body)})
+		if got := run.Answer(); string(got.Body) != body {
+			t.Errorf("first answer: got %q, want %q", got.Body, body)
+		}
+		keys = append(keys, key)
+		table.mu.Lock()
+		if table.keptBytes > table.limits.AnswerBytes {
+			t.Errorf("%d bytes are kept, more than %d", table.keptBytes, table.limits.AnswerBytes)
+		}
+		table.mu.Unlock()
+	}
+	for _, key := range keys {
+		run, first, err := table.Begin(key, &request.Request{Body: []byte("one")}, start)
+		if first || err != nil || run.Answer().Reason != request.ReasonNotKept || run.Answer().Outcome != request.Done {
+			t.Errorf("re-sent key: first %v, error %v, answer %+v", first, err, run.Answer())
+		}
+	}
+}
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -88,7 +88,7 @@
 	defer d.inFlight.begin()()
 	req, err := newRequest(w, r)
 	if err != nil {
-		d.finish(w, req, refuseRequest(err))
+		d.finish(w, req, refuseRequest(req, err))
 		return
 	}
 	d.finish(w, req, d.serve(r.Context(), req))
@@ -159,11 +159,16 @@
 	return req, nil
 }
 
-func refuseRequest(err error) request.Answer {
+// refuseRequest returns the outcome of a request that cannot be read. A copy
+// of a request with a key may have run before, unless no copy ever could.
+func refuseRequest(req *request.Request, err error) request.Answer {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return request.Refuse(request.ReasonTooLarge, err.Error())
 	}
+	if req.Key != "" {
+		return request.Undecided(request.ReasonBadRequest, err.Error())
+	}
 	return request.Refuse(request.ReasonBadRequest, err.Error())
 }
 
@@ -171,7 +176,7 @@
 // on.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-	"Content-Length", "Host", callerapi.HeaderKey, callerapi.HeaderDeadline, callerapi.HeaderRequestID,
+	"Content-Length", "Host", "Expect", callerapi.HeaderKey, callerapi.HeaderDeadline, callerapi.HeaderRequestID,
 }
 
 func forwarded(h http.Header) http.Header {
@@ -200,7 +205,7 @@
 	if answer.Upstream != "" {
 		h.Set(callerapi.HeaderUpstream, answer.Upstream)
 	}
-	if answer.Outcome == request.Done {
+	if answer.Outcome == request.Done && answer.Reason != request.ReasonNotKept {
 		h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 		w.WriteHeader(answer.Status)
 		_, _ = w.Write(answer.Body)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"expvar"
 	"fmt"
 	"net"
 	"net/http"
@@ -25,9 +26,11 @@
 )
 
 const (
-	headerTimeout    = 5 * time.Second
-	readTimeout      = 30 * time.Second
-	idleTimeout      = 2 * time.Minute
+	headerTimeout = 5 * time.Second
+	readTimeout   = 30 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// leaveNotice is how long other daemons may take to see this one leave.
+	leaveNotice      = heartbeatTimeout + 2*heartbeatPeriod
 	maxHeaderBytes   = 16 << 10
 	maxKeys          = 100_000
 	incarnationBytes = 8
@@ -51,10 +54,15 @@
 	facts  *spread.Store
 	takers map[spread.Kind]func([]spread.Fact)
 
-	issuer  *permit.Issuer
-	keys    *permit.Table
-	holders *holders
-	loads   *loads
+	issuer *permit.Issuer
+	keys   *permit.Table
+	// successions and handovers follow the keys of daemons that stopped;
+	// handedOver is closed when this daemon's own keys are dealt with.
+	successions *permit.Successions
+	handovers   *permit.Receiver
+	handedOver  chan struct{}
+	holders     *holders
+	loads       *loads
 
 	listeners listeners
 	// inFlight counts callers' requests that are being served.
@@ -82,11 +90,15 @@
 		platform: platformhttp.New(settings.Platform),
 		auth:     peer.NewAuth(settings.HostID, []byte(settings.Secret)),
 		issuer:   permit.NewIssuer([]byte(settings.Secret), rand.Reader),
-		keys:     permit.NewTable(maxKeys),
+		keys:     permit.NewTable(incarnation, permit.Limits{Keys: maxKeys, AnswerBytes: maxAnswerBytes}),
 		loads:    newLoads(),
 		facts:    spread.NewStore(),
 		takers:   map[spread.Kind]func([]spread.Fact){},
 	}
+	d.successions = permit.NewSuccessions()
+	d.handovers = permit.NewReceiver(incarnation, d.keys)
+	d.handedOver = make(chan struct{})
+	d.metrics.all.Set("keys_held", expvar.Func(func() any { return d.keys.Len() }))
 	d.peerServe = peer.NewServer(d.auth, d.log)
 	d.holders = newHolders(d.log)
 	if err := d.listen(); err != nil {
@@ -105,6 +117,7 @@
 	d.view.Store(membership.NewView(d.self, []membership.Member{d.self}))
 	d.registerCalls()
 	d.onFact(factCatalogue, d.takeCatalogue)
+	d.onFact(factSuccession, d.takeSuccessions)
 	return d, nil
 }
 
@@ -146,13 +159,14 @@
 }
 
 // stop takes the daemon out of look-ups, serves callers that hold one until
-// it has expired, and waits for the requests in flight.
+// it has expired, hands its keys over, and waits for the requests in flight.
 func (d *Daemon) stop(servers []server) error {
 	d.leaving.Store(true)
 	d.log.Info().Str("event", "daemon.leaving").Send()
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopTimeout)
 	defer cancel()
-	sleep(ctx, d.settings.LookupTTL)
+	sleep(ctx, leaveNotice+d.settings.LookupTTL)
+	d.handOver(ctx)
 	idle := make(chan struct{})
 	go func() {
 		d.inFlight.wait.Wait()
--- /dev/null
+++ b/daemon/handover.go
@@ -0,0 +1,180 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"bilberrytiller.example/tiller/coordination/duty"
+	"bilberrytiller.example/tiller/coordination/membership"
+	"bilberrytiller.example/tiller/coordination/permit"
+	"bilberrytiller.example/tiller/coordination/spread"
+	"bilberrytiller.example/tiller/protocol/wire"
+	"bilberrytiller.example/tiller/state/request"
+	"bilberrytiller.example/tiller/transport/peer"
+)
+
+// factSuccession is the kind of the facts that say which incarnation took
+// the keys of another over. The key is the old incarnation, the body the new.
+const factSuccession spread.Kind = "succession"
+
+const (
+	// maxHandoverAttempts bounds the tries to hand the keys over.
+	maxHandoverAttempts = 5
+	handoverTimeout     = 2 * time.Second
+	handoverPause       = 200 * time.Millisecond
+	// handoverShare is the part of the stop timeout that runs may use before
+	// the keys are handed over: the rest is for the transfer.
+	handoverShare = 0.75
+)
+
+// ErrNoSuccessor says that no daemon can take the keys over.
+var ErrNoSuccessor = errors.New("no usable daemon to hand keys over to")
+
+// handOver gives the keys to one successor. After it no key is run here.
+func (d *Daemon) handOver(ctx context.Context) {
+	defer close(d.handedOver)
+	d.awaitRuns(ctx)
+	transfer := permit.NewTransfer(d.keys.Export(d.lastKeyExpiry()))
+	var err error
+	for range maxHandoverAttempts {
+		if err = d.transfer(ctx, transfer); transfer.Complete() {
+			d.handoverDone(transfer)
+			return
+		}
+		if !sleep(ctx, handoverPause) {
+			break
+		}
+	}
+	d.log.Error().Str("event", "keys.not-handed-over").Int("keys", d.keys.Len()).Err(err).Send()
+}
+
+// awaitRuns freezes the keys and waits for the runs that are left, as long
+// as the stop timeout leaves time to hand the keys over.
+func (d *Daemon) awaitRuns(ctx context.Context) {
+	share := time.Duration(float64(d.settings.StopTimeout) * handoverShare)
+	ctx, cancel := context.WithTimeout(ctx, share)
+	defer cancel()
+	select {
+	case <-d.keys.Freeze():
+	case <-ctx.Done():
+	}
+}
+
+// lastKeyExpiry bounds the expiry of all keys that name this incarnation.
+func (d *Daemon) lastKeyExpiry() time.Time {
+	return time.Now().Add(d.settings.KeyTTL + d.settings.LookupTTL)
+}
+
+// transfer sends the keys to the successor once.
+func (d *Daemon) transfer(ctx context.Context, t *permit.Transfer) error {
+	to, err := d.successor(t)
+	if err != nil {
+		return err
+	}
+	for _, chunk := range t.Choose(to.Incarnation) {
+		receipt, err := d.sendChunk(ctx, to, chunk)
+		if err != nil {
+			return err
+		}
+		t.Receive(to.Incarnation, receipt)
+		if receipt.Complete || receipt.Refused {
+			return nil
+		}
+	}
+	return nil
+}
+
+// successor returns the member chosen before, or else the one that the view
+// gives the duty to.
+func (d *Daemon) successor(t *permit.Transfer) (membership.Member, error) {
+	view := d.view.Load()
+	if chosen, ok := t.Chosen(); ok {
+		if m, ok := view.ByIncarnation(chosen); ok {
+			return m, nil
+		}
+		return membership.Member{}, ErrNoSuccessor
+	}
+	var candidates []membership.Member
+	for _, m := range view.Members() {
+		if m.ID != d.self.ID && m.Incarnation != "" && !t.Refused(m.Incarnation) {
+			candidates = append(candidates, m)
+		}
+	}
+	name := string(factSuccession) + "/" + d.self.Incarnation
+	to, ok := duty.Holder(membership.NewView(d.self, candidates), name, d.self.Region)
+	if !ok {
+		return membership.Member{}, ErrNoSuccessor
+	}
+	return to, nil
+}
+
+func (d *Daemon) sendChunk(ctx context.Context, to membership.Member, chunk permit.Chunk) (permit.Receipt, error) {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	out, err := peer.Call[wire.HandedOver](ctx, d.peers, to.Peer, wire.TypeHandover, &wire.Handover{Chunk: chunk})
+	if err != nil {
+		return permit.Receipt{}, err
+	}
+	return out.Receipt, nil
+}
+
+// handoverDone makes the succession known before this daemon goes away.
+func (d *Daemon) handoverDone(t *permit.Transfer) {
+	to, _ := t.Chosen()
+	h := t.Handover()
+	facts := []spread.Fact{successionFact(h, to)}
+	d.publish(facts...)
+	var told sync.WaitGroup
+	for _, m := range d.neighbours() {
+		told.Go(func() { d.tell(m, facts) })
+	}
+	told.Wait()
+	d.log.Info().Str("event", "keys.handed-over").Str("successor", to).Int("keys", len(h.Records)).Send()
+}
+
+func successionFact(h permit.Handover, to string) spread.Fact {
+	return spread.Fact{
+		ID:        spread.ID{Kind: factSuccession, Key: h.From},
+		Version:   1,
+		ExpiresMs: h.Expires().Add(permit.ExpiryMargin).UnixMilli(),
+		Body:      []byte(to),
+	}
+}
+
+// answerHandover takes a part of another daemon's keys.
+func (d *Daemon) answerHandover(_ context.Context, from string, in *wire.Handover) (*wire.HandedOver, error) {
+	receipt, whole, err := d.handovers.Accept(in.Chunk)
+	if err != nil {
+		return nil, err
+	}
+	if whole != nil {
+		d.publish(successionFact(*whole, d.self.Incarnation))
+		d.log.Info().Str("event", "keys.taken-over").Str("peer", from).
+			Str("incarnation", whole.From).Int("keys", len(whole.Records)).Send()
+	}
+	return &wire.HandedOver{Receipt: receipt}, nil
+}
+
+// takeSuccessions records where the keys of stopped daemons went.
+func (d *Daemon) takeSuccessions(facts []spread.Fact) {
+	now := time.Now()
+	for _, f := range facts {
+		err := d.successions.Record(f.ID.Key, string(f.Body), time.UnixMilli(f.ExpiresMs), now)
+		if err != nil {
+			d.log.Error().Str("event", "keys.succession").Err(err).Send()
+		}
+	}
+}
+
+// runAfterHandover takes a request that came while the keys were handed over
+// to the successor.
+func (d *Daemon) runAfterHandover(ctx context.Context, key permit.Key, req *request.Request, hops int) request.Answer {
+	select {
+	case <-d.handedOver:
+	case <-ctx.Done():
+		return request.Undecided(request.ReasonStopping, "keys are being handed over")
+	}
+	return d.forward(ctx, key, req, hops)
+}
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -7,77 +7,160 @@
 
 	"bilberrytiller.example/tiller/coordination/permit"
 	"bilberrytiller.example/tiller/protocol/wire"
+	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/state/request"
 	"bilberrytiller.example/tiller/transport/peer"
 )
 
-// runOnce takes a non-idempotent request to the owner of its key.
+const (
+	// maxKeyHops bounds the daemons that a request with a key passes through
+	// after the one that its caller sent it to.
+	maxKeyHops = 4
+	// maxForwards bounds the tries to reach the owner of a key. Repeated tries
+	// are safe, since the owner runs a key once.
+	maxForwards  = 3
+	forwardPause = 50 * time.Millisecond
+	// settleGrace is how long a call waits for the verdict on a request that
+	// was cancelled or whose deadline has passed.
+	settleGrace = time.Second
+	// maxAnswerBytes bounds the answers that are kept for re-sent keys.
+	maxAnswerBytes = 64 << 20
+)
+
+// runOnce takes a request with a key to the owner of the key.
+//
+// Nothing is decided on the way to the owner: an earlier copy of the request
+// may have run, so only the owner can say that it did not.
 func (d *Daemon) runOnce(ctx context.Context, req *request.Request) request.Answer {
-	if req.Key == "" {
-		return request.Refuse(request.ReasonKeyRequired, "send the key of a look-up in header Tiller-Key")
-	}
 	key, err := d.issuer.Parse(req.Key)
+	if errors.Is(err, permit.ErrForged) {
+		// The key may be one of an earlier secret, whose request has run.
+		return request.Undecided(request.ReasonKeyInvalid, err.Error())
+	}
 	if err != nil {
 		return request.Refuse(request.ReasonKeyInvalid, err.Error())
 	}
-	if key.Owner == d.self.Incarnation {
-		return d.runOwned(ctx, req)
+	if service := d.catalogue.Load().Service(req.Service); service != nil {
+		complete(req, service, time.Now())
 	}
-	return d.forward(ctx, key, req)
-}
-
-// forward sends a request to the owner of its key. An owner that cannot be
-// reached may have run an earlier copy of the request, so the outcome of a
-// failed call is unknown in every case.
-func (d *Daemon) forward(ctx context.Context, key permit.Key, req *request.Request) request.Answer {
-	owner, ok := d.view.Load().ByIncarnation(key.Owner)
-	if !ok {
-		return request.Undecided(request.ReasonOwnerGone, key.Owner)
+	if req.Deadline.IsZero() {
+		req.Deadline = time.Now().Add(catalogue.MaxDeadline)
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	in := &wire.Run{Request: wire.NewRequest(req, time.Now())}
-	out, err := peer.Call[wire.Answered](ctx, d.peers, owner.Peer, wire.TypeRun, in)
-	if err != nil {
-		return request.Undecided(request.ReasonPeerUnreachable, owner.ID+": "+err.Error())
-	}
-	return out.Answer
+	return d.runWithKey(ctx, key, req, 0)
 }
 
-// runOwned runs a request whose key names this incarnation, or returns the
-// answer of its earlier run.
-func (d *Daemon) runOwned(ctx context.Context, req *request.Request) request.Answer {
-	key, err := d.issuer.Parse(req.Key)
-	if err != nil {
-		return request.Refuse(request.ReasonKeyInvalid, err.Error())
+// runWithKey runs a request here if this daemon owns its key, or else takes
+// it to the owner.
+func (d *Daemon) runWithKey(ctx context.Context, key permit.Key, req *request.Request, hops int) request.Answer {
+	if key.Expired(time.Now()) {
+		return request.Undecided(request.ReasonKeyExpired, permit.ErrExpired.Error())
 	}
-	if key.Owner != d.self.Incarnation {
-		return request.Undecided(request.ReasonOwnerGone, key.Owner)
+	if !d.keys.Owns(key.Owner) {
+		return d.forward(ctx, key, req, hops)
 	}
 	run, first, err := d.keys.Begin(key, req, time.Now())
+	if errors.Is(err, permit.ErrFrozen) {
+		return d.runAfterHandover(ctx, key, req, hops)
+	}
 	if err != nil {
 		return refuseKey(err)
 	}
 	if first {
 		go d.runFirst(key, run, req)
 	}
-	return awaitRun(ctx, run, first)
+	return d.awaitRun(ctx, run, first)
 }
 
-// runFirst runs a request to its end, also when its caller goes away.
+// forward sends a request to the owner of its key. An owner that cannot be
+// reached may have run an earlier copy of the request, so the outcome of a
+// failed call is unknown in every case.
+func (d *Daemon) forward(ctx context.Context, key permit.Key, req *request.Request, hops int) request.Answer {
+	if hops >= maxKeyHops {
+		return request.Undecided(request.ReasonOwnerGone, "key passed through too many daemons")
+	}
+	answer := request.Undecided(request.ReasonOwnerGone, key.Owner)
+	for range maxForwards {
+		owner, err := d.successions.Resolve(key.Owner)
+		if err != nil {
+			return request.Undecided(request.ReasonOwnerGone, err.Error())
+		}
+		var answered bool
+		if answer, answered = d.forwardTo(ctx, owner, req, hops); answered || !sleep(ctx, forwardPause) {
+			break
+		}
+	}
+	return answer
+}
+
+// forwardTo makes one try to have an incarnation run a request. It reports
+// whether the incarnation answered.
+func (d *Daemon) forwardTo(ctx context.Context, owner string, req *request.Request, hops int) (request.Answer, bool) {
+	m, ok := d.view.Load().ByIncarnation(owner)
+	if !ok || m.ID == d.self.ID {
+		return request.Undecided(request.ReasonOwnerGone, owner), false
+	}
+	in := &wire.Run{Request: wire.NewRequest(req, time.Now()), Owner: owner, Hops: hops + 1}
+	out, err := peer.CallSettled[wire.Answered](ctx, d.peers, m.Peer, wire.TypeRun, in, settleGrace)
+	if err != nil {
+		return request.Undecided(request.ReasonPeerUnreachable, m.ID+": "+err.Error()), false
+	}
+	return out.Answer, true
+}
+
+// answerRun runs a request whose key this daemon owns.
+func (d *Daemon) answerRun(ctx context.Context, _ string, in *wire.Run) (*wire.Answered, error) {
+	defer d.inFlight.begin()()
+	if in.Owner != d.self.Incarnation {
+		return nil, permit.ErrOtherIncarnation
+	}
+	req := in.Request.Open(time.Now())
+	key, err := d.issuer.Parse(req.Key)
+	if err != nil {
+		return &wire.Answered{Answer: request.Undecided(request.ReasonKeyInvalid, err.Error())}, nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	return &wire.Answered{Answer: d.runWithKey(ctx, key, req, in.Hops)}, nil
+}
+
+// runFirst runs a request to its end. While the request waits for its place
+// it is given up when all its callers have gone away.
 func (d *Daemon) runFirst(key permit.Key, run *permit.Run, req *request.Request) {
-	answer := d.place(context.Background(), d.catalogue.Load(), req)
-	d.keys.Finish(key, run, answer)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-run.Abandoned():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	d.keys.Finish(key, run, d.admit(ctx, req))
 }
 
-func awaitRun(ctx context.Context, run *permit.Run, first bool) request.Answer {
+// awaitRun waits for the end of a run. When ctx ends first it leaves the run
+// and waits a little for the verdict on a request that was still queued.
+func (d *Daemon) awaitRun(ctx context.Context, run *permit.Run, first bool) request.Answer {
 	select {
 	case <-run.Done():
 	case <-ctx.Done():
+	}
+	d.keys.Leave(run)
+	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleGrace/2)
+	defer cancel()
+	select {
+	case <-run.Done():
+		return runAnswer(run, first)
+	case <-grace.Done():
 		return request.Undecided(request.ReasonDeadline, "still running")
 	}
+}
+
+func runAnswer(run *permit.Run, first bool) request.Answer {
 	answer := run.Answer()
-	if !first && answer.Outcome == request.Done {
+	if !first && answer.Outcome == request.Done && answer.Reason != request.ReasonNotKept {
 		answer.Reason = request.ReasonReplayed
 	}
 	return answer
@@ -92,5 +175,5 @@
 	case errors.Is(err, permit.ErrFull):
 		return request.Refuse(request.ReasonQueueFull, err.Error())
 	}
-	return request.Undecided(request.ReasonStopping, err.Error())
+	return request.Undecided(request.ReasonOwnerGone, err.Error())
 }
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -14,6 +14,7 @@
 	peer.Handle(d.peerServe, wire.TypeHello, d.answerHello)
 	peer.Handle(d.peerServe, wire.TypeRun, d.answerRun)
 	peer.Handle(d.peerServe, wire.TypeDispatch, d.answerDispatch)
+	peer.Handle(d.peerServe, wire.TypeHandover, d.answerHandover)
 	peer.Handle(d.peerServe, wire.TypeFacts, d.answerFacts)
 	peer.Handle(d.peerServe, wire.TypePull, d.answerPull)
 }
@@ -24,13 +25,6 @@
 	return mux
 }
 
-// answerRun runs a request whose key this daemon owns.
-func (d *Daemon) answerRun(ctx context.Context, _ string, in *wire.Run) (*wire.Answered, error) {
-	defer d.inFlight.begin()()
-	req := in.Request.Open(time.Now())
-	return &wire.Answered{Answer: d.runOwned(ctx, req)}, nil
-}
-
 // answerDispatch runs a request on an upstream whose slots this daemon holds.
 func (d *Daemon) answerDispatch(ctx context.Context, _ string, in *wire.Dispatch) (*wire.Answered, error) {
 	defer d.inFlight.begin()()
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -11,14 +11,25 @@
 	"bilberrytiller.example/tiller/protocol/wire"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/state/request"
+	"bilberrytiller.example/tiller/transport/backendhttp"
 	"bilberrytiller.example/tiller/transport/peer"
 )
 
 // maxAttempts bounds the upstreams that one request is offered to.
 const maxAttempts = 3
 
-// serve takes a caller's request to its end.
+// serve takes a caller's request to its end. A request with a key is decided
+// by the owner of the key alone.
 func (d *Daemon) serve(ctx context.Context, req *request.Request) request.Answer {
+	if req.Key != "" {
+		return d.runOnce(ctx, req)
+	}
+	return d.admit(ctx, req)
+}
+
+// admit checks a request against the catalogue and places it. A request with
+// a key gets here at the owner of the key only.
+func (d *Daemon) admit(ctx context.Context, req *request.Request) request.Answer {
 	set := d.catalogue.Load()
 	if set.Version == 0 {
 		return request.Refuse(request.ReasonNoCatalogue, "")
@@ -28,10 +39,10 @@
 		return request.Refuse(request.ReasonUnknownService, req.Service)
 	}
 	complete(req, service, time.Now())
-	if service.Class.Idempotent {
-		return d.place(ctx, set, req)
+	if req.Key == "" && !service.Class.Idempotent {
+		return request.Refuse(request.ReasonKeyRequired, "send the key of a look-up in header Tiller-Key")
 	}
-	return d.runOnce(ctx, req)
+	return d.place(ctx, set, req)
 }
 
 // complete fills in what the catalogue says of the request's service.
@@ -76,7 +87,7 @@
 		return answer
 	}
 	in := &wire.Dispatch{Upstream: name, Request: wire.NewRequest(req, time.Now())}
-	out, err := peer.Call[wire.Answered](ctx, d.peers, holder.Peer, wire.TypeDispatch, in)
+	out, err := peer.CallSettled[wire.Answered](ctx, d.peers, holder.Peer, wire.TypeDispatch, in, graceOf(req))
 	if err != nil {
 		return peerFailure(holder, err)
 	}
@@ -84,6 +95,15 @@
 	return out.Answer
 }
 
+// graceOf is how long the holder of an upstream may take to settle a request
+// that was cancelled. One with a key that has started runs on.
+func graceOf(req *request.Request) time.Duration {
+	if req.Key == "" {
+		return settleGrace
+	}
+	return settleGrace + backendhttp.MaxRunOn
+}
+
 // peerFailure returns the outcome of a request whose call to a peer failed.
 func peerFailure(m membership.Member, err error) request.Answer {
 	if errors.Is(err, peer.ErrNotSent) {
--- a/protocol/callerapi/callerapi.go
+++ b/protocol/callerapi/callerapi.go
@@ -68,6 +68,7 @@
 	request.ReasonKeyInvalid:     http.StatusBadRequest,
 	request.ReasonKeyExpired:     http.StatusGone,
 	request.ReasonKeyReused:      http.StatusConflict,
+	request.ReasonNotKept:        http.StatusGone,
 	request.ReasonPoison:         http.StatusUnprocessableEntity,
 }
 
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -92,7 +92,7 @@
 			break
 		}
 		host := lookup.Hosts[try%len(lookup.Hosts)]
-		result = c.runAt(ctx, host.Address, service, path, lookup.Key, body, header)
+		result = c.RunAt(ctx, host.Address, service, path, lookup.Key, body, header)
 		result.Tries = try + 1
 		if !again(result) {
 			break
@@ -157,7 +157,8 @@
 	return lookup, nil
 }
 
-func (c *Caller) runAt(ctx context.Context, host, service, path, key string, body []byte, header http.Header) Result {
+// RunAt makes one try at one entry host, with a key unless it is empty.
+func (c *Caller) RunAt(ctx context.Context, host, service, path, key string, body []byte, header http.Header) Result {
 	target := "http://" + host + callerapi.PathRun + service + "/" + path
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
 	if err != nil {
--- a/state/request/request.go
+++ b/state/request/request.go
@@ -101,6 +101,7 @@
 const (
 	ReasonAnswered        Reason = "answered"
 	ReasonReplayed        Reason = "replayed"
+	ReasonNotKept         Reason = "answer-not-kept"
 	ReasonUnknownService  Reason = "unknown-service"
 	ReasonBadRequest      Reason = "bad-request"
 	ReasonTooLarge        Reason = "too-large"
