--- a/daemon/handover.go
+++ b/daemon/handover.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/duty"
@@ -124,13 +123,7 @@
 func (d *Daemon) handoverDone(t *permit.Transfer) {
 	to, _ := t.Chosen()
 	h := t.Handover()
-	facts := []spread.Fact{successionFact(h, to)}
-	d.publish(facts...)
-	var told sync.WaitGroup
-	for _, m := range d.neighbours() {
-		told.Go(func() { d.tell(m, facts) })
-	}
-	told.Wait()
+	d.publishNow(successionFact(h, to))
 	d.log.Info().Str("event", "keys.handed-over").Str("successor", to).Int("keys", len(h.Records)).Send()
 }
 
@@ -150,7 +143,7 @@
 		return nil, err
 	}
 	if whole != nil {
-		d.publish(successionFact(*whole, d.self.Incarnation))
+		d.publishNow(successionFact(*whole, d.self.Incarnation))
 		d.log.Info().Str("event", "keys.taken-over").Str("peer", from).
 			Str("incarnation", whole.From).Int("keys", len(whole.Records)).Send()
 	}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -1,9 +1,7 @@
 package daemon
 
 import (
-	"context"
 	"net/http"
-	"time"
 
 	"bilberrytiller.example/tiller/protocol/wire"
 	"bilberrytiller.example/tiller/transport/peer"
@@ -15,8 +13,11 @@
 	peer.Handle(d.peerServe, wire.TypeRun, d.answerRun)
 	peer.Handle(d.peerServe, wire.TypeDispatch, d.answerDispatch)
 	peer.Handle(d.peerServe, wire.TypeHandover, d.answerHandover)
+	peer.Handle(d.peerServe, wire.TypeSuspect, d.answerSuspect)
+	peer.Handle(d.peerServe, wire.TypeClaim, d.answerClaim)
 	peer.Handle(d.peerServe, wire.TypeFacts, d.answerFacts)
-	peer.Handle(d.peerServe, wire.TypePull, d.answerPull)
+	peer.Handle(d.peerServe, wire.TypeCompare, d.answerCompare)
+	peer.Handle(d.peerServe, wire.TypeFetch, d.answerFetch)
 }
 
 func (d *Daemon) peerHandler() http.Handler {
@@ -24,12 +25,3 @@
 	mux.Handle(peer.Path, d.peerServe)
 	return mux
 }
-
-// answerDispatch runs a request on an upstream whose slots this daemon holds.
-func (d *Daemon) answerDispatch(ctx context.Context, _ string, in *wire.Dispatch) (*wire.Answered, error) {
-	defer d.inFlight.begin()()
-	req := in.Request.Open(time.Now())
-	answer := d.dispatchHere(ctx, in.Upstream, req)
-	load := d.holders.load(in.Upstream)
-	return &wire.Answered{Answer: answer, Load: wire.Load{InUse: load.InUse, Waiting: load.Waiting}}, nil
-}
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -23,8 +23,6 @@
 
 // The calls between daemons.
 const (
-	// TypeHello asks a daemon who it is.
-	TypeHello Type = "hello"
 	// TypeRun asks the owner of a key to run a request.
 	TypeRun Type = "run"
 	// TypeDispatch asks the holder of an upstream to run a request there.
@@ -53,15 +51,6 @@
 	ErrVersion = errors.New("unknown frame version")
 )
 
-// Hello says who a daemon is.
-type Hello struct {
-	ID          string `cbor:"id"`
-	Incarnation string `cbor:"inc"`
-	Leaving     bool   `cbor:"leaving,omitempty"`
-	// Digest is that of the facts the daemon knows.
-	Digest uint64 `cbor:"dig"`
-}
-
 // Request is a request on its way between daemons. Its deadline travels as
 // the time that remains, since clocks of hosts differ.
 type Request struct {
@@ -94,14 +83,22 @@
 
 // Dispatch asks the holder of an upstream to run a request there.
 type Dispatch struct {
-	Upstream string  `cbor:"up"`
-	Request  Request `cbor:"req"`
+	Upstream string `cbor:"up"`
+	// Holder is the incarnation that the sender takes for the holder.
+	Holder  string  `cbor:"h"`
+	Request Request `cbor:"req"`
 }
 
 // Load is an upstream's load as its holder knows it.
 type Load struct {
 	InUse   int `cbor:"u"`
 	Waiting int `cbor:"w"`
+	// Service is the mean time of an answer.
+	Service time.Duration `cbor:"s,omitempty"`
+	// Warm is true if connections to the upstream are open.
+	Warm bool `cbor:"hot,omitempty"`
+	// Failing is true if the upstream cannot be reached.
+	Failing bool `cbor:"f,omitempty"`
 }
 
 // Answered is the answer to Run and Dispatch.
@@ -135,6 +132,9 @@
 	return env, nil
 }
 
+// EncodeBody writes a body by itself.
+func EncodeBody(body any) ([]byte, error) { return cbor.Marshal(body) }
+
 // DecodeBody reads the body of an envelope.
 func DecodeBody(body []byte, into any) error {
 	if err := cbor.Unmarshal(body, into); err != nil {
--- a/transport/peer/conn.go
+++ b/transport/peer/conn.go
@@ -45,6 +45,8 @@
 	open map[uint64]openCall
 	err  error
 	done chan struct{}
+	// active tells when the peer was last heard.
+	active activity
 }
 
 // openCall is a call that waits for its answer.
@@ -55,7 +57,9 @@
 
 func newConn(ws *websocket.Conn) *conn {
 	c := &conn{ws: ws, open: map[uint64]openCall{}, done: make(chan struct{})}
+	c.active.touch(time.Now())
 	go c.readLoop()
+	go c.watchSilence()
 	return c
 }
 
@@ -144,6 +148,7 @@
 			c.close(err)
 			return
 		}
+		c.active.touch(time.Now())
 		env, err := wire.Decode(frame)
 		if err != nil {
 			c.close(err)
