Notice silent connections to backend servers

Cause: a connection to a backend server that carries nothing any more held a request until its deadline, and the next requests after it.

Ruled out: a timeout on the answer (a slow server is not a silent connection); sending a payment again on silence alone (it may have run).

One that it never got is cancelled there and offered again, since it did not run; one that it finished without its answer coming is unknown, and idempotent work runs again. A slow server is waited for.

--- a/protocol/backendapi/backendapi.go
+++ b/protocol/backendapi/backendapi.go
@@ -9,6 +9,8 @@
 	PathLoad   = "/load"
 	// PathCancel is followed by a request's identity.
 	PathCancel = "/cancel/"
+	// PathStatus is followed by a request's identity.
+	PathStatus = "/status/"
 )
 
 // Headers of requests and answers.
@@ -44,3 +46,21 @@
 type Cancel struct {
 	State CancelState `json:"state"`
 }
+
+// Progress is how far a request has got.
+type Progress string
+
+// The progress of a request.
+const (
+	// ProgressNone says that the server has not got the request.
+	ProgressNone     Progress = "none"
+	ProgressWaiting  Progress = "waiting"
+	ProgressRunning  Progress = "running"
+	ProgressFinished Progress = "finished"
+)
+
+// Status is the answer to a question for a request's progress. A server that
+// does not keep track answers with status 404 instead.
+type Status struct {
+	Progress Progress `json:"progress"`
+}
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -26,6 +26,10 @@
 // HeaderPoison marks a request that crashes the server while poison is on.
 const HeaderPoison = "Standin-Poison"
 
+// progressRefused marks a request that was cancelled before it started, or
+// before it came: it will not run.
+const progressRefused backendapi.Progress = "refused"
+
 // Faults are the ways in which the stand-in fails.
 type Faults struct {
 	// Shed refuses requests beyond the slots; otherwise they wait.
@@ -91,12 +95,14 @@
 	started time.Time
 	slots   chan struct{}
 
-	mu       sync.Mutex
-	faults   Faults
-	present  int
-	ledger   []*Run
-	byKey    map[string]int
-	waiting  map[string]chan struct{}
+	mu      sync.Mutex
+	faults  Faults
+	present int
+	ledger  []*Run
+	byKey   map[string]int
+	waiting map[string]chan struct{}
+	// progress tells how far each request has got.
+	progress map[string]backendapi.Progress
 	stats    Stats
 	silenced map[string]bool
 	conns    map[string]bool
@@ -106,12 +112,13 @@
 func New(opts Options) *Server {
 	s := &Server{
 		opts: opts, mux: http.NewServeMux(), started: time.Now(), slots: make(chan struct{}, opts.Slots),
-		byKey: map[string]int{}, waiting: map[string]chan struct{}{}, silenced: map[string]bool{}, conns: map[string]bool{},
+		byKey: map[string]int{}, waiting: map[string]chan struct{}{}, progress: map[string]backendapi.Progress{}, silenced: map[string]bool{}, conns: map[string]bool{},
 	}
 	s.mux.HandleFunc("POST "+backendapi.PathRun+"{service}/{path...}", s.run)
 	s.mux.HandleFunc("GET "+backendapi.PathHealth, s.health)
 	s.mux.HandleFunc("GET "+backendapi.PathLoad, s.load)
 	s.mux.HandleFunc("POST "+backendapi.PathCancel+"{id}", s.cancel)
+	s.mux.HandleFunc("GET "+backendapi.PathStatus+"{id}", s.status)
 	s.mux.HandleFunc("PUT "+PathFaults, s.putFaults)
 	s.mux.HandleFunc("GET "+PathLedger, s.getLedger)
 	s.mux.HandleFunc("GET "+PathStats, s.getStats)
@@ -121,6 +128,8 @@
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if s.isSilent(r.RemoteAddr) && !strings.HasPrefix(r.URL.Path, "/admin/") {
+		// The context ends with the connection once the body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return
 	}
@@ -241,7 +250,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cancelled = make(chan struct{})
+	if s.progress[id] == progressRefused {
+		close(cancelled)
+		return cancelled, false
+	}
 	s.waiting[id] = cancelled
+	s.progress[id] = backendapi.ProgressWaiting
 	s.present++
 	s.stats.MostInUse = max(s.stats.MostInUse, s.present)
 	if s.present > s.opts.Slots {
@@ -258,6 +272,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.waiting, id)
+	if s.progress[id] == backendapi.ProgressRunning {
+		s.progress[id] = backendapi.ProgressFinished
+	}
 	s.present--
 }
 
@@ -267,6 +284,9 @@
 	defer s.mu.Unlock()
 	_, waiting := s.waiting[id]
 	delete(s.waiting, id)
+	if waiting {
+		s.progress[id] = backendapi.ProgressRunning
+	}
 	return waiting
 }
 
@@ -324,14 +344,26 @@
 		delete(s.waiting, id)
 		close(cancelled)
 	}
-	s.mu.Unlock()
 	state := backendapi.CancelStarted
-	if waiting {
+	if waiting || s.progress[id] == "" || s.progress[id] == progressRefused {
 		state = backendapi.CancelNotStarted
+		s.progress[id] = progressRefused
 	}
+	s.mu.Unlock()
 	writeJSON(w, backendapi.Cancel{State: state})
 }
 
+// status tells how far a request has got.
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	progress := s.progress[r.PathValue("id")]
+	s.mu.Unlock()
+	if progress == "" || progress == progressRefused {
+		progress = backendapi.ProgressNone
+	}
+	writeJSON(w, backendapi.Status{Progress: progress})
+}
+
 func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
--- a/standin/proofs/silence_test.go
+++ b/standin/proofs/silence_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"slices"
+	"sync"
 	"testing"
+	"time"
 
 	"bilberrytiller.example/tiller/state/catalogue"
+	"bilberrytiller.example/tiller/state/request"
 
+	"bilberrytiller.example/standin/backend"
 	"bilberrytiller.example/standin/fleet"
 	"bilberrytiller.example/standin/relay"
 )
@@ -40,3 +44,53 @@
 		}
 	}
 }
+
+// TestSilentBackendConnections silences every connection that backend servers
+// have open, while new ones work.
+func TestSilentBackendConnections(t *testing.T) {
+	opts := smallFleet()
+	for i := range opts.Services {
+		opts.Services[i].Class.Deadline = catalogue.Duration(10 * requestTimeout)
+	}
+	f := fleet.Start(t, opts)
+	for _, h := range f.Hosts {
+		wantDone(t, run(t, f.Client(h), "lookups", "before"), "lookups", "before")
+		wantDone(t, run(t, f.Client(h), "payments", "before-"+h.ID), "payments", "before-"+h.ID)
+	}
+	setFaults(f, backend.Faults{Silent: true})
+	for _, h := range f.Hosts {
+		wantDone(t, run(t, f.Client(h), "lookups", "after"), "lookups", "after")
+		wantDone(t, run(t, f.Client(h), "payments", "after-"+h.ID), "payments", "after-"+h.ID)
+	}
+	for _, b := range f.Backends {
+		if n := b.Stats().DoubleRuns; n != 0 {
+			t.Errorf("%d double runs", n)
+		}
+	}
+}
+
+// TestSlowBackendIsNotSilent gives requests work that takes longer than
+// silence is waited for.
+func TestSlowBackendIsNotSilent(t *testing.T) {
+	opts := smallFleet()
+	for i := range opts.Upstreams {
+		opts.Upstreams[i].Options.Work = 1500 * time.Millisecond
+	}
+	f := fleet.Start(t, opts)
+	var all sync.WaitGroup
+	for _, service := range []string{"lookups", "payments"} {
+		all.Go(func() {
+			if r := run(t, f.Client(), service, "slow"); r.Outcome != request.Done {
+				t.Errorf("%s: got %s (%s), want done", service, r.Outcome, r.Reason)
+			}
+		})
+	}
+	all.Wait()
+	runs := 0
+	for _, b := range f.Backends {
+		runs += b.Stats().Runs
+	}
+	if runs != 2 {
+		t.Errorf("2 requests ran %d times", runs)
+	}
+}
--- a/state/request/request.go
+++ b/state/request/request.go
@@ -127,9 +127,12 @@
 	// ReasonConnectionClosed says that the backend server closed the
 	// connection before it answered, as it does when it crashes.
 	ReasonConnectionClosed Reason = "connection-closed"
-	ReasonBadAnswer        Reason = "bad-answer"
-	ReasonNotHolder        Reason = "not-holder"
-	ReasonPoison           Reason = "poison"
+	// ReasonSilent says that the connection to the backend server was open and
+	// carried nothing any more.
+	ReasonSilent    Reason = "silent-connection"
+	ReasonBadAnswer Reason = "bad-answer"
+	ReasonNotHolder Reason = "not-holder"
+	ReasonPoison    Reason = "poison"
 )
 
 // Answer is the end of a request.
--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -64,6 +64,7 @@
 	shared *http.Client
 	keyed  *http.Client
 	side   *http.Client
+	probe  *http.Client
 }
 
 // New returns a client that opens about the given number of connections.
@@ -74,6 +75,7 @@
 		shared: newHTTP(half, idleTimeout),
 		keyed:  newHTTP(half, keyedIdleTimeout),
 		side:   newHTTP(controlConnections, idleTimeout),
+		probe:  newProbe(),
 	}
 }
 
@@ -140,13 +142,15 @@
 
 // attempt sends a request once and reads its answer.
 func (c *Client) attempt(ctx context.Context, client *http.Client, req *request.Request, w *writing) request.Answer {
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: w.gotConn})
+	ctx, end := context.WithCancelCause(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: w.gotConn}))
+	defer end(nil)
+	go c.watchSilence(ctx, end, req, w)
 	resp, err := c.send(ctx, client, req)
 	if err != nil {
 		if !w.abort() {
 			return request.Refuse(request.ReasonConnect, err.Error())
 		}
-		return c.settle(req, err)
+		return c.settle(req, causeOf(ctx, err))
 	}
 	defer resp.Body.Close()
 	answer := read(req, resp)
@@ -188,8 +192,18 @@
 	return request.Undecided(reason, cause.Error())
 }
 
+// causeOf returns errSilent for an attempt that it ended, or else err.
+func causeOf(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
+		return cause
+	}
+	return err
+}
+
 func lossReason(cause error) request.Reason {
 	switch {
+	case errors.Is(cause, errSilent):
+		return request.ReasonSilent
 	case errors.Is(cause, context.DeadlineExceeded):
 		return request.ReasonDeadline
 	case errors.Is(cause, io.EOF), errors.Is(cause, syscall.ECONNRESET), errors.Is(cause, syscall.EPIPE):
@@ -223,11 +237,15 @@
 func (e StatusError) Error() string { return fmt.Sprintf("backend server answered %d", e.Status) }
 
 func (c *Client) control(ctx context.Context, method, path string, into any) error {
+	return c.call(ctx, c.side, method, path, into)
+}
+
+func (c *Client) call(ctx context.Context, client *http.Client, method, path string, into any) error {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, nil)
 	if err != nil {
 		return fmt.Errorf("backend request: %w", err)
 	}
-	resp, err := c.side.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return fmt.Errorf("backend %s: %w", path, err)
 	}
--- a/transport/backendhttp/writing.go
+++ b/transport/backendhttp/writing.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 )
 
 // writing follows how much of one request was written to its connection.
@@ -32,6 +33,16 @@
 	return w.conn != nil
 }
 
+// received returns the bytes that have come on the request's connection.
+func (w *writing) received() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.conn == nil {
+		return 0
+	}
+	return w.conn.received.Load()
+}
+
 // abort ends the connection and reports whether any byte of the request may
 // have left this host. After it nothing more is written.
 func (w *writing) abort() bool {
@@ -49,6 +60,8 @@
 	mu     sync.Mutex
 	sealed bool
 	sent   int64
+	// received counts the bytes that came.
+	received atomic.Int64
 }
 
 func dialWith(d *net.Dialer) func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -61,6 +74,13 @@
 	}
 }
 
+// Read counts what comes.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
 // Write writes p unless the connection was sealed.
 func (c *countedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
