Drain hosts and upstreams without cutting a request

Cause: a stop slept for the look-up time to live and closed its servers. Daemons that learnt of it by the next heartbeat went on naming it; payments whose callers had gone ended with the process; queued requests stayed with a drained upstream; a load report that says draining was not read; the platform's list of hosts did not take a host out of look-ups at that host.

Ruled out: SetKeepAlivesEnabled(false) during a stop, since it closes idle connections on which a caller may be writing; answers ask for the close instead. sync.WaitGroup, which must not be added to from zero while waited on.

Change: a stop is a list of steps (daemon/stop.go): announce by a fact, serve until look-ups expired everywhere, shut callers down, wait for runs, then for peers' calls with their answers written, then close. Drains by entry, data centre, list of hosts and load report act on the view and on the queue of an upstream. A stop timeout not above the look-up time to live is refused.

--- a/cli/tillerd/tillerd.go
+++ b/cli/tillerd/tillerd.go
@@ -89,19 +89,22 @@
 		fmt.Fprintln(stderr, err)
 		return exitSettings
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	go exitOnSecondSignal(ctx, d, log)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go followSignals(signals, stop, d, log)
 	return exitCode(d.Run(ctx), stderr)
 }
 
-// exitOnSecondSignal ends the process at a second signal, saying what it cuts.
-func exitOnSecondSignal(ctx context.Context, d *daemon.Daemon, log zerolog.Logger) {
-	<-ctx.Done()
-	second := make(chan os.Signal, 1)
-	signal.Notify(second, syscall.SIGTERM, syscall.SIGINT)
-	<-second
-	log.Error().Str("event", "daemon.cut").Int64("requests", d.InFlight()).Send()
+// followSignals starts a graceful stop at the first signal and ends the
+// process at the second, saying what it cuts.
+func followSignals(signals <-chan os.Signal, stop context.CancelFunc, d *daemon.Daemon, log zerolog.Logger) {
+	<-signals
+	stop()
+	<-signals
+	cut := d.InFlight()
+	log.Error().Str("event", "daemon.cut").Int("requests", cut.Requests).Int("calls", cut.Calls).Int("runs", cut.Runs).Send()
 	os.Exit(exitCut)
 }
 
--- /dev/null
+++ b/coordination/drain/drain_test.go
@@ -0,0 +1,32 @@
+package drain
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+func TestReportsThatCannotBeTrueAreDropped(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := NewReports()
+	for _, c := range []struct {
+		name     string
+		report   Report
+		want     error
+		draining bool
+	}{
+		{"first", Report{Slots: 4, Made: now}, nil, false},
+		{"draining", Report{Slots: 4, Draining: true, Made: now.Add(time.Second)}, nil, true},
+		{"late one from before", Report{Slots: 4, Made: now}, ErrStale, true},
+		{"negative", Report{Slots: 4, InUse: -1, Made: now.Add(2 * time.Second)}, ErrRange, true},
+		{"future", Report{Slots: 4, Made: now.Add(time.Minute)}, ErrFuture, true},
+		{"back", Report{Slots: 4, Made: now.Add(2 * time.Second)}, nil, false},
+	} {
+		if err := r.Take("u", c.report, now.Add(2*time.Second)); !errors.Is(err, c.want) {
+			t.Errorf("%s: got %v, want %v", c.name, err, c.want)
+		}
+		if got := r.Draining("u"); got != c.draining {
+			t.Errorf("%s: draining %v, want %v", c.name, got, c.draining)
+		}
+	}
+}
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -85,7 +85,7 @@
 }
 
 func (d *Daemon) handleRun(w http.ResponseWriter, r *http.Request) {
-	defer d.inFlight.begin()()
+	defer d.requests.Begin()()
 	req, err := newRequest(w, r)
 	if err != nil {
 		d.finish(w, req, refuseRequest(err))
@@ -105,7 +105,7 @@
 
 // ownKey returns a key that this daemon owns, or "".
 func (d *Daemon) ownKey() string {
-	if d.leaving.Load() {
+	if d.withdrawn() {
 		return ""
 	}
 	key, err := d.issuer.Issue(d.self.Incarnation, time.Now().Add(d.settings.KeyTTL))
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,16 +9,19 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"bilberrytiller.example/tiller/coordination/drain"
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/permit"
 	"bilberrytiller.example/tiller/coordination/platform"
 	"bilberrytiller.example/tiller/coordination/spread"
+	"bilberrytiller.example/tiller/internal/inflight"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/transport/peer"
 	"bilberrytiller.example/tiller/transport/platformhttp"
@@ -56,10 +59,18 @@
 	holders *holders
 	loads   *loads
 
+	drains  *drains
+	reports *drain.Reports
+	// viewLock is held while the view is replaced.
+	viewLock sync.Mutex
+
 	listeners listeners
-	// inFlight counts callers' requests that are being served.
-	inFlight inFlight
-	leaving  atomic.Bool
+	// requests counts callers' requests that are being served, runs the runs
+	// of requests whose keys this daemon owns.
+	requests inflight.Counter
+	runs     inflight.Counter
+	// leaving is set once the daemon has begun to stop.
+	leaving atomic.Bool
 }
 
 type listeners struct {
@@ -86,9 +97,11 @@
 		loads:    newLoads(),
 		facts:    spread.NewStore(),
 		takers:   map[spread.Kind]func([]spread.Fact){},
+		drains:   newDrains(),
+		reports:  drain.NewReports(),
 	}
 	d.peerServe = peer.NewServer(d.auth, d.log)
-	d.holders = newHolders(d.log)
+	d.holders = newHolders(d.log, d.drains)
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -105,6 +118,8 @@
 	d.view.Store(membership.NewView(d.self, []membership.Member{d.self}))
 	d.registerCalls()
 	d.onFact(factCatalogue, d.takeCatalogue)
+	d.onFact(factLeaving, d.takeLeaving)
+	d.onFact(factDraining, d.drains.takeReported)
 	return d, nil
 }
 
@@ -124,11 +139,12 @@
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	var group errgroup.Group
-	for _, s := range servers {
+	for _, s := range servers.all() {
 		group.Go(func() error { return serve(s.server, s.listener) })
 	}
 	group.Go(func() error { return d.followCatalogue(background) })
 	group.Go(func() error { return d.followHosts(background) })
+	group.Go(func() error { return d.followLoadReports(background) })
 	d.log.Info().Str("event", "daemon.ready").Str("incarnation", d.self.Incarnation).
 		Stringer("caller", d.CallerAddr()).Stringer("peer", d.PeerAddr()).Stringer("operator", d.OperatorAddr()).Send()
 	<-ctx.Done()
@@ -138,49 +154,23 @@
 	return errors.Join(err, group.Wait())
 }
 
-// CutError says that a graceful stop ran out of time.
-type CutError struct{ After time.Duration }
-
-func (e *CutError) Error() string {
-	return fmt.Sprintf("requests were still in flight after %v", e.After)
-}
-
-// stop takes the daemon out of look-ups, serves callers that hold one until
-// it has expired, and waits for the requests in flight.
-func (d *Daemon) stop(servers []server) error {
-	d.leaving.Store(true)
-	d.log.Info().Str("event", "daemon.leaving").Send()
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopTimeout)
-	defer cancel()
-	sleep(ctx, d.settings.LookupTTL)
-	idle := make(chan struct{})
-	go func() {
-		d.inFlight.wait.Wait()
-		close(idle)
-	}()
-	var err error
-	select {
-	case <-idle:
-	case <-ctx.Done():
-		err = &CutError{After: d.settings.StopTimeout}
-	}
-	for _, s := range servers {
-		_ = s.server.Close()
-	}
-	d.log.Info().Str("event", "daemon.stopped").Bool("cut", err != nil).Send()
-	return err
-}
-
 type server struct {
 	server   *http.Server
 	listener net.Listener
 }
 
-func (d *Daemon) servers() []server {
-	return []server{
-		{newServer(d.callerHandler()), d.listeners.caller},
-		{newServer(d.peerHandler()), d.listeners.peer},
-		{newServer(d.operatorHandler()), d.listeners.operator},
+// servers are the servers of the three listeners.
+type servers struct {
+	caller, peer, operator server
+}
+
+func (s servers) all() []server { return []server{s.caller, s.peer, s.operator} }
+
+func (d *Daemon) servers() servers {
+	return servers{
+		caller:   server{newServer(d.closeWhileLeaving(d.callerHandler())), d.listeners.caller},
+		peer:     server{newServer(d.peerHandler()), d.listeners.peer},
+		operator: server{newServer(d.operatorHandler()), d.listeners.operator},
 	}
 }
 
--- a/daemon/feed.go
+++ b/daemon/feed.go
@@ -121,6 +121,8 @@
 		d.log.Info().Str("event", "catalogue.in-force").Stringer("entry", r.ID).
 			Uint64("version", uint64(r.Version)).Bool("deleted", r.Deleted).Send()
 	}
+	d.drains.update(d.catalogue.Load)
+	d.refreshView()
 	d.holders.update(set)
 }
 
--- a/daemon/holder.go
+++ b/daemon/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -15,9 +16,10 @@
 
 // holders keeps the upstreams whose slots this daemon schedules.
 type holders struct {
-	log  zerolog.Logger
-	mu   sync.Mutex
-	held map[string]*held
+	log    zerolog.Logger
+	drains *drains
+	mu     sync.Mutex
+	held   map[string]*held
 }
 
 // held is one upstream with its slots and its connections.
@@ -27,8 +29,8 @@
 	client    *backendhttp.Client
 }
 
-func newHolders(log zerolog.Logger) *holders {
-	return &holders{log: log, held: map[string]*held{}}
+func newHolders(log zerolog.Logger, drains *drains) *holders {
+	return &holders{log: log, drains: drains, held: map[string]*held{}}
 }
 
 // run waits for a slot of the upstream and runs the request there.
@@ -36,7 +38,13 @@
 	held := h.get(u)
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	if err := held.scheduler.Acquire(ctx, req.Rank); err != nil {
+	queued, leave := h.drains.whileTaking(ctx, u.Name)
+	err := held.scheduler.Acquire(queued, req.Rank)
+	leave()
+	if errors.Is(err, errDraining) {
+		return request.Refuse(request.ReasonNoUpstream, err.Error())
+	}
+	if err != nil {
 		return request.Refuse(request.ReasonTooLate, err.Error())
 	}
 	defer held.scheduler.Release()
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -15,6 +15,8 @@
 	catalogueVersion *expvar.Int
 	catalogueInvalid *expvar.Int
 	members          *expvar.Int
+	// loadReportsDropped counts load reports that were out of range or time.
+	loadReportsDropped *expvar.Int
 }
 
 func newMetrics() *metrics {
@@ -23,6 +25,7 @@
 	m.catalogueVersion = m.counter("catalogue_version")
 	m.catalogueInvalid = m.counter("catalogue_invalid")
 	m.members = m.counter("members")
+	m.loadReportsDropped = m.counter("load_reports_dropped")
 	for outcome, name := range map[request.Outcome]string{
 		request.Done:    "requests_done",
 		request.NotRun:  "requests_not_run",
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -34,7 +34,7 @@
 		Incarnation:      d.self.Incarnation,
 		DataCentre:       d.self.DataCentre,
 		Region:           d.self.Region,
-		Leaving:          d.leaving.Load(),
+		Leaving:          d.withdrawn(),
 		CatalogueVersion: uint64(d.catalogue.Load().Version),
 	}
 	for _, m := range view.Members() {
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -59,7 +59,11 @@
 		return refuseKey(err)
 	}
 	if first {
-		go d.runFirst(key, run, req)
+		end := d.runs.Begin()
+		go func() {
+			defer end()
+			d.runFirst(key, run, req)
+		}()
 	}
 	return awaitRun(ctx, run, first)
 }
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -26,14 +26,12 @@
 
 // answerRun runs a request whose key this daemon owns.
 func (d *Daemon) answerRun(ctx context.Context, _ string, in *wire.Run) (*wire.Answered, error) {
-	defer d.inFlight.begin()()
 	req := in.Request.Open(time.Now())
 	return &wire.Answered{Answer: d.runOwned(ctx, req)}, nil
 }
 
 // answerDispatch runs a request on an upstream whose slots this daemon holds.
 func (d *Daemon) answerDispatch(ctx context.Context, _ string, in *wire.Dispatch) (*wire.Answered, error) {
-	defer d.inFlight.begin()()
 	req := in.Request.Open(time.Now())
 	answer := d.dispatchHere(ctx, in.Upstream, req)
 	load := d.holders.load(in.Upstream)
--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -23,6 +23,7 @@
 		if err == nil {
 			hosts = latest
 		}
+		d.noteListed(hosts)
 		d.probe(ctx, hosts)
 		sleep(ctx, heartbeatPeriod)
 	}
@@ -32,9 +33,6 @@
 // probe asks every host who it is and stores the resulting view.
 func (d *Daemon) probe(ctx context.Context, hosts []platform.Host) {
 	self := d.self
-	if d.leaving.Load() {
-		self.State = membership.Leaving
-	}
 	answers := make(chan membership.Member, len(hosts))
 	for _, h := range hosts {
 		go func() { answers <- d.probeHost(ctx, h) }()
@@ -45,7 +43,7 @@
 			members = append(members, m)
 		}
 	}
-	d.view.Store(membership.NewView(self, members))
+	d.storeView(members)
 	d.metrics.members.Set(int64(len(members)))
 }
 
@@ -73,7 +71,7 @@
 	return &wire.Hello{
 		ID:          d.self.ID,
 		Incarnation: d.self.Incarnation,
-		Leaving:     d.leaving.Load(),
+		Leaving:     d.withdrawn(),
 		Digest:      d.facts.Digest(),
 	}, nil
 }
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -50,7 +50,7 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	answer := request.Refuse(request.ReasonNoUpstream, req.Service)
-	for attempt, c := range placement.Upstreams(set, d.self, req.Service, d.loads.get) {
+	for attempt, c := range d.taking(placement.Upstreams(set, d.self, req.Service, d.loads.get)) {
 		if attempt == maxAttempts || ctx.Err() != nil {
 			break
 		}
@@ -100,7 +100,7 @@
 func (d *Daemon) dispatchHere(ctx context.Context, upstream string, req *request.Request) request.Answer {
 	set := d.catalogue.Load()
 	u := set.Upstream(upstream)
-	if u == nil || set.Leaving(u) {
+	if u == nil || d.drains.leaving(upstream) {
 		return request.Refuse(request.ReasonNoUpstream, upstream)
 	}
 	if holder, ok := d.holderOf(set, u); !ok || holder.ID != d.self.ID {
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -83,6 +83,7 @@
 		checkDuration("key-ttl", s.KeyTTL, time.Minute, 24*time.Hour),
 		checkLevel(s.LogLevel),
 		checkDuration("stop-timeout", s.StopTimeout, time.Second, time.Hour),
+		s.checkStop(),
 	)
 }
 
--- /dev/null
+++ b/daemon/stop_test.go
@@ -0,0 +1,25 @@
+package daemon
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+func TestStopTimeoutMustOutlastLookups(t *testing.T) {
+	for _, c := range []struct {
+		ttl, timeout time.Duration
+		valid        bool
+	}{
+		{5 * time.Second, 5 * time.Second, false},
+		{5 * time.Second, 5*time.Second + leaveMargin, false},
+		{5 * time.Second, 7 * time.Second, true},
+	} {
+		s := Settings{LookupTTL: c.ttl, StopTimeout: c.timeout}
+		err := s.checkStop()
+		var wrong *SettingError
+		if c.valid != (err == nil) || (err != nil && !errors.As(err, &wrong)) {
+			t.Errorf("look-ups %v, stop timeout %v: %v", c.ttl, c.timeout, err)
+		}
+	}
+}
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -38,6 +38,8 @@
 	Host     string
 	Upstream string
 	Tries    int
+	// Lost counts the tries that ended without a whole answer.
+	Lost int
 }
 
 // Caller sends requests. It is safe for concurrent use.
@@ -92,8 +94,10 @@
 			break
 		}
 		host := lookup.Hosts[try%len(lookup.Hosts)]
+		lost := result.Lost
 		result = c.runAt(ctx, host.Address, service, path, lookup.Key, body, header)
 		result.Tries = try + 1
+		result.Lost += lost
 		if !again(result) {
 			break
 		}
@@ -179,12 +183,12 @@
 func (c *Caller) send(req *http.Request) Result {
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return Result{Outcome: request.Unknown, Reason: request.ReasonConnectionLost}
+		return Result{Outcome: request.Unknown, Reason: request.ReasonConnectionLost, Lost: 1}
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return Result{Outcome: request.Unknown, Reason: request.ReasonConnectionLost}
+		return Result{Outcome: request.Unknown, Reason: request.ReasonConnectionLost, Lost: 1}
 	}
 	return Result{
 		Outcome:  request.Outcome(resp.Header.Get(callerapi.HeaderOutcome)),
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -78,9 +79,11 @@
 
 // Fleet is a running fleet. It ends with its test.
 type Fleet struct {
-	t        testing.TB
-	opts     Options
-	Platform *platform.Server
+	t    testing.TB
+	opts Options
+	// upstreams are the entries of the backend servers, by name.
+	upstreams map[string]catalogue.Upstream
+	Platform  *platform.Server
 	// PlatformURL is the platform's base URL.
 	PlatformURL string
 	Backends    map[string]*backend.Server
@@ -113,7 +116,10 @@
 // the catalogue in force.
 func Start(t testing.TB, opts Options) *Fleet {
 	t.Helper()
-	f := &Fleet{t: t, opts: opts, Platform: platform.New(), Backends: map[string]*backend.Server{}}
+	f := &Fleet{
+		t: t, opts: opts, Platform: platform.New(),
+		Backends: map[string]*backend.Server{}, upstreams: map[string]catalogue.Upstream{},
+	}
 	server := httptest.NewServer(f.Platform)
 	t.Cleanup(server.Close)
 	f.PlatformURL = server.URL
@@ -153,12 +159,16 @@
 	return version
 }
 
-// ListHosts tells the platform the hosts as they are.
-func (f *Fleet) ListHosts() {
+// ListHosts tells the platform the hosts as they are, some of them as leaving.
+func (f *Fleet) ListHosts(leaving ...*Host) {
 	var hosts []tiller.Host
 	for _, h := range f.Hosts {
+		state := tiller.HostLive
+		if slices.Contains(leaving, h) {
+			state = tiller.HostLeaving
+		}
 		hosts = append(hosts, tiller.Host{
-			ID: h.ID, DataCentre: h.DataCentre, Region: h.Region, Peer: h.relay.Addr(), Caller: h.Caller, State: tiller.HostLive,
+			ID: h.ID, DataCentre: h.DataCentre, Region: h.Region, Peer: h.relay.Addr(), Caller: h.Caller, State: state,
 		})
 	}
 	f.Platform.SetHosts(hosts)
@@ -241,10 +251,20 @@
 		server.Close()
 	})
 	f.Backends[u.Name] = s
-	f.Apply(&catalogue.Upstream{
+	entry := catalogue.Upstream{
 		Meta: meta(catalogue.KindUpstream, u.Name), Services: []string{u.Service}, DataCentre: u.DataCentre,
 		Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Slots: u.Options.Slots, Connections: 330,
-	})
+	}
+	f.upstreams[u.Name] = entry
+	f.Apply(&entry)
+}
+
+// DrainUpstream drains an upstream by its entry, or takes it back into use.
+func (f *Fleet) DrainUpstream(name string, drain bool) {
+	f.t.Helper()
+	entry := f.upstreams[name]
+	entry.Drain = drain
+	f.Apply(&entry)
 }
 
 // startHost starts a host's daemon on a loopback address of its own, so that
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -9,6 +9,7 @@
 	"github.com/coder/websocket"
 	"github.com/rs/zerolog"
 
+	"bilberrytiller.example/tiller/internal/inflight"
 	"bilberrytiller.example/tiller/protocol/wire"
 )
 
@@ -22,11 +23,15 @@
 	auth     *Auth
 	log      zerolog.Logger
 	handlers map[wire.Type]handler
+	calls    inflight.Counter
+
+	mu    sync.Mutex
+	conns map[*websocket.Conn]bool
 }
 
 // NewServer returns a server that checks peers with auth.
 func NewServer(auth *Auth, log zerolog.Logger) *Server {
-	return &Server{auth: auth, log: log, handlers: map[wire.Type]handler{}}
+	return &Server{auth: auth, log: log, handlers: map[wire.Type]handler{}, conns: map[*websocket.Conn]bool{}}
 }
 
 // Handle registers the handler of a call. It must be called before the
@@ -57,10 +62,40 @@
 	s.serve(r.Context(), ws, from)
 }
 
+// InFlight returns the number of calls whose answers are not yet written.
+func (s *Server) InFlight() int { return s.calls.Count() }
+
+// Shutdown waits until every call was answered and closes the connections.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.calls.Wait(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for ws := range s.conns {
+		_ = ws.CloseNow()
+	}
+	return nil
+}
+
+func (s *Server) track(ws *websocket.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[ws] = true
+}
+
+func (s *Server) untrack(ws *websocket.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, ws)
+}
+
 func (s *Server) serve(ctx context.Context, ws *websocket.Conn, from string) {
 	ctx, cancel := context.WithCancel(ctx)
+	s.track(ws)
 	var calls sync.WaitGroup
 	defer func() {
+		s.untrack(ws)
 		cancel()
 		_ = ws.CloseNow()
 		calls.Wait()
@@ -78,8 +113,10 @@
 			return
 		}
 		open <- struct{}{}
+		end := s.calls.Begin()
 		calls.Go(func() {
 			s.answer(ctx, ws, from, env)
+			end()
 			<-open
 		})
 	}
