--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -50,6 +50,7 @@
 
 	catalogue atomic.Pointer[catalogue.Set]
 	view      atomic.Pointer[membership.View]
+	steered   atomic.Pointer[steering]
 
 	facts  *spread.Store
 	takers map[spread.Kind]func([]spread.Fact)
@@ -58,6 +59,8 @@
 	keys    *permit.Table
 	holders *holders
 	loads   *loads
+	// suspects are the requests that backend servers crashed on.
+	suspects *suspects
 
 	drains  *drains
 	reports *drain.Reports
@@ -95,6 +98,7 @@
 		issuer:   permit.NewIssuer([]byte(settings.Secret), rand.Reader),
 		keys:     permit.NewTable(maxKeys),
 		loads:    newLoads(),
+		suspects: newSuspects(),
 		facts:    spread.NewStore(),
 		takers:   map[spread.Kind]func([]spread.Fact){},
 		drains:   newDrains(),
@@ -120,6 +124,7 @@
 	d.onFact(factCatalogue, d.takeCatalogue)
 	d.onFact(factLeaving, d.takeLeaving)
 	d.onFact(factDraining, d.drains.takeReported)
+	d.onFact(factCrash, d.takeCrashes)
 	return d, nil
 }
 
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -38,20 +38,20 @@
 	set       *catalogue.Set
 	announced map[string]bool
 	reported  map[string]spread.Fact
-	gates     map[string]gate
+	intakes   map[string]intake
 	// listed says that the platform's list of hosts has this host leaving.
 	listed bool
 }
 
-// gate is open while an upstream takes work.
-type gate struct {
+// intake is open while an upstream takes work.
+type intake struct {
 	ctx  context.Context
 	shut context.CancelCauseFunc
 }
 
 func newDrains() *drains {
 	return &drains{
-		set: catalogue.Empty(), announced: map[string]bool{}, reported: map[string]spread.Fact{}, gates: map[string]gate{},
+		set: catalogue.Empty(), announced: map[string]bool{}, reported: map[string]spread.Fact{}, intakes: map[string]intake{},
 	}
 }
 
@@ -70,42 +70,42 @@
 // whileTaking returns a context that ends when the upstream starts to leave.
 func (d *drains) whileTaking(ctx context.Context, upstream string) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(d.gate(upstream), func() { cancel(errDraining) })
+	stop := context.AfterFunc(d.intake(upstream), func() { cancel(errDraining) })
 	return ctx, func() {
 		stop()
 		cancel(nil)
 	}
 }
 
-func (d *drains) gate(upstream string) context.Context {
+func (d *drains) intake(upstream string) context.Context {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if _, ok := d.gates[upstream]; !ok {
-		d.gates[upstream] = newGate()
+	if _, ok := d.intakes[upstream]; !ok {
+		d.intakes[upstream] = newIntake()
 	}
 	d.settle(upstream)
-	return d.gates[upstream].ctx
+	return d.intakes[upstream].ctx
 }
 
-func newGate() gate {
+func newIntake() intake {
 	ctx, shut := context.WithCancelCause(context.Background())
-	return gate{ctx: ctx, shut: shut}
+	return intake{ctx: ctx, shut: shut}
 }
 
-// settle opens or shuts the gate of one upstream.
+// settle opens or shuts the intake of one upstream.
 func (d *drains) settle(upstream string) {
-	g := d.gates[upstream]
-	shut := g.ctx.Err() != nil
+	i := d.intakes[upstream]
+	shut := i.ctx.Err() != nil
 	switch leaving := d.leavingLocked(upstream); {
 	case leaving && !shut:
-		g.shut(errDraining)
+		i.shut(errDraining)
 	case !leaving && shut:
-		d.gates[upstream] = newGate()
+		d.intakes[upstream] = newIntake()
 	}
 }
 
 func (d *drains) settleAll() {
-	for upstream := range d.gates {
+	for upstream := range d.intakes {
 		d.settle(upstream)
 	}
 }
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -17,6 +17,7 @@
 	members          *expvar.Int
 	// loadReportsDropped counts load reports that were out of range or time.
 	loadReportsDropped *expvar.Int
+	poisonCharged      *expvar.Int
 }
 
 func newMetrics() *metrics {
@@ -26,6 +27,7 @@
 	m.catalogueInvalid = m.counter("catalogue_invalid")
 	m.members = m.counter("members")
 	m.loadReportsDropped = m.counter("load_reports_dropped")
+	m.poisonCharged = m.counter("poison_charged")
 	for outcome, name := range map[request.Outcome]string{
 		request.Done:    "requests_done",
 		request.NotRun:  "requests_not_run",
