Divide a limit between daemons by ownership and loans

Cause: Service.Limits.Rate and Concurrency were read by nobody.

Ruled out: - A counter at the holder of a duty: two holders while views differ grant the whole limit twice. - A lease of the holder in the platform: stops with the platform. - Equal shares alone: safe, but a daemon with all the demand gets one share. - golang.org/x/time/rate for the count: a token bucket lets its burst and its rate pass within one second. Uses are counted by when they end instead, the same way for a rate (a use ends a window later) and for concurrency.

Change: coordination/limit. A lender subtracts first and counts the loan from its answer, a borrower from its question. A daemon that follows another on its host waits out the longest loan.

--- /dev/null
+++ b/coordination/limit/account.go
@@ -0,0 +1,260 @@
+package limit
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// LoanTime is how long borrowed units may be taken after the question.
+	LoanTime = 2 * time.Second
+	// renewAhead is how long before its end a loan is asked for again.
+	renewAhead = time.Second
+	// missedFor is how long a refusal counts as demand.
+	missedFor = time.Second
+	// holdSteps is the number of steps that the time of one use is divided into.
+	holdSteps = 50
+)
+
+// Terms are how units of a limit are used.
+type Terms struct {
+	// Hold is how long one use takes: the window of a rate, or the longest
+	// time that a request may be in flight.
+	Hold time.Duration
+	// Released says that a use may end before its time, and ends only when it
+	// is released.
+	Released bool
+}
+
+// Loan is how long units are lent: what is taken last is still in use for
+// the time of one use.
+func (t Terms) Loan() time.Duration { return LoanTime + t.Hold + t.Hold/holdSteps }
+
+// Account is one daemon's side of one limit. It is safe for concurrent use.
+type Account struct {
+	terms Terms
+
+	mu       sync.Mutex
+	owned    stake
+	lent     map[string]*loan
+	borrowed map[string]loan
+	holds    holds
+	missed   [2]misses
+}
+
+// stake is what is owned, from one time until another.
+type stake struct {
+	units       int
+	from, until time.Time
+}
+
+type loan struct {
+	units int
+	until time.Time
+	// seq is the number of the last question of the borrower.
+	seq uint64
+}
+
+// misses counts the units refused in one period.
+type misses struct {
+	period time.Time
+	units  int
+}
+
+// NewAccount returns an account that owns nothing.
+func NewAccount(terms Terms) *Account {
+	step := max(terms.Hold/holdSteps, time.Millisecond)
+	return &Account{terms: terms, lent: map[string]*loan{}, borrowed: map[string]loan{}, holds: holds{step: step}}
+}
+
+// Own sets what the daemon owns. Units count from one time until another.
+func (a *Account) Own(units int, from, until time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.owned = stake{units: units, from: from, until: until}
+}
+
+// Take takes units for a use that ends at the given time at the latest.
+func (a *Account) Take(now time.Time, units int, end time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.expire(now)
+	latest := a.holds.round(end)
+	if last := a.holds.latest(); last.After(latest) {
+		latest = last
+	}
+	if a.holds.total+units > a.usable(now, latest) {
+		a.miss(now, units)
+		return false
+	}
+	a.holds.add(end, units)
+	return true
+}
+
+// Release ends a use before its time. The end is that of Take.
+func (a *Account) Release(units int, end time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.holds.remove(end, units)
+}
+
+// InUse returns the units in use.
+func (a *Account) InUse(now time.Time) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.expire(now)
+	return a.holds.total
+}
+
+// Settled reports whether what the daemon owns covers what it uses and has
+// lent, and what an earlier daemon of its host used and lent is over. Only
+// then may units that it gave up be told to be free.
+func (a *Account) Settled(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.expire(now)
+	if now.Before(a.owned.from) {
+		return false
+	}
+	return a.usableOwned(now, now) >= 0 && a.holds.total <= a.usable(now, a.holds.latest())
+}
+
+// Lend answers a peer that asks to have the given units in all. Units that
+// the peer may still use stay lent. The loan is renewed or enlarged only if
+// extended is true; otherwise it ends when it would have ended.
+func (a *Account) Lend(now time.Time, borrower string, seq uint64, want int) (units int, extended bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.expire(now)
+	until := now.Add(a.terms.Loan())
+	l := a.loanTo(borrower)
+	if seq <= l.seq {
+		return 0, false
+	}
+	l.seq = seq
+	spare := a.usableOwned(now, until) - a.holds.total
+	if spare < 0 || a.missedUnits(now) > 0 || want <= 0 {
+		return l.units, false
+	}
+	more := min(want-l.units, (spare+1)/2)
+	if l.units+more <= 0 {
+		return 0, false
+	}
+	l.units += more
+	l.until = until
+	return l.units, true
+}
+
+func (a *Account) loanTo(borrower string) *loan {
+	if _, ok := a.lent[borrower]; !ok {
+		a.lent[borrower] = &loan{}
+	}
+	return a.lent[borrower]
+}
+
+// Borrow takes over a peer's answer that extended a loan. The time is when
+// the question was sent.
+func (a *Account) Borrow(asked time.Time, lender string, units int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.borrowed[lender] = loan{units: units, until: asked.Add(a.terms.Loan())}
+}
+
+// Ask returns the units to ask of a lender so that a deficit of units is
+// covered. If they are fewer than are borrowed, the rest is given up first.
+func (a *Account) Ask(now time.Time, lender string, deficit int) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.expire(now)
+	l := a.borrowed[lender]
+	if a.fresh(now, l) {
+		return l.units + deficit
+	}
+	if deficit < l.units {
+		l.units = deficit
+		a.borrowed[lender] = l
+	}
+	return deficit
+}
+
+// Deficit returns the units that the daemon's demand lacks. Loans about to
+// end count as lacking.
+func (a *Account) Deficit(now time.Time) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.expire(now)
+	return max(0, a.holds.total+a.missedUnits(now)-a.usable(now, now.Add(a.terms.Hold+renewAhead)))
+}
+
+// Lenders returns the peers that units are borrowed from.
+func (a *Account) Lenders(now time.Time) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.expire(now)
+	out := make([]string, 0, len(a.borrowed))
+	for lender := range a.borrowed {
+		out = append(out, lender)
+	}
+	return out
+}
+
+func (a *Account) fresh(now time.Time, l loan) bool {
+	return !l.until.Before(now.Add(a.terms.Hold + renewAhead))
+}
+
+// usable returns the units that may be in use up to the given end.
+func (a *Account) usable(now, end time.Time) int {
+	units := a.usableOwned(now, end)
+	for _, l := range a.borrowed {
+		if !l.until.Before(end) {
+			units += l.units
+		}
+	}
+	return units
+}
+
+func (a *Account) usableOwned(now, end time.Time) int {
+	units := 0
+	if !now.Before(a.owned.from) && !a.owned.until.Before(end) {
+		units = a.owned.units
+	}
+	for _, l := range a.lent {
+		units -= l.units
+	}
+	return units
+}
+
+func (a *Account) expire(now time.Time) {
+	if !a.terms.Released {
+		a.holds.expire(now)
+	}
+	for borrower, l := range a.lent {
+		if !now.Before(l.until) {
+			delete(a.lent, borrower)
+		}
+	}
+	for lender, l := range a.borrowed {
+		if !now.Before(l.until) {
+			delete(a.borrowed, lender)
+		}
+	}
+}
+
+// miss counts refused units as demand, in periods of missedFor.
+func (a *Account) miss(now time.Time, units int) {
+	period := now.Truncate(missedFor)
+	if a.missed[1].period != period {
+		a.missed[0], a.missed[1] = a.missed[1], misses{period: period}
+	}
+	a.missed[1].units += units
+}
+
+func (a *Account) missedUnits(now time.Time) int {
+	most := 0
+	for _, m := range a.missed {
+		if now.Sub(m.period) < 2*missedFor {
+			most = max(most, m.units)
+		}
+	}
+	return most
+}
