Hold the limits of a service over the whole fleet

Cause: a service's rate and concurrency were in the catalogue and in no decision.

Change: daemon/limits.go admits each request once, where its placement starts, so that the answer of a repeated key uses nothing. daemon/shares.go keeps ownership in one object of the platform and tells it as a fact. A request over the limit is not run, reason limit.

Found by the proof on the way: 9 requests in flight against a limit of 6. An entry daemon that lost its peer gave the unit back while the request still ran; a unit with an unknown outcome is now held until the deadline.

Ruled out: letting loans run out by themselves.

--- a/coordination/limit/account.go
+++ b/coordination/limit/account.go
@@ -12,6 +12,8 @@
 	renewAhead = time.Second
 	// missedFor is how long a refusal counts as demand.
 	missedFor = time.Second
+	// reserveFraction of what is in use is kept when units are given back.
+	reserveFraction = 4
 	// holdSteps is the number of steps that the time of one use is divided into.
 	holdSteps = 50
 )
@@ -33,6 +35,8 @@
 // Account is one daemon's side of one limit. It is safe for concurrent use.
 type Account struct {
 	terms Terms
+	// notBefore is when the account may first use what is owned.
+	notBefore time.Time
 
 	mu       sync.Mutex
 	owned    stake
@@ -67,10 +71,24 @@
 	return &Account{terms: terms, lent: map[string]*loan{}, borrowed: map[string]loan{}, holds: holds{step: step}}
 }
 
+// Renewed returns an account with other terms in place of this one. What is
+// owned counts once the uses and loans of this one are over.
+func (a *Account) Renewed(terms Terms, now time.Time) *Account {
+	renewed := NewAccount(terms)
+	renewed.notBefore = now.Add(a.terms.Loan())
+	return renewed
+}
+
+// Terms returns how units of the account are used.
+func (a *Account) Terms() Terms { return a.terms }
+
 // Own sets what the daemon owns. Units count from one time until another.
 func (a *Account) Own(units int, from, until time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if from.Before(a.notBefore) {
+		from = a.notBefore
+	}
 	a.owned = stake{units: units, from: from, until: until}
 }
 
@@ -119,8 +137,8 @@
 	return a.usableOwned(now, now) >= 0 && a.holds.total <= a.usable(now, a.holds.latest())
 }
 
-// Lend answers a peer that asks to have the given units in all. Units that
-// the peer may still use stay lent. The loan is renewed or enlarged only if
+// Lend answers a peer that asks to have the given units in all. A peer that
+// asks for fewer than it has gives the rest back; others stay lent. The loan is renewed or enlarged only if
 // extended is true; otherwise it ends when it would have ended.
 func (a *Account) Lend(now time.Time, borrower string, seq uint64, want int) (units int, extended bool) {
 	a.mu.Lock()
@@ -132,6 +150,7 @@
 		return 0, false
 	}
 	l.seq = seq
+	l.units = min(l.units, max(want, 0))
 	spare := a.usableOwned(now, until) - a.holds.total
 	if spare < 0 || a.missedUnits(now) > 0 || want <= 0 {
 		return l.units, false
@@ -152,12 +171,12 @@
 	return a.lent[borrower]
 }
 
-// Borrow takes over a peer's answer that extended a loan. The time is when
-// the question was sent.
-func (a *Account) Borrow(asked time.Time, lender string, units int) {
+// Borrow takes over a peer's answer that extended a loan. The loan ends at
+// the given time, counted from when the question was sent.
+func (a *Account) Borrow(lender string, units int, until time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.borrowed[lender] = loan{units: units, until: asked.Add(a.terms.Loan())}
+	a.borrowed[lender] = loan{units: units, until: until}
 }
 
 // Ask returns the units to ask of a lender so that a deficit of units is
@@ -186,6 +205,31 @@
 	return max(0, a.holds.total+a.missedUnits(now)-a.usable(now, now.Add(a.terms.Hold+renewAhead)))
 }
 
+// GiveBack gives up borrowed units that demand does not need, and returns
+// what is left of the loan of each lender that is to be told.
+func (a *Account) GiveBack(now time.Time) map[string]int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.expire(now)
+	end := now.Add(a.terms.Hold)
+	if last := a.holds.latest(); last.After(end) {
+		end = last
+	}
+	surplus := a.usable(now, end) - a.holds.total - a.holds.total/reserveFraction - a.missedUnits(now)
+	left := map[string]int{}
+	for lender, l := range a.borrowed {
+		back := min(surplus, l.units)
+		if back <= 0 {
+			continue
+		}
+		surplus -= back
+		l.units -= back
+		a.borrowed[lender] = l
+		left[lender] = l.units
+	}
+	return left
+}
+
 // Lenders returns the peers that units are borrowed from.
 func (a *Account) Lenders(now time.Time) []string {
 	a.mu.Lock()
--- a/coordination/limit/limit_test.go
+++ b/coordination/limit/limit_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -163,13 +164,21 @@
 	}
 }
 
+func (f *fleet) giveBack(n *node) {
+	for lender, want := range n.account.GiveBack(f.now) {
+		n.seq++
+		to := slices.IndexFunc(f.nodes, func(each *node) bool { return each.id == lender })
+		f.flight = append(f.flight, message{from: f.index(n), to: to, life: n.life, seq: n.seq, want: want, asked: f.now})
+	}
+}
+
 func (f *fleet) deliver(i int) {
 	m := f.flight[i]
 	f.flight = append(f.flight[:i], f.flight[i+1:]...)
 	asker, lender := f.nodes[m.from], f.nodes[m.to]
 	switch {
 	case m.answer && asker.alive && asker.life == m.life && asker.seq == m.seq && m.isExtended:
-		asker.account.Borrow(m.asked, lender.id, m.units)
+		asker.account.Borrow(lender.id, m.units, m.asked.Add(f.terms.Loan()))
 	case !m.answer && lender.alive:
 		m.answer = true
 		m.units, m.isExtended = lender.account.Lend(f.now, fmt.Sprintf("%s/%d", asker.id, m.life), m.seq, m.want)
@@ -238,8 +247,20 @@
 				for f.take(n) {
 				}
 			}),
-			"release": alive(f.release),
-			"ask":     alive(func(n *node) { f.ask(n, rapid.IntRange(0, len(f.nodes)-1).Draw(t, "lender")) }),
+			"release":   alive(f.release),
+			"ask":       alive(func(n *node) { f.ask(n, rapid.IntRange(0, len(f.nodes)-1).Draw(t, "lender")) }),
+			"give back": alive(f.giveBack),
+			"give all back": alive(func(n *node) {
+				f.flight = nil
+				f.giveBack(n)
+				for len(f.flight) > 0 && !f.flight[0].answer {
+					f.deliver(0)
+				}
+				for _, each := range f.nodes {
+					for each.alive && f.take(each) {
+					}
+				}
+			}),
 			"deliver": message(f.deliver),
 			"exchange": alive(func(n *node) {
 				for f.take(n) {
@@ -341,3 +362,15 @@
 		t.Errorf("another took %d of %d parts that nobody owns", got, Whole)
 	}
 }
+
+func TestUnitsGivenBackAreNotUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := NewAccount(Terms{Hold: time.Second})
+	a.Borrow("peer", 4, now.Add(3*time.Second))
+	if left := a.GiveBack(now); len(left) != 1 || left["peer"] != 0 {
+		t.Fatalf("left %v, want nothing of the loan of peer", left)
+	}
+	if a.Take(now, 1, now.Add(time.Second)) {
+		t.Error("a unit that was given back was taken")
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -62,6 +62,7 @@
 	// suspects are the requests that backend servers crashed on.
 	suspects *suspects
 
+	limits  *limits
 	drains  *drains
 	reports *drain.Reports
 	// viewLock is held while the view is replaced.
@@ -120,10 +121,12 @@
 	d.peers = peer.NewClient(d.auth, addrOf(d.listeners.peer).Addr())
 	d.catalogue.Store(catalogue.Empty())
 	d.view.Store(membership.NewView(d.self, []membership.Member{d.self}))
+	d.limits = newLimits(d)
 	d.registerCalls()
 	d.onFact(factCatalogue, d.takeCatalogue)
 	d.onFact(factLeaving, d.takeLeaving)
 	d.onFact(factDraining, d.drains.takeReported)
+	d.onFact(factShares, d.limits.takeShares)
 	d.onFact(factCrash, d.takeCrashes)
 	return d, nil
 }
@@ -150,6 +153,7 @@
 	group.Go(func() error { return d.followCatalogue(background) })
 	group.Go(func() error { return d.followHosts(background) })
 	group.Go(func() error { return d.followLoadReports(background) })
+	group.Go(func() error { return d.limits.follow(background) })
 	d.log.Info().Str("event", "daemon.ready").Str("incarnation", d.self.Incarnation).
 		Stringer("caller", d.CallerAddr()).Stringer("peer", d.PeerAddr()).Stringer("operator", d.OperatorAddr()).Send()
 	<-ctx.Done()
--- a/daemon/feed.go
+++ b/daemon/feed.go
@@ -124,6 +124,7 @@
 	d.drains.update(d.catalogue.Load)
 	d.refreshView()
 	d.holders.update(set)
+	d.limits.update(d.catalogue.Load)
 }
 
 func parseID(name string) (catalogue.ID, error) {
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -18,6 +18,9 @@
 	// loadReportsDropped counts load reports that were out of range or time.
 	loadReportsDropped *expvar.Int
 	poisonCharged      *expvar.Int
+	// limitRefused counts requests over a limit, unitsBorrowed what peers lent.
+	limitRefused  *expvar.Int
+	unitsBorrowed *expvar.Int
 }
 
 func newMetrics() *metrics {
@@ -26,6 +29,8 @@
 	m.catalogueVersion = m.counter("catalogue_version")
 	m.catalogueInvalid = m.counter("catalogue_invalid")
 	m.members = m.counter("members")
+	m.limitRefused = m.counter("limit_refused")
+	m.unitsBorrowed = m.counter("units_borrowed")
 	m.loadReportsDropped = m.counter("load_reports_dropped")
 	m.poisonCharged = m.counter("poison_charged")
 	for outcome, name := range map[request.Outcome]string{
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -17,6 +17,7 @@
 	peer.Handle(d.peerServe, wire.TypeSuspect, d.answerSuspect)
 	peer.Handle(d.peerServe, wire.TypeFacts, d.answerFacts)
 	peer.Handle(d.peerServe, wire.TypePull, d.answerPull)
+	peer.Handle(d.peerServe, wire.TypeBorrow, d.limits.answerBorrow)
 }
 
 func (d *Daemon) peerHandler() http.Handler {
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -49,13 +49,19 @@
 func (d *Daemon) place(ctx context.Context, set *catalogue.Set, req *request.Request) request.Answer {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
+	release, err := d.limits.admit(ctx, set, req)
+	if err != nil {
+		return request.Refuse(request.ReasonLimit, err.Error())
+	}
 	answer := request.Refuse(request.ReasonNoUpstream, req.Service)
+	defer func() { release(answer.Outcome) }()
 	for attempt, c := range d.taking(placement.Upstreams(set, d.self, req.Service, d.loads.get)) {
 		if attempt == maxAttempts || ctx.Err() != nil {
 			break
 		}
 		if decided, ok := d.allowed(ctx, req); !ok {
-			return decided
+			answer = decided
+			return answer
 		}
 		answer = d.offer(ctx, set, c, req)
 		d.judge(req, c.Upstream.Name, answer)
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -55,6 +55,7 @@
 		{"lookups-expire", d.awaitLookups},
 		{"callers", s.caller.server.Shutdown},
 		{"runs", d.runs.Wait},
+		{"limits", d.limits.leave},
 		{"peers", d.peerServe.Shutdown},
 		{"servers", s.shutdown},
 	}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -19,6 +20,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -28,6 +30,7 @@
 	"bilberrytiller.example/tiller/cli/tillerctl"
 	"bilberrytiller.example/tiller/cli/tillerd"
 	tiller "bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/protocol/callerapi"
 	"bilberrytiller.example/tiller/protocol/operatorapi"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/state/request"
@@ -100,6 +103,8 @@
 	Operator   netip.AddrPort
 	relay      *relay.Relay
 	t          testing.TB
+	// callerAddr is Caller for senders that go on while the daemon restarts.
+	callerAddr atomic.Pointer[netip.AddrPort]
 	cmd        *exec.Cmd
 	log        *logBuffer
 	exited     chan struct{}
@@ -311,6 +316,8 @@
 		f.t.Fatalf("%s did not start:\n%s", h.ID, h.Log())
 	}
 	h.Caller, h.Operator = ready["caller"], ready["operator"]
+	addr := h.Caller
+	h.callerAddr.Store(&addr)
 	relayListener.SetTarget(ready["peer"].String())
 	h.relay = relayListener
 }
@@ -380,6 +387,27 @@
 	}
 }
 
+// Post sends one request to the daemon as it runs now, and returns what its
+// answer says; a request without a whole answer has an unknown outcome.
+func (h *Host) Post(service, body string, timeout time.Duration) (request.Outcome, request.Reason) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	target := "http://" + h.callerAddr.Load().String() + callerapi.PathRun + service + "/"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader(body))
+	if err != nil {
+		return request.NotRun, request.ReasonBadRequest
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return request.Unknown, request.ReasonConnectionLost
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return request.Unknown, request.ReasonConnectionLost
+	}
+	return request.Outcome(resp.Header.Get(callerapi.HeaderOutcome)), request.Reason(resp.Header.Get(callerapi.HeaderReason))
+}
+
 // Status reads what the daemon knows.
 func (h *Host) Status() (operatorapi.Status, error) {
 	var status operatorapi.Status
--- a/state/catalogue/set.go
+++ b/state/catalogue/set.go
@@ -138,6 +138,11 @@
 // Service returns a service by name, or nil.
 func (s *Set) Service(name string) *Service { return s.services[name] }
 
+// Services returns every service, by name.
+func (s *Set) Services() []*Service {
+	return slices.SortedFunc(maps.Values(s.services), func(a, b *Service) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // Upstream returns an upstream by name, or nil.
 func (s *Set) Upstream(name string) *Upstream { return s.upstreams[name] }
 
