--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,17 +9,19 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"bilberrytiller.example/tiller/coordination/admission"
 	"bilberrytiller.example/tiller/coordination/drain"
+	"bilberrytiller.example/tiller/coordination/hold"
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/permit"
 	"bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/coordination/retry"
 	"bilberrytiller.example/tiller/coordination/spread"
 	"bilberrytiller.example/tiller/internal/inflight"
 	"bilberrytiller.example/tiller/state/catalogue"
@@ -43,14 +45,19 @@
 	self     membership.Member
 	metrics  *metrics
 
-	platform  platform.Client
-	peers     *peer.Client
+	platform platform.Client
+	peers    *peer.Client
+	// control carries heartbeats and facts, apart from the requests that peers
+	// carries, so that a heartbeat waits for no request's bytes.
+	control   *peer.Client
 	peerServe *peer.Server
 	auth      *peer.Auth
 
 	catalogue atomic.Pointer[catalogue.Set]
+	invalid   *invalidObjects
 	view      atomic.Pointer[membership.View]
 	steered   atomic.Pointer[steering]
+	roster    *roster
 
 	facts  *spread.Store
 	takers map[spread.Kind]func([]spread.Fact)
@@ -61,12 +68,14 @@
 	loads   *loads
 	// suspects are the requests that backend servers crashed on.
 	suspects *suspects
+	// lease tells whether this daemon may dispatch.
+	lease     *hold.Lease
+	admission *admission.Controller
+	retries   *retry.Budget
 
 	limits  *limits
 	drains  *drains
 	reports *drain.Reports
-	// viewLock is held while the view is replaced.
-	viewLock sync.Mutex
 
 	listeners listeners
 	// requests counts callers' requests that are being served, runs the runs
@@ -91,22 +100,26 @@
 		return nil, err
 	}
 	d := &Daemon{
-		settings: settings,
-		log:      log.With().Str("host", settings.HostID).Logger(),
-		metrics:  newMetrics(),
-		platform: platformhttp.New(settings.Platform),
-		auth:     peer.NewAuth(settings.HostID, []byte(settings.Secret)),
-		issuer:   permit.NewIssuer([]byte(settings.Secret), rand.Reader),
-		keys:     permit.NewTable(maxKeys),
-		loads:    newLoads(),
-		suspects: newSuspects(),
-		facts:    spread.NewStore(),
-		takers:   map[spread.Kind]func([]spread.Fact){},
-		drains:   newDrains(),
-		reports:  drain.NewReports(),
+		settings:  settings,
+		log:       log.With().Str("host", settings.HostID).Logger(),
+		metrics:   newMetrics(),
+		platform:  platformhttp.New(settings.Platform),
+		auth:      peer.NewAuth(settings.HostID, []byte(settings.Secret)),
+		issuer:    permit.NewIssuer([]byte(settings.Secret), rand.Reader),
+		keys:      permit.NewTable(maxKeys),
+		loads:     newLoads(),
+		lease:     hold.NewLease(time.Now()),
+		admission: admission.New(),
+		retries:   retry.NewBudget(),
+		facts:     spread.NewStore(),
+		suspects:  newSuspects(),
+		invalid:   newInvalidObjects(),
+		takers:    map[spread.Kind]func([]spread.Fact){},
+		drains:    newDrains(),
+		reports:   drain.NewReports(),
 	}
 	d.peerServe = peer.NewServer(d.auth, d.log)
-	d.holders = newHolders(d.log, d.drains)
+	d.holders = newHolders(d.log)
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -119,15 +132,19 @@
 		Caller:      advertised(settings.CallerAdvertise, d.listeners.caller),
 	}
 	d.peers = peer.NewClient(d.auth, addrOf(d.listeners.peer).Addr())
+	d.control = peer.NewClient(d.auth, addrOf(d.listeners.peer).Addr())
+	d.roster = newRoster(d.self, time.Now())
 	d.catalogue.Store(catalogue.Empty())
 	d.view.Store(membership.NewView(d.self, []membership.Member{d.self}))
 	d.limits = newLimits(d)
 	d.registerCalls()
 	d.onFact(factCatalogue, d.takeCatalogue)
-	d.onFact(factLeaving, d.takeLeaving)
 	d.onFact(factDraining, d.drains.takeReported)
 	d.onFact(factShares, d.limits.takeShares)
 	d.onFact(factCrash, d.takeCrashes)
+	d.onFact(factInvalid, d.takeInvalid)
+	d.onFact(factMember, d.takeMembers)
+	d.onFact(factHost, d.takeHosts)
 	return d, nil
 }
 
@@ -152,6 +169,8 @@
 	}
 	group.Go(func() error { return d.followCatalogue(background) })
 	group.Go(func() error { return d.followHosts(background) })
+	group.Go(func() error { return d.followMembers(background) })
+	group.Go(func() error { return d.followHolds(background) })
 	group.Go(func() error { return d.followLoadReports(background) })
 	group.Go(func() error { return d.limits.follow(background) })
 	d.log.Info().Str("event", "daemon.ready").Str("incarnation", d.self.Incarnation).
@@ -160,6 +179,7 @@
 	err := d.stop(servers)
 	stopBackground()
 	d.peers.Close()
+	d.control.Close()
 	return errors.Join(err, group.Wait())
 }
 
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -10,7 +10,6 @@
 	"bilberrytiller.example/tiller/coordination/drain"
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/placement"
-	"bilberrytiller.example/tiller/coordination/platform"
 	"bilberrytiller.example/tiller/coordination/spread"
 	"bilberrytiller.example/tiller/state/catalogue"
 )
@@ -30,15 +29,14 @@
 // errDraining ends the wait for a slot of an upstream that leaves.
 var errDraining = errors.New("upstream is leaving")
 
-// drains knows what is leaving: hosts that were announced, upstreams by the
-// catalogue or by their load reports.
+// drains knows what is leaving: this host by the platform's list, upstreams
+// by the catalogue or by their load reports.
 type drains struct {
 	mu sync.Mutex
 	// set is the catalogue in force.
-	set       *catalogue.Set
-	announced map[string]bool
-	reported  map[string]spread.Fact
-	intakes   map[string]intake
+	set      *catalogue.Set
+	reported map[string]spread.Fact
+	intakes  map[string]intake
 	// listed says that the platform's list of hosts has this host leaving.
 	listed bool
 }
@@ -51,7 +49,7 @@
 
 func newDrains() *drains {
 	return &drains{
-		set: catalogue.Empty(), announced: map[string]bool{}, reported: map[string]spread.Fact{}, intakes: map[string]intake{},
+		set: catalogue.Empty(), reported: map[string]spread.Fact{}, intakes: map[string]intake{},
 	}
 }
 
@@ -149,15 +147,13 @@
 func (d *drains) hostLeaving(m membership.Member) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.announced[m.Incarnation] || d.set.HostLeaving(m.ID, m.DataCentre)
+	return d.set.HostLeaving(m.ID, m.DataCentre)
 }
 
-func (d *drains) takeAnnounced(facts []spread.Fact) {
+func (d *drains) setListed(leaving bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, f := range facts {
-		d.announced[f.ID.Key] = true
-	}
+	d.listed = leaving
 }
 
 func (d *drains) isListed() bool {
@@ -173,44 +169,32 @@
 }
 
 // noteListed takes over what the platform's list says of this host.
-func (d *Daemon) noteListed(hosts []platform.Host) {
-	listed := slices.ContainsFunc(hosts, func(h platform.Host) bool {
-		return h.ID == d.self.ID && h.State == platform.HostLeaving
-	})
-	d.drains.mu.Lock()
-	defer d.drains.mu.Unlock()
-	d.drains.listed = listed
-}
-
-// takeLeaving takes hosts that were announced as leaving out of the view.
-func (d *Daemon) takeLeaving(facts []spread.Fact) {
-	d.drains.takeAnnounced(facts)
-	d.refreshView()
+func (d *Daemon) noteListed(hosts []membership.Host) {
+	for _, h := range hosts {
+		if h.ID == d.self.ID {
+			d.drains.setListed(h.Leaving)
+			d.refreshView()
+		}
+	}
 }
 
-// refreshView applies what is known of drains to the view at once.
+// refreshView shows what is known of drains in the view at once.
 func (d *Daemon) refreshView() {
-	d.viewLock.Lock()
-	defer d.viewLock.Unlock()
-	d.view.Store(d.drained(d.view.Load().Members()))
-}
-
-// storeView puts a view of new members in force.
-func (d *Daemon) storeView(members []membership.Member) {
-	d.viewLock.Lock()
-	defer d.viewLock.Unlock()
-	d.view.Store(d.drained(members))
+	d.roster.mu.Lock()
+	defer d.roster.mu.Unlock()
+	d.show(d.roster.tracker)
 }
 
-// drained returns a view of the members in which those that leave are so.
-func (d *Daemon) drained(members []membership.Member) *membership.View {
-	self := d.self
-	out := slices.Clone(members)
+// drained returns a view in which the hosts that are drained leave.
+func (d *Daemon) drained(view *membership.View) *membership.View {
+	self := view.Self
+	out := slices.Clone(view.Members())
 	for i, m := range out {
-		if m.Usable() && d.drains.hostLeaving(m) {
-			out[i].State = membership.Leaving
+		leaving := d.drains.hostLeaving(m)
+		if m.ID == self.ID {
+			leaving = d.withdrawn()
 		}
-		if m.ID == self.ID && d.withdrawn() {
+		if m.Usable() && leaving {
 			out[i].State = membership.Leaving
 		}
 		if m.ID == self.ID {
@@ -240,7 +224,7 @@
 	set := d.catalogue.Load()
 	var reads sync.WaitGroup
 	for _, u := range set.AllUpstreams() {
-		if holder, ok := d.holderOf(set, u); ok && holder.ID == d.self.ID {
+		if d.isHolder(set, u) {
 			reads.Go(func() { d.readLoadReport(ctx, u) })
 		}
 	}
@@ -249,7 +233,7 @@
 
 // readLoadReport reads one report. A missing one changes nothing.
 func (d *Daemon) readLoadReport(ctx context.Context, u *catalogue.Upstream) {
-	client := d.holders.get(u).client
+	client := d.holders.get(u).clientNow()
 	if d.drains.leaving(u.Name) {
 		client.Close()
 	}
--- a/daemon/holder.go
+++ b/daemon/holder.go
@@ -4,63 +4,190 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
+	"bilberrytiller.example/tiller/coordination/hold"
 	"bilberrytiller.example/tiller/coordination/placement"
 	"bilberrytiller.example/tiller/coordination/schedule"
+	"bilberrytiller.example/tiller/protocol/wire"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/state/request"
 	"bilberrytiller.example/tiller/transport/backendhttp"
 )
 
+const (
+	// waitingPerSlot is the length of an upstream's queue for each slot.
+	waitingPerSlot = 64
+	// failingAfter is the number of failed connections in a row after which
+	// an upstream counts as failing.
+	failingAfter = 3
+)
+
+// errNotHolder ends requests that wait for a slot of an upstream that this
+// daemon no longer holds.
+var errNotHolder = errors.New("not the holder of the upstream")
+
+// holdState is where a daemon stands with an upstream.
+type holdState int
+
+const (
+	holdClosed holdState = iota
+	// holdClaiming is the state while other members are asked.
+	holdClaiming
+	holdOpen
+)
+
 // holders keeps the upstreams whose slots this daemon schedules.
 type holders struct {
-	log    zerolog.Logger
-	drains *drains
-	mu     sync.Mutex
-	held   map[string]*held
+	log  zerolog.Logger
+	mu   sync.Mutex
+	held map[string]*held
 }
 
 // held is one upstream with its slots and its connections.
 type held struct {
-	upstream  catalogue.Upstream
+	log       zerolog.Logger
 	scheduler *schedule.Scheduler
-	client    *backendhttp.Client
+
+	mu       sync.Mutex
+	upstream catalogue.Upstream
+	client   *backendhttp.Client
+	state    holdState
+	// generation counts the changes of state.
+	generation int
+	// alone is true if other members were outwaited.
+	alone bool
+	// usable is when the upstream became usable, zero if it always was.
+	usable time.Time
+	// failures counts failed connections in a row.
+	failures int
+	service  time.Duration
+	lastDone time.Time
 }
 
-func newHolders(log zerolog.Logger, drains *drains) *holders {
-	return &holders{log: log, drains: drains, held: map[string]*held{}}
+func newHolders(log zerolog.Logger) *holders {
+	return &holders{log: log, held: map[string]*held{}}
 }
 
-// run waits for a slot of the upstream and runs the request there.
-func (h *holders) run(ctx context.Context, u *catalogue.Upstream, req *request.Request) request.Answer {
-	held := h.get(u)
-	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
-	defer cancel()
-	queued, leave := h.drains.whileTaking(ctx, u.Name)
-	err := held.scheduler.Acquire(queued, req.Rank)
-	leave()
-	if errors.Is(err, errDraining) {
-		return request.Refuse(request.ReasonNoUpstream, err.Error())
+// dispatchHere runs a request on an upstream whose slots this daemon holds.
+func (d *Daemon) dispatchHere(ctx context.Context, upstream string, req *request.Request) request.Answer {
+	set := d.catalogue.Load()
+	u := set.Upstream(upstream)
+	if u == nil || d.drains.leaving(upstream) {
+		return request.Refuse(request.ReasonDraining, upstream)
 	}
+	h := d.holders.get(u)
+	generation, ok := h.mayDispatch(d.lease)
+	if !ok {
+		return request.Refuse(request.ReasonNotHolder, upstream)
+	}
+	queued, taken := d.drains.whileTaking(ctx, upstream)
+	release, err := h.scheduler.Acquire(queued, classOf(set, req), req.Deadline)
+	taken()
 	if err != nil {
-		return request.Refuse(request.ReasonTooLate, err.Error())
+		return refuseSlot(upstream, err)
+	}
+	defer release()
+	// The daemon may have been paused or replaced while the request waited.
+	if now, ok := h.mayDispatch(d.lease); !ok || now != generation {
+		return request.Refuse(request.ReasonNotHolder, upstream)
+	}
+	answer := h.run(ctx, req)
+	answer.Upstream = upstream
+	return answer
+}
+
+// classOf returns what the catalogue says of a request's work.
+func classOf(set *catalogue.Set, req *request.Request) schedule.Class {
+	class := schedule.Class{Service: req.Service, Owner: req.Owner, Rank: req.Rank}
+	if service := set.Service(req.Service); service != nil {
+		class.Guaranteed = service.Class.Guaranteed
+		class.Worth = service.Class.Worth
+	}
+	return class
+}
+
+// refuseSlot returns the outcome of a request that got no slot.
+func refuseSlot(upstream string, err error) request.Answer {
+	reason := request.ReasonTooLate
+	switch {
+	case errors.Is(err, schedule.ErrFull):
+		reason = request.ReasonQueueFull
+	case errors.Is(err, errDraining):
+		reason = request.ReasonDraining
+	case errors.Is(err, errNotHolder):
+		reason = request.ReasonNotHolder
+	case errors.Is(err, context.Canceled):
+		reason = request.ReasonCancelled
+	}
+	return request.Refuse(reason, upstream+": "+err.Error())
+}
+
+// mayDispatch reports whether the daemon holds the upstream, and since which
+// change of state.
+func (h *held) mayDispatch(lease *hold.Lease) (generation int, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.generation, h.state == holdOpen && lease.Valid(time.Now(), h.alone)
+}
+
+// clientNow returns the client of the upstream's present address.
+func (h *held) clientNow() *backendhttp.Client {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.client
+}
+
+// run runs a request that has a slot.
+func (h *held) run(ctx context.Context, req *request.Request) request.Answer {
+	started := time.Now()
+	answer := h.clientNow().Run(ctx, req)
+	h.note(answer, started, time.Now())
+	return answer
+}
+
+// note learns from an answer how the upstream does.
+func (h *held) note(answer request.Answer, started, now time.Time) {
+	const weight = 10
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if answer.Reason == request.ReasonConnect {
+		h.failures++
+		return
+	}
+	if answer.Outcome != request.Done {
+		return
 	}
-	defer held.scheduler.Release()
-	return held.client.Run(ctx, req)
+	if h.failures >= failingAfter {
+		h.usable = now
+	}
+	h.failures = 0
+	h.service += (now.Sub(started) - h.service) / weight
+	h.lastDone = now
 }
 
 // load returns the load of an upstream that this daemon holds.
+func (h *held) load(now time.Time) placement.Load {
+	inUse, waiting := h.scheduler.Load()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return placement.Load{
+		InUse: inUse, Waiting: waiting, Service: h.service, At: now,
+		Warm: !h.lastDone.IsZero(), Failing: h.failures >= failingAfter,
+	}
+}
+
+// load returns the load of an upstream as its holder knows it.
 func (h *holders) load(upstream string) placement.Load {
 	h.mu.Lock()
-	held, ok := h.held[upstream]
+	found, ok := h.held[upstream]
 	h.mu.Unlock()
 	if !ok {
 		return placement.Load{}
 	}
-	inUse, waiting := held.scheduler.Load()
-	return placement.Load{InUse: inUse, Waiting: waiting}
+	return found.load(time.Now())
 }
 
 // update takes changes of the catalogue over.
@@ -68,18 +195,38 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for name, held := range h.held {
-		u := set.Upstream(name)
-		if u == nil {
-			continue
-		}
-		held.scheduler.SetSlots(u.Slots)
-		if u.Address != held.upstream.Address {
-			held.client = backendhttp.New(u.Address, u.Connections)
+		if u := set.Upstream(name); u != nil {
+			held.update(u, set.Leaving(u), time.Now())
 		}
-		held.upstream = *u
 	}
 }
 
+func (h *held) update(u *catalogue.Upstream, leaving bool, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if u.Address != h.upstream.Address || u.Connections != h.upstream.Connections {
+		old := h.client
+		h.client = backendhttp.New(u.Address, u.Connections)
+		h.usable = now
+		old.Close()
+	}
+	if leaving {
+		// Work that comes back starts slowly.
+		h.usable = now
+	}
+	h.upstream = *u
+	h.scheduler.SetLimits(h.limits(now))
+}
+
+// limits are the scheduler's limits. The lock must be held.
+func (h *held) limits(now time.Time) schedule.Limits {
+	slots := h.upstream.Slots
+	if !h.usable.IsZero() {
+		slots = hold.Ramp(slots, now.Sub(h.usable))
+	}
+	return schedule.Limits{Slots: slots, Waiting: h.upstream.Slots * waitingPerSlot}
+}
+
 func (h *holders) get(u *catalogue.Upstream) *held {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -87,14 +234,28 @@
 		return found
 	}
 	created := &held{
+		log:       h.log.With().Str("upstream", u.Name).Logger(),
 		upstream:  *u,
-		scheduler: schedule.New(u.Slots),
+		scheduler: schedule.New(schedule.Limits{Slots: u.Slots, Waiting: u.Slots * waitingPerSlot}),
 		client:    backendhttp.New(u.Address, u.Connections),
 	}
 	h.held[u.Name] = created
 	return created
 }
 
+// answerDispatch runs a request on an upstream whose slots this daemon holds.
+func (d *Daemon) answerDispatch(ctx context.Context, _ string, in *wire.Dispatch) (*wire.Answered, error) {
+	if in.Holder != d.self.Incarnation {
+		return &wire.Answered{Answer: request.Refuse(request.ReasonNotHolder, in.Upstream+": other incarnation")}, nil
+	}
+	req := in.Request.Open(time.Now())
+	answer := d.dispatchHere(ctx, in.Upstream, req)
+	load := d.holders.load(in.Upstream)
+	return &wire.Answered{Answer: answer, Load: wire.Load{
+		InUse: load.InUse, Waiting: load.Waiting, Service: load.Service, Warm: load.Warm, Failing: load.Failing,
+	}}, nil
+}
+
 // loads keeps the latest known load of each upstream.
 type loads struct {
 	mu    sync.Mutex
@@ -114,3 +275,13 @@
 	defer l.mu.Unlock()
 	l.known[upstream] = load
 }
+
+// fail marks an upstream whose holder could not be reached.
+func (l *loads) fail(upstream string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	load := l.known[upstream]
+	load.Failing = true
+	load.At = now
+	l.known[upstream] = load
+}
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -22,6 +22,9 @@
 	// request for units.
 	borrowTimeout = time.Second
 	borrowWait    = 300 * time.Millisecond
+	// firstWait bounds the wait of a request for the first shares of a group,
+	// which are made when the catalogue gets its first limit.
+	firstWait = 3 * time.Second
 	// borrowPause is the time after a round without a loan in which requests
 	// over the limit are refused at once.
 	borrowPause = 250 * time.Millisecond
@@ -186,6 +189,7 @@
 	if take() {
 		return true
 	}
+	l.awaitShares(ctx, a.id.group)
 	round := l.borrowRound(a)
 	if round == nil {
 		return false
@@ -307,7 +311,9 @@
 func (l *limits) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
 		for _, s := range l.shares {
-			l.keepShares(ctx, s)
+			if l.wanted(s.group) {
+				l.keepShares(ctx, s)
+			}
 		}
 		for _, a := range l.unbalanced() {
 			l.borrowRound(a)
@@ -317,6 +323,19 @@
 	return nil
 }
 
+// wanted reports whether the catalogue has had a limit of the group. Without
+// one nothing is kept in the platform.
+func (l *limits) wanted(group string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id := range l.accounts {
+		if id.group == group {
+			return true
+		}
+	}
+	return false
+}
+
 // unbalanced returns the accounts whose demand needs more or fewer units.
 func (l *limits) unbalanced() []*account {
 	l.mu.Lock()
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -15,9 +15,16 @@
 	catalogueVersion *expvar.Int
 	catalogueInvalid *expvar.Int
 	members          *expvar.Int
-	// loadReportsDropped counts load reports that were out of range or time.
+	poisonCharged    *expvar.Int
+	neighbours       *expvar.Int
+	isolated         *expvar.Int
+	relay            *expvar.Int
+	repairs          *expvar.Int
+	heartbeats       *expvar.Int
+	heartbeatsFailed *expvar.Int
+	// loadReportsDropped counts load reports out of range, stale or from the
+	// future.
 	loadReportsDropped *expvar.Int
-	poisonCharged      *expvar.Int
 	// limitRefused counts requests over a limit, unitsBorrowed what peers lent.
 	limitRefused  *expvar.Int
 	unitsBorrowed *expvar.Int
@@ -31,8 +38,14 @@
 	m.members = m.counter("members")
 	m.limitRefused = m.counter("limit_refused")
 	m.unitsBorrowed = m.counter("units_borrowed")
-	m.loadReportsDropped = m.counter("load_reports_dropped")
 	m.poisonCharged = m.counter("poison_charged")
+	m.neighbours = m.counter("neighbours")
+	m.isolated = m.counter("isolated")
+	m.relay = m.counter("relay")
+	m.repairs = m.counter("fact_repairs")
+	m.heartbeats = m.counter("heartbeats_answered")
+	m.heartbeatsFailed = m.counter("heartbeats_failed")
+	m.loadReportsDropped = m.counter("load_reports_dropped")
 	for outcome, name := range map[request.Outcome]string{
 		request.Done:    "requests_done",
 		request.NotRun:  "requests_not_run",
--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -43,10 +43,12 @@
 	// unread says that the platform's object is to be read before it is
 	// written, because it was not read yet or a write had no answer.
 	unread atomic.Bool
+	// known is closed when shares were first read.
+	known chan struct{}
 }
 
 func newShares(d *Daemon, group string) *shares {
-	s := &shares{d: d, group: group, ownership: limit.NewOwnership(d.self.ID, d.self.Incarnation)}
+	s := &shares{d: d, group: group, ownership: limit.NewOwnership(d.self.ID, d.self.Incarnation), known: make(chan struct{})}
 	s.unread.Store(true)
 	return s
 }
@@ -57,9 +59,24 @@
 		return fmt.Errorf("shares of %s: %w", s.group, err)
 	}
 	s.ownership.Adopt(version, read, time.Now())
+	select {
+	case <-s.known:
+	default:
+		close(s.known)
+	}
 	return nil
 }
 
+// awaitShares waits a short time for the first shares of a group.
+func (l *limits) awaitShares(ctx context.Context, group string) {
+	ctx, cancel := context.WithTimeout(ctx, firstWait)
+	defer cancel()
+	select {
+	case <-l.shares[group].known:
+	case <-ctx.Done():
+	}
+}
+
 // keepShares takes what the platform says over and tells it what this daemon
 // is to own.
 func (l *limits) keepShares(ctx context.Context, s *shares) {
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -7,16 +7,12 @@
 	"net/http"
 	"time"
 
-	"bilberrytiller.example/tiller/coordination/spread"
+	"bilberrytiller.example/tiller/coordination/membership"
 )
 
 // leaveMargin is the time after which every daemon that can reach this one
 // knows that it leaves, also one that its announcement did not reach.
-const leaveMargin = heartbeatPeriod + heartbeatTimeout
-
-// factLeaving is the kind of the facts that name daemons that leave. The key
-// is the daemon's incarnation.
-const factLeaving spread.Kind = "leaving"
+const leaveMargin = (mismatchesBeforeRepair+1)*heartbeatPeriod + heartbeatTimeout
 
 // Work counts what a stop waits for.
 type Work struct {
@@ -84,12 +80,7 @@
 func (d *Daemon) announceLeaving(context.Context) error {
 	d.leaving.Store(true)
 	d.log.Info().Str("event", "daemon.leaving").Send()
-	forget := time.Now().Add(d.settings.StopTimeout + leaveMargin)
-	d.publish(spread.Fact{
-		ID:        spread.ID{Kind: factLeaving, Key: d.self.Incarnation},
-		Version:   1,
-		ExpiresMs: forget.UnixMilli(),
-	})
+	d.withTracker(func(t *membership.Tracker) []membership.Record { return []membership.Record{t.Leave()} })
 	return nil
 }
 
@@ -113,15 +104,6 @@
 	})
 }
 
-// checkStop refuses a stop timeout that would cut callers with valid look-ups.
-func (s *Settings) checkStop() error {
-	least := s.LookupTTL + leaveMargin
-	if s.StopTimeout > least {
-		return nil
-	}
-	return settingError("stop-timeout", s.StopTimeout.String(), fmt.Sprintf("above %v, which is lookup-ttl and %v more", least, leaveMargin), ErrNotAllowed)
-}
-
 // shutdown closes the listeners of peers and operators once idle.
 func (s servers) shutdown(ctx context.Context) error {
 	return errors.Join(s.peer.server.Shutdown(ctx), s.operator.server.Shutdown(ctx))
--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -15,8 +15,9 @@
 		{5 * time.Second, 5*time.Second + leaveMargin, false},
 		{5 * time.Second, 7 * time.Second, true},
 	} {
-		s := Settings{LookupTTL: c.ttl, StopTimeout: c.timeout}
-		err := s.checkStop()
+		var s Settings
+		s.LookupTTL, s.StopTimeout = c.ttl, c.timeout
+		err := s.checkStopTimeout()
 		var wrong *SettingError
 		if c.valid != (err == nil) || (err != nil && !errors.As(err, &wrong)) {
 			t.Errorf("look-ups %v, stop timeout %v: %v", c.ttl, c.timeout, err)
--- a/standin/proofs/limits_test.go
+++ b/standin/proofs/limits_test.go
@@ -64,7 +64,7 @@
 			return
 		case <-time.After(2 * time.Millisecond):
 		}
-		outcome, reason := h.Post("lookups", "flood", 5*time.Second)
+		outcome, reason := h.Send("lookups", "flood", 5*time.Second)
 		fl.mu.Lock()
 		if outcome == request.Done {
 			fl.done++
@@ -174,7 +174,7 @@
 	var all sync.WaitGroup
 	outcomes := make([]request.Outcome, n)
 	for i := range n {
-		all.Go(func() { outcomes[i], _ = h.Post("lookups", "at-once", 5*time.Second) })
+		all.Go(func() { outcomes[i], _ = h.Send("lookups", "at-once", 5*time.Second) })
 	}
 	all.Wait()
 	return !slices.ContainsFunc(outcomes, func(o request.Outcome) bool { return o != request.Done })
