--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"expvar"
 	"fmt"
 	"net"
 	"net/http"
@@ -62,10 +63,15 @@
 	facts  *spread.Store
 	takers map[spread.Kind]func([]spread.Fact)
 
-	issuer  *permit.Issuer
-	keys    *permit.Table
-	holders *holders
-	loads   *loads
+	issuer *permit.Issuer
+	keys   *permit.Table
+	// successions and handovers follow the keys of daemons that stopped;
+	// handedOver is closed when this daemon's own keys are dealt with.
+	successions *permit.Successions
+	handovers   *permit.Receiver
+	handedOver  chan struct{}
+	holders     *holders
+	loads       *loads
 	// suspects are the requests that backend servers crashed on.
 	suspects *suspects
 	// lease tells whether this daemon may dispatch.
@@ -106,7 +112,7 @@
 		platform:  platformhttp.New(settings.Platform),
 		auth:      peer.NewAuth(settings.HostID, []byte(settings.Secret)),
 		issuer:    permit.NewIssuer([]byte(settings.Secret), rand.Reader),
-		keys:      permit.NewTable(maxKeys),
+		keys:      permit.NewTable(incarnation, permit.Limits{Keys: maxKeys, AnswerBytes: maxAnswerBytes}),
 		loads:     newLoads(),
 		lease:     hold.NewLease(time.Now()),
 		admission: admission.New(),
@@ -118,6 +124,10 @@
 		drains:    newDrains(),
 		reports:   drain.NewReports(),
 	}
+	d.successions = permit.NewSuccessions()
+	d.handovers = permit.NewReceiver(incarnation, d.keys)
+	d.handedOver = make(chan struct{})
+	d.metrics.all.Set("keys_held", expvar.Func(func() any { return d.keys.Len() }))
 	d.peerServe = peer.NewServer(d.auth, d.log)
 	d.holders = newHolders(d.log)
 	if err := d.listen(); err != nil {
@@ -145,6 +155,7 @@
 	d.onFact(factInvalid, d.takeInvalid)
 	d.onFact(factMember, d.takeMembers)
 	d.onFact(factHost, d.takeHosts)
+	d.onFact(factSuccession, d.takeSuccessions)
 	return d, nil
 }
 
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -1,9 +1,7 @@
 package daemon
 
 import (
-	"context"
 	"net/http"
-	"time"
 
 	"bilberrytiller.example/tiller/protocol/wire"
 	"bilberrytiller.example/tiller/transport/peer"
@@ -14,6 +12,7 @@
 	peer.Handle(d.peerServe, wire.TypeHello, d.answerHello)
 	peer.Handle(d.peerServe, wire.TypeRun, d.answerRun)
 	peer.Handle(d.peerServe, wire.TypeDispatch, d.answerDispatch)
+	peer.Handle(d.peerServe, wire.TypeHandover, d.answerHandover)
 	peer.Handle(d.peerServe, wire.TypeSuspect, d.answerSuspect)
 	peer.Handle(d.peerServe, wire.TypeClaim, d.answerClaim)
 	peer.Handle(d.peerServe, wire.TypeFacts, d.answerFacts)
@@ -27,9 +26,3 @@
 	mux.Handle(peer.Path, d.peerServe)
 	return mux
 }
-
-// answerRun runs a request whose key this daemon owns.
-func (d *Daemon) answerRun(ctx context.Context, _ string, in *wire.Run) (*wire.Answered, error) {
-	req := in.Request.Open(time.Now())
-	return &wire.Answered{Answer: d.runOwned(ctx, req)}, nil
-}
--- a/daemon/poison.go
+++ b/daemon/poison.go
@@ -141,7 +141,7 @@
 		return d.runSuspectHere(ctx, req)
 	}
 	in := &wire.Run{Request: wire.NewRequest(req, time.Now())}
-	out, err := peer.Call[wire.Answered](ctx, d.peers, holder.Peer, wire.TypeSuspect, in)
+	out, err := peer.CallSettled[wire.Answered](ctx, d.peers, holder.Peer, wire.TypeSuspect, in, graceOf(req))
 	if err != nil {
 		return peerFailure(holder, err)
 	}
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -49,6 +49,7 @@
 	return []step{
 		{"announce", d.announceLeaving},
 		{"lookups-expire", d.awaitLookups},
+		{"keys", d.handOver},
 		{"callers", s.caller.server.Shutdown},
 		{"runs", d.runs.Wait},
 		{"limits", d.limits.leave},
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -223,6 +223,7 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	if f.Truncate {
 		_, _ = io.WriteString(w, text[:len(text)/2])
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = io.WriteString(w, text)
