--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -33,7 +33,7 @@
 }
 
 func (d *Daemon) handleRun(w http.ResponseWriter, r *http.Request) {
-	defer d.inFlight.begin()()
+	defer d.requests.Begin()()
 	req, err := newRequest(w, r)
 	if err != nil {
 		d.finish(w, req, refuseRequest(req, err))
@@ -53,7 +53,7 @@
 
 // ownKey returns a key that this daemon owns, or "".
 func (d *Daemon) ownKey() string {
-	if d.leaving.Load() {
+	if d.withdrawn() {
 		return ""
 	}
 	key, err := d.issuer.Issue(d.self.Incarnation, time.Now().Add(d.settings.KeyTTL))
--- a/daemon/holder.go
+++ b/daemon/holder.go
@@ -75,15 +75,17 @@
 func (d *Daemon) dispatchHere(ctx context.Context, upstream string, req *request.Request) request.Answer {
 	set := d.catalogue.Load()
 	u := set.Upstream(upstream)
-	if u == nil || set.Leaving(u) {
-		return request.Refuse(request.ReasonNoUpstream, upstream)
+	if u == nil || d.drains.leaving(upstream) {
+		return request.Refuse(request.ReasonDraining, upstream)
 	}
 	h := d.holders.get(u)
 	generation, ok := h.mayDispatch(d.lease)
 	if !ok {
 		return request.Refuse(request.ReasonNotHolder, upstream)
 	}
-	release, err := h.scheduler.Acquire(ctx, classOf(set, req), req.Deadline)
+	queued, taken := d.drains.whileTaking(ctx, upstream)
+	release, err := h.scheduler.Acquire(queued, classOf(set, req), req.Deadline)
+	taken()
 	if err != nil {
 		return refuseSlot(upstream, err)
 	}
@@ -113,6 +115,8 @@
 	switch {
 	case errors.Is(err, schedule.ErrFull):
 		reason = request.ReasonQueueFull
+	case errors.Is(err, errDraining):
+		reason = request.ReasonDraining
 	case errors.Is(err, errNotHolder):
 		reason = request.ReasonNotHolder
 	case errors.Is(err, context.Canceled):
@@ -129,13 +133,17 @@
 	return h.generation, h.state == holdOpen && lease.Valid(time.Now(), h.alone)
 }
 
+// clientNow returns the client of the upstream's present address.
+func (h *held) clientNow() *backendhttp.Client {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.client
+}
+
 // run runs a request that has a slot.
 func (h *held) run(ctx context.Context, req *request.Request) request.Answer {
-	h.mu.Lock()
-	client := h.client
-	h.mu.Unlock()
 	started := time.Now()
-	answer := client.Run(ctx, req)
+	answer := h.clientNow().Run(ctx, req)
 	h.note(answer, started, time.Now())
 	return answer
 }
@@ -237,7 +245,6 @@
 
 // answerDispatch runs a request on an upstream whose slots this daemon holds.
 func (d *Daemon) answerDispatch(ctx context.Context, _ string, in *wire.Dispatch) (*wire.Answered, error) {
-	defer d.inFlight.begin()()
 	if in.Holder != d.self.Incarnation {
 		return &wire.Answered{Answer: request.Refuse(request.ReasonNotHolder, in.Upstream+": other incarnation")}, nil
 	}
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -68,7 +68,11 @@
 		return refuseKey(err)
 	}
 	if first {
-		go d.runFirst(key, run, req)
+		end := d.runs.Begin()
+		go func() {
+			defer end()
+			d.runFirst(key, run, req)
+		}()
 	}
 	return d.awaitRun(ctx, run, first)
 }
@@ -111,7 +115,6 @@
 
 // answerRun runs a request whose key this daemon owns.
 func (d *Daemon) answerRun(ctx context.Context, _ string, in *wire.Run) (*wire.Answered, error) {
-	defer d.inFlight.begin()()
 	if in.Owner != d.self.Incarnation {
 		return nil, permit.ErrOtherIncarnation
 	}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -126,8 +126,8 @@
 	if err := checkDuration("stop-timeout", s.StopTimeout, time.Second, time.Hour); err != nil {
 		return err
 	}
-	if s.StopTimeout <= s.LookupTTL {
-		allowed := fmt.Sprintf("above --lookup-ttl, which is %v", s.LookupTTL)
+	if s.StopTimeout <= s.LookupTTL+leaveMargin {
+		allowed := fmt.Sprintf("above --lookup-ttl, which is %v, and %v more", s.LookupTTL, leaveMargin)
 		return settingError("stop-timeout", s.StopTimeout.String(), allowed, ErrNotAllowed)
 	}
 	return nil
--- a/state/request/request.go
+++ b/state/request/request.go
@@ -107,6 +107,7 @@
 	ReasonTooLarge        Reason = "too-large"
 	ReasonNoCatalogue     Reason = "no-catalogue"
 	ReasonNoUpstream      Reason = "no-upstream"
+	ReasonDraining        Reason = "draining"
 	ReasonShed            Reason = "shed"
 	ReasonQueueFull       Reason = "queue-full"
 	ReasonTooLate         Reason = "too-late"
