Test slow, oversized and malformed input on a running fleet

Slow headers, headers over the limit, malformed and foreign frames and calls that nobody knows end or refuse one connection; the fleet serves on.

--- /dev/null
+++ b/standin/sessions/input_test.go
@@ -0,0 +1,153 @@
+package sessions
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"bilberrytiller.example/tiller/protocol/wire"
+	"bilberrytiller.example/tiller/state/catalogue"
+	"bilberrytiller.example/tiller/state/request"
+	"bilberrytiller.example/tiller/transport/peer"
+
+	"bilberrytiller.example/standin/backend"
+	"bilberrytiller.example/standin/fleet"
+)
+
+// pair is two entry hosts with one service.
+func pair(t *testing.T) *fleet.Fleet {
+	t.Helper()
+	return fleet.Start(t, fleet.Options{
+		DataCentres: map[string]string{"north-1": "north"},
+		Hosts:       []string{"north-1", "north-1"},
+		Services:    []catalogue.Service{fleet.Service("lookups", request.RankLookup, true)},
+		Upstreams:   []fleet.Upstream{{Name: "lookups-1", Service: "lookups", DataCentre: "north-1", Options: backend.Options{Slots: 4}}},
+	})
+}
+
+// wantServed fails the test unless a request is answered whole.
+func wantServed(t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	result, err := f.Client().Run(ctx, "lookups", "", []byte("x"), nil)
+	if err != nil || result.Outcome != request.Done {
+		t.Fatalf("got %+v, %v; want done", result, err)
+	}
+}
+
+func TestSlowHeadersEndTheirConnectionAlone(t *testing.T) {
+	t.Parallel()
+	f := pair(t)
+	conn, err := net.Dial("tcp", f.Hosts[0].Caller.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "POST /v1/run/lookups HTTP/1.1\r\nHost: x\r\nTiller-"); err != nil {
+		t.Fatal(err)
+	}
+	wantServed(t, f)
+	if err := conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(conn); err != nil {
+		t.Errorf("got %v, want the daemon to end the connection", err)
+	}
+	wantServed(t, f)
+}
+
+func TestOversizedHeadersAreRefused(t *testing.T) {
+	t.Parallel()
+	f := pair(t)
+	conn, err := net.Dial("tcp", f.Hosts[0].Caller.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(limit)); err != nil {
+		t.Fatal(err)
+	}
+	header := "X-Long: " + strings.Repeat("x", 64<<10) + "\r\n\r\n"
+	// The daemon may end the connection before it has read all of this.
+	_, _ = io.WriteString(conn, "GET /v1/lookup?service=lookups HTTP/1.1\r\nHost: x\r\n"+header)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("got %d, want %d", resp.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+	}
+	wantServed(t, f)
+}
+
+var peerAddress = regexp.MustCompile(`event=daemon\.ready .*peer=(\S+)`)
+
+// dialPeer opens a connection to a daemon's peer listener.
+func dialPeer(ctx context.Context, t *testing.T, h *fleet.Host) *websocket.Conn {
+	t.Helper()
+	address := peerAddress.FindStringSubmatch(h.Log())[1]
+	header := http.Header{peer.HeaderAuth: {peer.NewAuth("tests", []byte(fleet.Secret)).Token(time.Now())}}
+	ws, _, err := websocket.Dial(ctx, "ws://"+address+peer.Path, &websocket.DialOptions{HTTPHeader: header})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ws
+}
+
+func TestMalformedFrameEndsItsLinkAlone(t *testing.T) {
+	t.Parallel()
+	f := pair(t)
+	foreign := []byte{0xa2, 0x61, 'v', 0x18, 99, 0x61, 't', 0x60}
+	for name, frame := range map[string][]byte{"no CBOR": []byte("\xffgarbage"), "foreign version": foreign, "empty": {}} {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		ws := dialPeer(ctx, t, f.Hosts[0])
+		if err := ws.Write(ctx, websocket.MessageBinary, frame); err != nil {
+			t.Fatal(err)
+		}
+		_, _, err := ws.Read(ctx)
+		var closed websocket.CloseError
+		if !errors.As(err, &closed) || closed.Code != websocket.StatusUnsupportedData || closed.Reason == "" {
+			t.Errorf("%s: got %v, want a close that names the fault", name, err)
+		}
+	}
+	fleet.Eventually(t, "the fault is logged", func() bool { return strings.Contains(f.Hosts[0].Log(), "event=peer.malformed") })
+	f.WaitConverged()
+	wantServed(t, f)
+}
+
+func TestUnknownCallIsRefusedOnAnOpenLink(t *testing.T) {
+	t.Parallel()
+	f := pair(t)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	ws := dialPeer(ctx, t, f.Hosts[0])
+	for id := range uint64(2) {
+		frame, err := wire.Encode(wire.Envelope{Type: "no-such-call", ID: id}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := ws.Write(ctx, websocket.MessageBinary, frame); err != nil {
+			t.Fatal(err)
+		}
+		_, answer, err := ws.Read(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		env, err := wire.Decode(answer)
+		if err != nil || env.ID != id || !strings.Contains(env.Error, "unknown call no-such-call") {
+			t.Errorf("got %+v, %v", env, err)
+		}
+	}
+}
