--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -20,6 +20,8 @@
 	isolated         *expvar.Int
 	relay            *expvar.Int
 	repairs          *expvar.Int
+	heartbeats       *expvar.Int
+	heartbeatsFailed *expvar.Int
 	// loadReportsDropped counts load reports out of range, stale or from the
 	// future.
 	loadReportsDropped *expvar.Int
@@ -36,6 +38,8 @@
 	m.isolated = m.counter("isolated")
 	m.relay = m.counter("relay")
 	m.repairs = m.counter("fact_repairs")
+	m.heartbeats = m.counter("heartbeats_answered")
+	m.heartbeatsFailed = m.counter("heartbeats_failed")
 	m.loadReportsDropped = m.counter("load_reports_dropped")
 	for outcome, name := range map[request.Outcome]string{
 		request.Done:    "requests_done",
