Tell an operator's own write from an equal one of another

An edit with --if-version whose result equals what another operator wrote meanwhile ended as unchanged; it is now a conflict. And a lost write was recognised by its content alone, so that two equal writes both counted as made: the loser found the winner's. Each write now carries the identity of its change in the entry. The platform's history alone was ruled out, since it shows contents too.

A file from get -o json whose content stands already is still unchanged, so that the same file can be applied again after a write of one's own.

--- a/cli/tillerctl/input.go
+++ b/cli/tillerctl/input.go
@@ -60,6 +60,7 @@
 }
 
 func wantedOf(entry catalogue.Entry, ifVersion *uint64) (change.Wanted, error) {
+	entry.SetChange("")
 	data, err := catalogue.Encode(entry)
 	if err != nil {
 		return change.Wanted{}, err
--- a/cli/tillerctl/tillerctl.go
+++ b/cli/tillerctl/tillerctl.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -40,9 +41,10 @@
 // options are the settings that all commands share.
 type options struct {
 	Connection struct {
-		Platform string   `long:"platform" env:"TILLER_PLATFORM" value-name:"URL" description:"base URL of the platform's object API"`
-		Daemons  []string `long:"daemon" env:"TILLER_DAEMONS" env-delim:"," value-name:"IP:PORT" description:"operators' address of a daemon; may be repeated"`
-		Secret   string   `long:"secret" env:"TILLER_SECRET" value-name:"SECRET" default-mask:"-" description:"secret shared with the daemons; prefer the environment variable"`
+		Platform   string   `long:"platform" env:"TILLER_PLATFORM" value-name:"URL" description:"base URL of the platform's object API"`
+		Daemons    []string `long:"daemon" env:"TILLER_DAEMONS" env-delim:"," value-name:"IP:PORT" description:"operators' address of a daemon; may be repeated"`
+		Secret     string   `long:"secret" env:"TILLER_SECRET" value-name:"SECRET" default-mask:"-" description:"secret shared with the daemons; prefer the environment variable"`
+		SecretFile string   `long:"secret-file" env:"TILLER_SECRET_FILE" value-name:"PATH" description:"file that holds the secret, in place of --secret"`
 	} `group:"Connection"`
 	Print struct {
 		Output  string `long:"output" short:"o" default:"table" choice:"table" choice:"json" description:"form of the output"`
@@ -70,6 +72,20 @@
 	return platformhttp.New(e.opts.Connection.Platform), nil
 }
 
+// readSecret reads the secret from its file, if one is named.
+func (e *env) readSecret() error {
+	c := &e.opts.Connection
+	if c.SecretFile == "" || c.Secret != "" {
+		return nil
+	}
+	data, err := os.ReadFile(c.SecretFile)
+	if err != nil {
+		return &UsageError{Problem: fmt.Sprintf("--secret-file (TILLER_SECRET_FILE) = %q: %v", c.SecretFile, err)}
+	}
+	c.Secret = strings.TrimSpace(string(data))
+	return nil
+}
+
 // daemons returns a client of each daemon that was given.
 func (e *env) daemons() []*operatorhttp.Client {
 	var out []*operatorhttp.Client
@@ -135,6 +151,9 @@
 	case len(rest) > 0:
 		return &UsageError{Problem: fmt.Sprintf("unexpected arguments %q", rest)}
 	}
+	if err := e.readSecret(); err != nil {
+		return err
+	}
 	return command.Execute(nil)
 }
 
--- a/cli/tillerctl/watch.go
+++ b/cli/tillerctl/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"slices"
 	"strconv"
@@ -243,7 +244,7 @@
 
 // progress shows one line that is written over, on terminals only.
 type progress struct {
-	file  any
+	file  io.Writer
 	shown int
 }
 
@@ -259,13 +260,12 @@
 func (p *progress) show(text string) {
 	if f, ok := p.terminal(); ok {
 		fmt.Fprintf(f, "\r%-*s", p.shown, text)
-		p.shown = len(text)
+		p.shown = max(p.shown, len(text))
 	}
 }
 
 func (p *progress) end() {
-	if p.shown > 0 {
-		p.show("")
-		p.show("\r")
+	if f, ok := p.terminal(); ok && p.shown > 0 {
+		fmt.Fprintf(f, "\r%*s\r", p.shown, "")
 	}
 }
--- a/cli/tillerctl/write.go
+++ b/cli/tillerctl/write.go
@@ -25,6 +25,16 @@
 	IfVersion *uint64 `long:"if-version" value-name:"VERSION" description:"write only if the entry stands at this version; 0 for an entry that must not exist"`
 }
 
+// require makes a change conditional on the version given, if one is.
+func (c *ifVersion) require(wanted []change.Wanted) {
+	if c.IfVersion == nil {
+		return
+	}
+	for i := range wanted {
+		wanted[i].IfVersion, wanted[i].Exact = c.IfVersion, true
+	}
+}
+
 // Execute writes the entries that differ from what the platform holds.
 func (c *applyCommand) Execute([]string) error {
 	wanted, err := c.env.readWanted(c.File)
@@ -35,7 +45,7 @@
 		if len(wanted) != 1 {
 			return &UsageError{Problem: fmt.Sprintf("--if-version is for one entry, the file has %d", len(wanted))}
 		}
-		wanted[0].IfVersion = c.IfVersion
+		c.require(wanted)
 	}
 	return c.env.change(func(platform.List) ([]change.Wanted, error) { return wanted, nil })
 }
@@ -56,11 +66,13 @@
 		return err
 	}
 	return c.env.change(func(list platform.List) ([]change.Wanted, error) {
-		return edited(list, id, c.Args.Assignments, c.IfVersion)
+		wanted, err := edited(list, id, c.Args.Assignments)
+		c.require(wanted)
+		return wanted, err
 	})
 }
 
-func edited(list platform.List, id catalogue.ID, assignments []string, ifVersion *uint64) ([]change.Wanted, error) {
+func edited(list platform.List, id catalogue.ID, assignments []string) ([]change.Wanted, error) {
 	current, ok := find(list, id)
 	if !ok {
 		return nil, fmt.Errorf("%s: %w", id, platform.ErrNotFound)
@@ -76,7 +88,7 @@
 	if entry.ID() != id {
 		return nil, &catalogue.EntryError{ID: id, Field: "name", Err: fmt.Errorf("an entry keeps its kind and name: %w", catalogue.ErrConflict)}
 	}
-	wanted, err := wantedOf(entry, ifVersion)
+	wanted, err := wantedOf(entry, nil)
 	return []change.Wanted{wanted}, err
 }
 
@@ -101,7 +113,9 @@
 		return err
 	}
 	return c.env.change(func(platform.List) ([]change.Wanted, error) {
-		return []change.Wanted{{ID: id, IfVersion: c.IfVersion}}, nil
+		wanted := []change.Wanted{{ID: id}}
+		c.require(wanted)
+		return wanted, nil
 	})
 }
 
@@ -122,16 +136,20 @@
 	if !slices.Contains([]catalogue.Kind{catalogue.KindUpstream, catalogue.KindHost, catalogue.KindDataCentre}, id.Kind) {
 		return &UsageError{Problem: fmt.Sprintf("%s cannot be drained, want an upstream, host or datacentre", id)}
 	}
-	return c.env.change(func(list platform.List) ([]change.Wanted, error) { return c.wanted(list, id) })
+	return c.env.change(func(list platform.List) ([]change.Wanted, error) {
+		wanted, err := c.wanted(list, id)
+		c.require(wanted)
+		return wanted, err
+	})
 }
 
 func (c *drainCommand) wanted(list platform.List, id catalogue.ID) ([]change.Wanted, error) {
 	if _, ok := find(list, id); !ok && id.Kind == catalogue.KindHost && c.drain {
 		host := &catalogue.Host{Meta: catalogue.Meta{Schema: catalogue.SchemaVersion, Kind: id.Kind, Name: id.Name, Owner: c.Owner}, Drain: true}
-		wanted, err := wantedOf(host, c.IfVersion)
+		wanted, err := wantedOf(host, nil)
 		return []change.Wanted{wanted}, err
 	}
-	return edited(list, id, []string{"drain=" + strconv.FormatBool(c.drain)}, c.IfVersion)
+	return edited(list, id, []string{"drain=" + strconv.FormatBool(c.drain)})
 }
 
 type diffCommand struct {
--- a/cli/tillerctl/writer.go
+++ b/cli/tillerctl/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"time"
@@ -136,6 +137,10 @@
 	if step.Action == change.Unchanged {
 		return result, nil
 	}
+	step, err := change.Mark(step, rand.Text())
+	if err != nil {
+		return result, err
+	}
 	version, err := w.send(step)
 	if err == nil {
 		result.Version = version
--- a/coordination/change/change_test.go
+++ b/coordination/change/change_test.go
@@ -28,6 +28,14 @@
 	write := change.Step{ID: north, Action: change.Change, Version: 4, After: 5, Data: region("mine")}
 	erase := change.Step{ID: north, Action: change.Delete, Version: 4, After: 5}
 	spaced := []byte(strings.ReplaceAll(string(region("mine")), ",", " , "))
+	marked, err := change.Mark(write, "first-write")
+	if err != nil {
+		t.Fatal(err)
+	}
+	equal, err := change.Mark(write, "second-write")
+	if err != nil {
+		t.Fatal(err)
+	}
 	cases := []struct {
 		name     string
 		step     change.Step
@@ -38,6 +46,8 @@
 	}{
 		{"stands as before", write, object(4, region("old")), nil, false, change.Settlement{Fate: change.NotApplied}},
 		{"own write, written otherwise", write, object(7, spaced), nil, false, change.Settlement{Fate: change.Applied, Version: 7}},
+		{"own marked write", marked, object(7, marked.Data), nil, false, change.Settlement{Fate: change.Applied, Version: 7}},
+		{"equal write of another", marked, object(7, equal.Data), []platform.Event{event(7, equal.Data)}, true, change.Settlement{Fate: change.Rejected}},
 		{"own write, then another", write, object(9, region("other")), []platform.Event{event(7, region("mine")), event(9, region("other"))}, true, change.Settlement{Fate: change.Superseded, Version: 7}},
 		{"another write first", write, object(7, region("other")), []platform.Event{event(7, region("other"))}, true, change.Settlement{Fate: change.Rejected}},
 		{"another first, then the same content undone", write, object(9, region("other")), []platform.Event{event(6, region("x")), event(8, region("mine")), event(9, region("other"))}, true, change.Settlement{Fate: change.Rejected}},
@@ -73,6 +83,13 @@
 	if err != nil || len(steps) != 1 || steps[0].Action != change.Unchanged {
 		t.Errorf("unchanged: got %v, %v", steps, err)
 	}
+	steps, err = change.Plan(list, []change.Wanted{{ID: north, Data: region("o"), IfVersion: &stale}})
+	if err != nil || steps[0].Action != change.Unchanged {
+		t.Errorf("equal since: got %v, %v", steps, err)
+	}
+	if _, err = change.Plan(list, []change.Wanted{{ID: north, Data: region("o"), IfVersion: &stale, Exact: true}}); !errors.As(err, &conflict) {
+		t.Errorf("equal, exact version: got %v", err)
+	}
 }
 
 func TestPlanAllowsChangesBesideAnOldFault(t *testing.T) {
--- a/coordination/change/fields.go
+++ b/coordination/change/fields.go
@@ -13,6 +13,8 @@
 	"reflect"
 	"slices"
 	"strings"
+
+	"bilberrytiller.example/tiller/state/catalogue"
 )
 
 // Difference is one field that two or three versions of an entry disagree
@@ -38,6 +40,7 @@
 	names := maps.Clone(b)
 	maps.Copy(names, t)
 	maps.Copy(names, y)
+	delete(names, fieldChange)
 	var out []Difference
 	for _, name := range slices.Sorted(maps.Keys(names)) {
 		if t[name] != y[name] {
@@ -47,14 +50,40 @@
 	return out, err
 }
 
+// fieldChange is the field that holds the identity of a write.
+const fieldChange = "change"
+
 // Same reports whether two versions of an entry have the same content,
-// however they are written.
+// however they are written and whichever write made them.
 func Same(a, b []byte) bool {
+	av, errA := parse(a)
+	bv, errB := parse(b)
+	assign(av, []string{fieldChange}, nil)
+	assign(bv, []string{fieldChange}, nil)
+	return errA == nil && errB == nil && reflect.DeepEqual(av, bv)
+}
+
+// sameWrite reports whether two versions of an entry come from one write.
+func sameWrite(a, b []byte) bool {
 	av, errA := parse(a)
 	bv, errB := parse(b)
 	return errA == nil && errB == nil && reflect.DeepEqual(av, bv)
 }
 
+// Mark returns the step with the identity of its write in its data.
+func Mark(step Step, id string) (Step, error) {
+	if step.Action == Delete {
+		return step, nil
+	}
+	entry, err := catalogue.Decode(step.Data)
+	if err != nil {
+		return step, err
+	}
+	entry.SetChange(id)
+	step.Data, err = catalogue.Encode(entry)
+	return step, err
+}
+
 func parse(data []byte) (any, error) {
 	var v any
 	dec := json.NewDecoder(bytes.NewReader(data))
--- a/coordination/change/plan.go
+++ b/coordination/change/plan.go
@@ -27,6 +27,9 @@
 	// IfVersion is the version that the operator started from, if known; 0
 	// is an entry that must not exist.
 	IfVersion *uint64
+	// Exact refuses another version than IfVersion also where the entry
+	// stands as it is wanted.
+	Exact bool
 }
 
 // Step is one write, conditional on the version that was read.
@@ -94,7 +97,7 @@
 		}
 	case current.Version == 0:
 		step.Action = Create
-	case Same(current.Data, w.Data):
+	case Same(current.Data, w.Data) && !(stale && w.Exact):
 		step.Action = Unchanged
 		return step, nil
 	}
--- a/coordination/change/settle.go
+++ b/coordination/change/settle.go
@@ -65,7 +65,7 @@
 	if step.Action == Delete {
 		return deleted
 	}
-	return !deleted && Same(step.Data, data)
+	return !deleted && sameWrite(step.Data, data)
 }
 
 // At returns the entry of a step as a history shows it at the step's
--- a/standin/sessions/input_test.go
+++ b/standin/sessions/input_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/rand"
 	"errors"
 	"io"
 	"net"
@@ -14,6 +15,8 @@
 
 	"github.com/coder/websocket"
 
+	"bilberrytiller.example/tiller/coordination/permit"
+	"bilberrytiller.example/tiller/protocol/callerapi"
 	"bilberrytiller.example/tiller/protocol/wire"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/state/request"
@@ -151,3 +154,51 @@
 		}
 	}
 }
+
+// TestKeysThatAreNotValidNeverRun sends an expired and a forged key.
+func TestKeysThatAreNotValidNeverRun(t *testing.T) {
+	t.Parallel()
+	payments := fleet.Service("payments", request.RankPayment, false)
+	f := fleet.Start(t, fleet.Options{
+		DataCentres: map[string]string{"north-1": "north"},
+		Hosts:       []string{"north-1", "north-1"},
+		Services:    []catalogue.Service{payments},
+		Upstreams:   []fleet.Upstream{{Name: "payments-1", Service: "payments", DataCentre: "north-1", Options: backend.Options{Slots: 4}}},
+	})
+	status, err := f.Hosts[0].Status()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		name, secret string
+		expires      time.Time
+		want         request.Reason
+	}{
+		{"expired", fleet.Secret, time.Now().Add(-time.Hour), request.ReasonKeyExpired},
+		{"forged", "a-secret-of-another-fleet", time.Now().Add(time.Hour), request.ReasonKeyInvalid},
+	}
+	for _, c := range cases {
+		key, err := permit.NewIssuer([]byte(c.secret), rand.Reader).Issue(status.Incarnation, c.expires)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, h := range f.Hosts {
+			req, err := http.NewRequest(http.MethodPost, "http://"+h.Caller.String()+callerapi.PathRun+"payments", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Header.Set(callerapi.HeaderKey, key.String())
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if got := resp.Header.Get(callerapi.HeaderReason); got != string(c.want) {
+				t.Errorf("%s at %s: got %s, want %s", c.name, h.ID, got, c.want)
+			}
+		}
+	}
+	if runs := f.Backends["payments-1"].Stats().Runs; runs != 0 {
+		t.Errorf("%d runs, want 0", runs)
+	}
+}
--- a/standin/sessions/sessions_test.go
+++ b/standin/sessions/sessions_test.go
@@ -166,6 +166,8 @@
 	ts.Fatalf("waited %v: %s", limit, what)
 }
 
+var changeID = regexp.MustCompile(`"change": "[A-Z0-9]+"`)
+
 var requestID = regexp.MustCompile(`"request_id":"[A-Z0-9]+"`)
 
 func mask(ts *testscript.TestScript, _ bool, args []string) {
@@ -174,6 +176,7 @@
 	for _, address := range slices.SortedFunc(maps.Keys(masks), func(a, b string) int { return len(b) - len(a) }) {
 		text = strings.ReplaceAll(text, address, masks[address])
 	}
+	text = changeID.ReplaceAllString(text, `"change": "ID"`)
 	text = requestID.ReplaceAllString(text, `"request_id":"ID"`)
 	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(text), 0o600))
 }
--- a/state/catalogue/entry.go
+++ b/state/catalogue/entry.go
@@ -78,6 +78,9 @@
 	Kind   Kind   `json:"kind"`
 	Name   string `json:"name"`
 	Owner  string `json:"owner"`
+	// Change is the identity of the write that made this version of the
+	// entry, so that a writer can tell its own write from an equal one.
+	Change string `json:"change,omitempty"`
 }
 
 // Entry is one entry of the catalogue.
@@ -86,11 +89,16 @@
 	ID() ID
 	// Validate checks the entry by itself and returns an *EntryError.
 	Validate() error
+	// SetChange sets the identity of the write that makes the next version.
+	SetChange(id string)
 }
 
 // ID names the entry.
 func (m Meta) ID() ID { return ID{Kind: m.Kind, Name: m.Name} }
 
+// SetChange sets the identity of the write that makes the next version.
+func (m *Meta) SetChange(id string) { m.Change = id }
+
 // Region is a set of data centres that share links to other regions.
 type Region struct {
 	Meta
--- a/state/catalogue/validate.go
+++ b/state/catalogue/validate.go
@@ -22,8 +22,11 @@
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
 
+var changePattern = regexp.MustCompile(`^[A-Za-z0-9-]{1,64}$`)
+
 // Causes wrapped by an EntryError.
 var (
+	ErrChange   = errors.New("want 1 to 64 of letters, digits and -")
 	ErrName     = errors.New("want 1 to 63 of a-z, 0-9 and -, not starting with -")
 	ErrMissing  = errors.New("missing")
 	ErrRange    = errors.New("out of range")
@@ -48,6 +51,9 @@
 	if len(m.Owner) > MaxOwnerBytes || strings.ContainsFunc(m.Owner, unicode.IsControl) {
 		return m.fail("owner", fmt.Errorf("want at most %d bytes and no control characters: %w", MaxOwnerBytes, ErrRange))
 	}
+	if m.Change != "" && !changePattern.MatchString(m.Change) {
+		return m.fail("change", ErrChange)
+	}
 	return nil
 }
 
