Send an attempt again when its connection to the holder is lost

Cause: a payment that the owner of its key sent to the holder of an upstream over a connection that had gone silent while idle became unknown, although the holder never got it; one that was running when the connection was cut became unknown although the holder had its answer.

Ruled out: a ping before each payment (a round trip each, and the connection may go silent right after); resending under the request's identity alone (offers of one request to two upstreams, or twice to one, share it).

Change: each offer of a request with a key is an attempt with an identity. The owner sends it again to the same incarnation, at most 5 times; the holder runs it once and gives all copies one answer. A copy that comes to another incarnation is unknown. A holder gives an attempt up 2 s after its connection was lost, unless another copy joins, and at once when it is cancelled.

Seen failing (TestPaymentsThroughLostConnections): no resend: unknown, peer-lost, instead of done; resend as another attempt: 2 runs instead of 1. After: done, 1 run each.

--- /dev/null
+++ b/coordination/attempt/attempt_test.go
@@ -0,0 +1,37 @@
+package attempt
+
+import (
+	"testing"
+	"time"
+
+	"bilberrytiller.example/tiller/state/request"
+)
+
+func TestCopiesOfAnAttemptShareOneRun(t *testing.T) {
+	table := NewTable()
+	now := time.Unix(1e9, 0)
+	run, first, err := table.Begin("one", now)
+	if !first || err != nil {
+		t.Fatalf("first copy: got first %v, error %v", first, err)
+	}
+	table.Finish(run, request.Refuse(request.ReasonTooLate, ""), now)
+	for _, c := range []struct {
+		after time.Duration
+		first bool
+		want  request.Outcome
+	}{
+		{0, false, request.NotRun},
+		{answerRetention, false, request.NotRun},
+		{answerRetention + 1, false, request.Unknown},
+		{Retention, false, request.Unknown},
+		{Retention + 1, true, ""},
+	} {
+		run, first, err := table.Begin("one", now.Add(c.after))
+		if first != c.first || err != nil {
+			t.Fatalf("after %v: got first %v, error %v", c.after, first, err)
+		}
+		if got := table.Answer(run).Outcome; got != c.want {
+			t.Errorf("after %v: got %q, want %q", c.after, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/attempts.go
@@ -0,0 +1,109 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"time"
+
+	"bilberrytiller.example/tiller/coordination/attempt"
+	"bilberrytiller.example/tiller/coordination/membership"
+	"bilberrytiller.example/tiller/protocol/wire"
+	"bilberrytiller.example/tiller/state/request"
+	"bilberrytiller.example/tiller/transport/peer"
+)
+
+const (
+	// maxResends bounds how often an attempt is sent again to its holder after
+	// a connection was lost.
+	maxResends  = 5
+	resendPause = 100 * time.Millisecond
+	// resendGrace is how long a holder waits for another copy of an attempt
+	// whose connection was lost before it gives the attempt up.
+	resendGrace = 2 * time.Second
+)
+
+// callHolder sends an attempt to the holder of an upstream. That of a request
+// with a key is sent again to the same incarnation when its connection is
+// lost; the holder runs it once.
+func (d *Daemon) callHolder(ctx context.Context, holder membership.Member, in *wire.Dispatch, req *request.Request) (*wire.Answered, error) {
+	if req.Key == "" {
+		return peer.CallSettled[wire.Answered](ctx, d.peers, holder.Peer, wire.TypeDispatch, in, graceOf(req))
+	}
+	in.Attempt = rand.Text()
+	var lost error
+	for range 1 + maxResends {
+		in.Request = wire.NewRequest(req, time.Now())
+		out, err := peer.CallSettled[wire.Answered](ctx, d.peers, holder.Peer, wire.TypeDispatch, in, graceOf(req))
+		if err == nil {
+			return out, nil
+		}
+		if !in.Again && !errors.Is(err, peer.ErrLost) {
+			return nil, err
+		}
+		in.Again = true
+		// A copy that was not sent says nothing of the earlier ones.
+		lost = fmt.Errorf("%w: %v", peer.ErrLost, err)
+		if !sleep(ctx, resendPause) {
+			break
+		}
+	}
+	return nil, lost
+}
+
+// answerDispatch runs a request on an upstream whose slots this daemon holds.
+func (d *Daemon) answerDispatch(ctx context.Context, _ string, in *wire.Dispatch) (*wire.Answered, error) {
+	defer d.inFlight.begin()()
+	answer := d.dispatchFor(ctx, in, in.Request.Open(time.Now()))
+	load := d.holders.load(in.Upstream)
+	return &wire.Answered{Answer: answer, Load: wire.Load{
+		InUse: load.InUse, Waiting: load.Waiting, Service: load.Service, Warm: load.Warm, Failing: load.Failing,
+	}}, nil
+}
+
+func (d *Daemon) dispatchFor(ctx context.Context, in *wire.Dispatch, req *request.Request) request.Answer {
+	if in.Holder != d.self.Incarnation {
+		return refuseCopy(in, request.ReasonNotHolder, "other incarnation")
+	}
+	if in.Attempt == "" {
+		return d.dispatchHere(ctx, in.Upstream, req)
+	}
+	run, first, err := d.attempts.Begin(in.Attempt, time.Now())
+	if err != nil {
+		return refuseCopy(in, request.ReasonQueueFull, err.Error())
+	}
+	if first {
+		go func() { d.attempts.Finish(run, d.dispatchHere(run.Context(), in.Upstream, req), time.Now()) }()
+	}
+	select {
+	case <-run.Done():
+	case <-ctx.Done():
+		d.leaveAttempt(ctx, run)
+	}
+	return d.attempts.Answer(run)
+}
+
+// refuseCopy refuses a dispatch. An earlier copy of one that is sent again
+// may have run at an earlier incarnation.
+func refuseCopy(in *wire.Dispatch, reason request.Reason, detail string) request.Answer {
+	if in.Again {
+		return request.Undecided(request.ReasonPeerLost, in.Upstream+": "+detail)
+	}
+	return request.Refuse(reason, in.Upstream+": "+detail)
+}
+
+// leaveAttempt waits for the end of an attempt whose call has ended. A call
+// that was cancelled cancels the attempt at once, one whose connection was
+// lost only if no other copy comes.
+func (d *Daemon) leaveAttempt(ctx context.Context, run *attempt.Run) {
+	if !errors.Is(context.Cause(ctx), peer.ErrCancelled) {
+		d.attempts.Leave(run)
+		sleep(context.WithoutCancel(ctx), resendGrace)
+		if d.attempts.Joined(run) {
+			return
+		}
+	}
+	run.Cancel()
+	<-run.Done()
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"bilberrytiller.example/tiller/coordination/admission"
+	"bilberrytiller.example/tiller/coordination/attempt"
 	"bilberrytiller.example/tiller/coordination/hold"
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/permit"
@@ -70,8 +71,10 @@
 	successions *permit.Successions
 	handovers   *permit.Receiver
 	handedOver  chan struct{}
-	holders     *holders
-	loads       *loads
+	// attempts are the dispatches to this daemon of requests with a key.
+	attempts *attempt.Table
+	holders  *holders
+	loads    *loads
 	// suspects are the requests that backend servers crashed on.
 	suspects *suspects
 	// lease tells whether this daemon may dispatch.
@@ -115,6 +118,7 @@
 		invalid:   newInvalidObjects(),
 		takers:    map[spread.Kind]func([]spread.Fact){},
 	}
+	d.attempts = attempt.NewTable()
 	d.successions = permit.NewSuccessions()
 	d.handovers = permit.NewReceiver(incarnation, d.keys)
 	d.handedOver = make(chan struct{})
--- a/daemon/holder.go
+++ b/daemon/holder.go
@@ -11,7 +11,6 @@
 	"bilberrytiller.example/tiller/coordination/hold"
 	"bilberrytiller.example/tiller/coordination/placement"
 	"bilberrytiller.example/tiller/coordination/schedule"
-	"bilberrytiller.example/tiller/protocol/wire"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/state/request"
 	"bilberrytiller.example/tiller/transport/backendhttp"
@@ -235,20 +234,6 @@
 	return created
 }
 
-// answerDispatch runs a request on an upstream whose slots this daemon holds.
-func (d *Daemon) answerDispatch(ctx context.Context, _ string, in *wire.Dispatch) (*wire.Answered, error) {
-	defer d.inFlight.begin()()
-	if in.Holder != d.self.Incarnation {
-		return &wire.Answered{Answer: request.Refuse(request.ReasonNotHolder, in.Upstream+": other incarnation")}, nil
-	}
-	req := in.Request.Open(time.Now())
-	answer := d.dispatchHere(ctx, in.Upstream, req)
-	load := d.holders.load(in.Upstream)
-	return &wire.Answered{Answer: answer, Load: wire.Load{
-		InUse: load.InUse, Waiting: load.Waiting, Service: load.Service, Warm: load.Warm, Failing: load.Failing,
-	}}, nil
-}
-
 // loads keeps the latest known load of each upstream.
 type loads struct {
 	mu    sync.Mutex
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -174,7 +174,7 @@
 		return answer
 	}
 	in := &wire.Dispatch{Upstream: name, Holder: holder.Incarnation, Request: wire.NewRequest(req, time.Now())}
-	out, err := peer.CallSettled[wire.Answered](ctx, d.peers, holder.Peer, wire.TypeDispatch, in, graceOf(req))
+	out, err := d.callHolder(ctx, holder, in, req)
 	if err != nil {
 		return peerFailure(holder, err)
 	}
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -87,6 +87,11 @@
 	// Holder is the incarnation that the sender takes for the holder.
 	Holder  string  `cbor:"h"`
 	Request Request `cbor:"req"`
+	// Attempt names the attempt that all copies of this dispatch belong to,
+	// empty for work that may run twice.
+	Attempt string `cbor:"att,omitempty"`
+	// Again says that an earlier copy may have been received.
+	Again bool `cbor:"again,omitempty"`
 }
 
 // Load is an upstream's load as its holder knows it.
--- a/standin/proofs/atmostonce_test.go
+++ b/standin/proofs/atmostonce_test.go
@@ -299,3 +299,21 @@
 	p.eventually(f.Hosts[2])
 	p.wantRuns(1)
 }
+
+func TestPaymentsThroughLostConnections(t *testing.T) {
+	// The payments' only upstream stands in the region of host-3, which holds it.
+	opts := slowFleet(400*time.Millisecond, 8)
+	opts.Upstreams = slices.DeleteFunc(opts.Upstreams, func(u fleet.Upstream) bool { return u.Name == "payments-north-1" })
+	f := fleet.Start(t, opts)
+	newPayment(t, f, f.Hosts[0], "first").want(f.Hosts[0], request.Done)
+	idle := newPayment(t, f, f.Hosts[0], "sent-on-silent-connection")
+	f.CutOff(f.Hosts[0], relay.SilentOpen)
+	idle.want(f.Hosts[0], request.Done)
+	idle.wantRuns(1)
+	running := newPayment(t, f, f.Hosts[0], "running-when-cut")
+	result := running.start(context.Background(), f.Hosts[0])
+	f.CutOff(f.Hosts[0], relay.Cut)
+	f.CutOff(f.Hosts[0], relay.Pass)
+	wantDone(t, <-result, "payments", running.body)
+	running.wantRuns(1)
+}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -94,21 +95,24 @@
 	}
 }
 
+// ErrCancelled is the cause of a call's context that the peer cancelled.
+var ErrCancelled = errors.New("call was cancelled by the peer")
+
 // running holds the calls of one connection that can be cancelled.
 type running struct {
 	mu      sync.Mutex
-	cancels map[uint64]context.CancelFunc
+	cancels map[uint64]context.CancelCauseFunc
 }
 
-func newRunning() *running { return &running{cancels: map[uint64]context.CancelFunc{}} }
+func newRunning() *running { return &running{cancels: map[uint64]context.CancelCauseFunc{}} }
 
 func (r *running) begin(ctx context.Context, id uint64) (callCtx context.Context, end func()) {
-	callCtx, cancel := context.WithCancel(ctx)
+	callCtx, cancel := context.WithCancelCause(ctx)
 	r.mu.Lock()
 	r.cancels[id] = cancel
 	r.mu.Unlock()
 	return callCtx, func() {
-		cancel()
+		cancel(nil)
 		r.mu.Lock()
 		delete(r.cancels, id)
 		r.mu.Unlock()
@@ -120,7 +124,7 @@
 	cancel := r.cancels[id]
 	r.mu.Unlock()
 	if cancel != nil {
-		cancel()
+		cancel(ErrCancelled)
 	}
 }
 
