--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"bilberrytiller.example/tiller/coordination/admission"
+	"bilberrytiller.example/tiller/coordination/attempt"
 	"bilberrytiller.example/tiller/coordination/drain"
 	"bilberrytiller.example/tiller/coordination/hold"
 	"bilberrytiller.example/tiller/coordination/membership"
@@ -70,8 +71,10 @@
 	successions *permit.Successions
 	handovers   *permit.Receiver
 	handedOver  chan struct{}
-	holders     *holders
-	loads       *loads
+	// attempts are the dispatches to this daemon of requests with a key.
+	attempts *attempt.Table
+	holders  *holders
+	loads    *loads
 	// suspects are the requests that backend servers crashed on.
 	suspects *suspects
 	// lease tells whether this daemon may dispatch.
@@ -124,6 +127,7 @@
 		drains:    newDrains(),
 		reports:   drain.NewReports(),
 	}
+	d.attempts = attempt.NewTable()
 	d.successions = permit.NewSuccessions()
 	d.handovers = permit.NewReceiver(incarnation, d.keys)
 	d.handedOver = make(chan struct{})
