Prove slots exact through killed, paused, cut-off and leaving holders

Cause: nothing showed what a change of holder does to the slots.

Change besides: slots are reserved for what a report says for 5s in place of 10s; a misleading report otherwise idles an upstream for that long.

--- a/coordination/hold/hold.go
+++ b/coordination/hold/hold.go
@@ -20,7 +20,7 @@
 	Margin = 500 * time.Millisecond
 	// ReserveTerm is how long slots stay reserved for requests of an earlier
 	// holder that nobody but the upstream knows of.
-	ReserveTerm = 10 * time.Second
+	ReserveTerm = 5 * time.Second
 )
 
 // Lease tells whether a daemon may dispatch and whether others have stopped.
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -88,9 +88,11 @@
 	started time.Time
 	slots   chan struct{}
 
-	mu       sync.Mutex
-	faults   Faults
-	present  int
+	mu      sync.Mutex
+	faults  Faults
+	present int
+	// sampled is the most requests seen at once since a sample began.
+	sampled  int
 	ledger   []*Run
 	byKey    map[string]int
 	waiting  map[string]chan struct{}
@@ -157,6 +159,18 @@
 	return s.stats
 }
 
+// SampleMostInUse returns the largest number of requests seen at once while
+// do runs.
+func (s *Server) SampleMostInUse(do func()) int {
+	s.mu.Lock()
+	s.sampled = s.present
+	s.mu.Unlock()
+	do()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sampled
+}
+
 func (s *Server) isSilent(addr string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -241,6 +255,7 @@
 	s.waiting[id] = cancelled
 	s.present++
 	s.stats.MostInUse = max(s.stats.MostInUse, s.present)
+	s.sampled = max(s.sampled, s.present)
 	if s.present > s.opts.Slots {
 		s.stats.OverSlots++
 		shed = s.faults.Shed
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -153,6 +153,21 @@
 	return version
 }
 
+// UpstreamEntry returns the catalogue entry of an upstream.
+func (f *Fleet) UpstreamEntry(name string) *catalogue.Upstream {
+	f.t.Helper()
+	id := catalogue.ID{Kind: catalogue.KindUpstream, Name: name}
+	data, err := f.Platform.Object(tiller.KindCatalogue, id.String())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	entry, err := catalogue.Decode(data)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return entry.(*catalogue.Upstream)
+}
+
 // ListHosts tells the platform the hosts as they are.
 func (f *Fleet) ListHosts() {
 	var hosts []tiller.Host
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -129,6 +129,12 @@
 	return s.store.put(kind, name, current.Version, data)
 }
 
+// Object returns an object's data, whatever the faults.
+func (s *Server) Object(kind, name string) ([]byte, error) {
+	obj, err := s.store.get(kind, name)
+	return obj.Data, err
+}
+
 // CatalogueVersion returns the highest version of a catalogue entry.
 func (s *Server) CatalogueVersion() uint64 {
 	var newest uint64
