--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -50,6 +50,7 @@
 
 	catalogue atomic.Pointer[catalogue.Set]
 	view      atomic.Pointer[membership.View]
+	steered   atomic.Pointer[steering]
 
 	facts  *spread.Store
 	takers map[spread.Kind]func([]spread.Fact)
@@ -62,6 +63,8 @@
 	lease     *hold.Lease
 	admission *admission.Controller
 	retries   *retry.Budget
+	// suspects are the requests that backend servers crashed on.
+	suspects *suspects
 
 	listeners listeners
 	// inFlight counts callers' requests that are being served.
@@ -96,6 +99,7 @@
 		retries:   retry.NewBudget(),
 		facts:     spread.NewStore(),
 		takers:    map[spread.Kind]func([]spread.Fact){},
+		suspects:  newSuspects(),
 	}
 	d.peerServe = peer.NewServer(d.auth, d.log)
 	d.holders = newHolders(d.log)
@@ -115,6 +119,7 @@
 	d.view.Store(membership.NewView(d.self, []membership.Member{d.self}))
 	d.registerCalls()
 	d.onFact(factCatalogue, d.takeCatalogue)
+	d.onFact(factCrash, d.takeCrashes)
 	return d, nil
 }
 
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -18,6 +18,7 @@
 	// loadReportsDropped counts load reports out of range, stale or from the
 	// future.
 	loadReportsDropped *expvar.Int
+	poisonCharged      *expvar.Int
 }
 
 func newMetrics() *metrics {
@@ -27,6 +28,7 @@
 	m.catalogueInvalid = m.counter("catalogue_invalid")
 	m.members = m.counter("members")
 	m.loadReportsDropped = m.counter("load_reports_dropped")
+	m.poisonCharged = m.counter("poison_charged")
 	for outcome, name := range map[request.Outcome]string{
 		request.Done:    "requests_done",
 		request.NotRun:  "requests_not_run",
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -90,7 +90,12 @@
 		if ctx.Err() != nil {
 			return false
 		}
+		if decided, ok := d.allowed(ctx, p.req); !ok {
+			p.take(decided)
+			return false
+		}
 		answer := d.offer(ctx, set, c, p.req)
+		d.judge(p.req, c.Upstream.Name, answer)
 		d.logDecision(p.req, c, p.attempts, answer)
 		p.take(answer)
 		if holderChanges(answer) {
@@ -116,6 +121,9 @@
 		return false
 	case answer.Outcome == request.Unknown && (service == nil || !service.Class.Idempotent):
 		return false
+	case answer.Reason == request.ReasonConnectionClosed:
+		// The server may have crashed on this request.
+		return false
 	case p.attempts >= maxAttempts:
 		return false
 	}
@@ -133,6 +141,18 @@
 	return a.Outcome == request.NotRun && (a.Reason == request.ReasonNotHolder || a.Reason == request.ReasonPeerUnreachable)
 }
 
+// offerBest offers a request to the best upstream alone.
+func (d *Daemon) offerBest(ctx context.Context, set *catalogue.Set, req *request.Request) request.Answer {
+	candidates := d.candidates(set, req.Service)
+	if len(candidates) == 0 {
+		return request.Refuse(request.ReasonNoUpstream, req.Service)
+	}
+	answer := d.offer(ctx, set, candidates[0], req)
+	d.judge(req, candidates[0].Upstream.Name, answer)
+	d.logDecision(req, candidates[0], 0, answer)
+	return answer
+}
+
 // offer sends a request to the holder of one upstream.
 func (d *Daemon) offer(ctx context.Context, set *catalogue.Set, c placement.Candidate, req *request.Request) request.Answer {
 	name := c.Upstream.Name
