Prove service by rank under floods, and retries within their budget

Cause: nothing showed on a fleet what a flood leaves to others.

Found on the way and mended: a daemon held every upstream before it had seen the list of hosts; a request used up its attempts on one dead upstream while another one's holder was changing.

--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -29,6 +29,10 @@
 			d.log.Warn().Str("event", "hold.paused").Send()
 			d.holders.closeAll()
 		}
+		if d.view.Load() == d.firstView {
+			// Other daemons may hold everything.
+			continue
+		}
 		set := d.catalogue.Load()
 		for _, u := range set.AllUpstreams() {
 			d.checkHold(ctx, set, u)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -50,6 +50,8 @@
 
 	catalogue atomic.Pointer[catalogue.Set]
 	view      atomic.Pointer[membership.View]
+	// firstView is the view before anything is known of the fleet.
+	firstView *membership.View
 	steered   atomic.Pointer[steering]
 
 	facts  *spread.Store
@@ -116,7 +118,8 @@
 	}
 	d.peers = peer.NewClient(d.auth, addrOf(d.listeners.peer).Addr())
 	d.catalogue.Store(catalogue.Empty())
-	d.view.Store(membership.NewView(d.self, []membership.Member{d.self}))
+	d.firstView = membership.NewView(d.self, []membership.Member{d.self})
+	d.view.Store(d.firstView)
 	d.registerCalls()
 	d.onFact(factCatalogue, d.takeCatalogue)
 	d.onFact(factCrash, d.takeCrashes)
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -58,7 +58,7 @@
 		return refuseSlot("entry host "+d.self.ID, err)
 	}
 	defer release()
-	p := placing{req: req, answer: request.Refuse(request.ReasonNoUpstream, req.Service)}
+	p := placing{req: req, tried: map[string]bool{}, answer: request.Refuse(request.ReasonNoUpstream, req.Service)}
 	for d.offerAll(ctx, &p) && sleep(ctx, placePause) {
 	}
 	return p.answer
@@ -68,6 +68,8 @@
 type placing struct {
 	req      *request.Request
 	attempts int
+	// tried are the upstreams that refused the request themselves.
+	tried map[string]bool
 	// answer is the last one, or the one that left the outcome unknown.
 	answer request.Answer
 }
@@ -90,6 +92,9 @@
 		if ctx.Err() != nil {
 			return false
 		}
+		if p.tried[c.Upstream.Name] {
+			continue
+		}
 		if decided, ok := d.allowed(ctx, p.req); !ok {
 			p.take(decided)
 			return false
@@ -104,6 +109,7 @@
 			continue
 		}
 		p.attempts++
+		p.tried[c.Upstream.Name] = true
 		if !d.retry(set, p, answer) {
 			return false
 		}
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -101,6 +101,14 @@
 	return result, nil
 }
 
+// Once makes one try at the best entry host of a look-up.
+func (c *Caller) Once(ctx context.Context, lookup callerapi.Lookup, service string, body []byte) Result {
+	if len(lookup.Hosts) == 0 {
+		return Result{Outcome: request.NotRun, Reason: request.ReasonNoUpstream}
+	}
+	return c.runAt(ctx, lookup.Hosts[0].Address, service, "", lookup.Key, body, nil)
+}
+
 // again reports whether the same request is to be sent once more.
 func again(r Result) bool {
 	return r.Outcome == request.Unknown && r.Reason != request.ReasonKeyExpired ||
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -74,6 +74,8 @@
 	Service    string
 	DataCentre string
 	Options    backend.Options
+	// Services are more services that it runs.
+	Services []string
 }
 
 // Fleet is a running fleet. It ends with its test.
@@ -84,7 +86,9 @@
 	// PlatformURL is the platform's base URL.
 	PlatformURL string
 	Backends    map[string]*backend.Server
-	Hosts       []*Host
+	// backendServers are the listeners of the backend servers.
+	backendServers map[string]*httptest.Server
+	Hosts          []*Host
 }
 
 // Host is one entry host with the process of its daemon.
@@ -113,7 +117,7 @@
 // the catalogue in force.
 func Start(t testing.TB, opts Options) *Fleet {
 	t.Helper()
-	f := &Fleet{t: t, opts: opts, Platform: platform.New(), Backends: map[string]*backend.Server{}}
+	f := &Fleet{t: t, opts: opts, Platform: platform.New(), Backends: map[string]*backend.Server{}, backendServers: map[string]*httptest.Server{}}
 	server := httptest.NewServer(f.Platform)
 	t.Cleanup(server.Close)
 	f.PlatformURL = server.URL
@@ -256,12 +260,20 @@
 		server.Close()
 	})
 	f.Backends[u.Name] = s
+	f.backendServers[u.Name] = server
 	f.Apply(&catalogue.Upstream{
-		Meta: meta(catalogue.KindUpstream, u.Name), Services: []string{u.Service}, DataCentre: u.DataCentre,
+		Meta: meta(catalogue.KindUpstream, u.Name), Services: append([]string{u.Service}, u.Services...), DataCentre: u.DataCentre,
 		Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Slots: u.Options.Slots, Connections: 330,
 	})
 }
 
+// StopBackend ends a backend server, cutting what it runs.
+func (f *Fleet) StopBackend(name string) {
+	server := f.backendServers[name]
+	_ = server.Listener.Close()
+	server.CloseClientConnections()
+}
+
 // startHost starts a host's daemon on a loopback address of its own, so that
 // its connections can be told from those of other hosts.
 func (f *Fleet) startHost(i int, dc string) *Host {
--- a/standin/proofs/slots_test.go
+++ b/standin/proofs/slots_test.go
@@ -80,14 +80,19 @@
 	fleet.Eventually(t, "the flood is answered", func() bool { return fl.ok.Load() >= want })
 }
 
-// holderOf returns the host that holds an upstream, by its log.
+// holderOf returns the one host that holds an upstream, by its log.
 func holderOf(f *fleet.Fleet, upstream string) *fleet.Host {
+	var found *fleet.Host
 	for _, h := range f.Hosts {
-		if h.Running() && holds(h, upstream) {
-			return h
+		if !h.Running() || !holds(h, upstream) {
+			continue
+		}
+		if found != nil {
+			return nil
 		}
+		found = h
 	}
-	return nil
+	return found
 }
 
 // holds reports whether the last change of a host's hold was to open it.
