--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -43,16 +43,21 @@
 	self     membership.Member
 	metrics  *metrics
 
-	platform  platform.Client
-	peers     *peer.Client
+	platform platform.Client
+	peers    *peer.Client
+	// control carries heartbeats and facts, apart from the requests that peers
+	// carries, so that a heartbeat waits for no request's bytes.
+	control   *peer.Client
 	peerServe *peer.Server
 	auth      *peer.Auth
 
 	catalogue atomic.Pointer[catalogue.Set]
+	invalid   *invalidObjects
 	view      atomic.Pointer[membership.View]
 	// firstView is the view before anything is known of the fleet.
 	firstView *membership.View
 	steered   atomic.Pointer[steering]
+	roster    *roster
 
 	facts  *spread.Store
 	takers map[spread.Kind]func([]spread.Fact)
@@ -100,8 +105,9 @@
 		admission: admission.New(),
 		retries:   retry.NewBudget(),
 		facts:     spread.NewStore(),
-		takers:    map[spread.Kind]func([]spread.Fact){},
 		suspects:  newSuspects(),
+		invalid:   newInvalidObjects(),
+		takers:    map[spread.Kind]func([]spread.Fact){},
 	}
 	d.peerServe = peer.NewServer(d.auth, d.log)
 	d.holders = newHolders(d.log)
@@ -117,12 +123,17 @@
 		Caller:      advertised(settings.CallerAdvertise, d.listeners.caller),
 	}
 	d.peers = peer.NewClient(d.auth, addrOf(d.listeners.peer).Addr())
+	d.control = peer.NewClient(d.auth, addrOf(d.listeners.peer).Addr())
+	d.roster = newRoster(d.self, time.Now())
 	d.catalogue.Store(catalogue.Empty())
 	d.firstView = membership.NewView(d.self, []membership.Member{d.self})
 	d.view.Store(d.firstView)
 	d.registerCalls()
 	d.onFact(factCatalogue, d.takeCatalogue)
 	d.onFact(factCrash, d.takeCrashes)
+	d.onFact(factInvalid, d.takeInvalid)
+	d.onFact(factMember, d.takeMembers)
+	d.onFact(factHost, d.takeHosts)
 	return d, nil
 }
 
@@ -147,6 +158,7 @@
 	}
 	group.Go(func() error { return d.followCatalogue(background) })
 	group.Go(func() error { return d.followHosts(background) })
+	group.Go(func() error { return d.followMembers(background) })
 	group.Go(func() error { return d.followHolds(background) })
 	d.log.Info().Str("event", "daemon.ready").Str("incarnation", d.self.Incarnation).
 		Stringer("caller", d.CallerAddr()).Stringer("peer", d.PeerAddr()).Stringer("operator", d.OperatorAddr()).Send()
@@ -154,6 +166,7 @@
 	err := d.stop(servers)
 	stopBackground()
 	d.peers.Close()
+	d.control.Close()
 	return errors.Join(err, group.Wait())
 }
 
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -15,10 +15,14 @@
 	catalogueVersion *expvar.Int
 	catalogueInvalid *expvar.Int
 	members          *expvar.Int
+	poisonCharged    *expvar.Int
+	neighbours       *expvar.Int
+	isolated         *expvar.Int
+	relay            *expvar.Int
+	repairs          *expvar.Int
 	// loadReportsDropped counts load reports out of range, stale or from the
 	// future.
 	loadReportsDropped *expvar.Int
-	poisonCharged      *expvar.Int
 }
 
 func newMetrics() *metrics {
@@ -27,8 +31,12 @@
 	m.catalogueVersion = m.counter("catalogue_version")
 	m.catalogueInvalid = m.counter("catalogue_invalid")
 	m.members = m.counter("members")
-	m.loadReportsDropped = m.counter("load_reports_dropped")
 	m.poisonCharged = m.counter("poison_charged")
+	m.neighbours = m.counter("neighbours")
+	m.isolated = m.counter("isolated")
+	m.relay = m.counter("relay")
+	m.repairs = m.counter("fact_repairs")
+	m.loadReportsDropped = m.counter("load_reports_dropped")
 	for outcome, name := range map[request.Outcome]string{
 		request.Done:    "requests_done",
 		request.NotRun:  "requests_not_run",
--- a/daemon/poison.go
+++ b/daemon/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/hex"
 	"sync"
 	"time"
@@ -90,7 +91,7 @@
 }
 
 func (d *Daemon) charge(req *request.Request, upstream string) {
-	c := poison.Crash{Digest: permit.Digest(req), ID: req.ID + "/" + upstream, Expires: time.Now().Add(poison.Expiry)}
+	c := poison.Crash{Digest: permit.Digest(req), ID: rand.Text(), Expires: time.Now().Add(poison.Expiry)}
 	d.log.Warn().Str("event", "poison.charged").Str("request", req.ID).Str("service", req.Service).
 		Str("upstream", upstream).Str("digest", hex.EncodeToString(c.Digest[:8])).Send()
 	d.metrics.poisonCharged.Add(1)
@@ -103,6 +104,8 @@
 	}
 }
 
+// publishCrash returns when the neighbours know, so that the caller, who
+// hears of the crash from this daemon, is not faster than the charge.
 func (d *Daemon) publishCrash(c poison.Crash, version uint64) {
 	body, err := wire.EncodeBody(wire.Crash{Digest: c.Digest, ID: c.ID, Cleared: version == clearedVersion})
 	if err != nil {
@@ -110,7 +113,7 @@
 		return
 	}
 	key := hex.EncodeToString(c.Digest[:]) + "/" + c.ID
-	d.publish(spread.Fact{ID: spread.ID{Kind: factCrash, Key: key}, Version: version, ExpiresMs: c.Expires.UnixMilli(), Body: body})
+	d.publishNow(spread.Fact{ID: spread.ID{Kind: factCrash, Key: key}, Version: version, ExpiresMs: c.Expires.UnixMilli(), Body: body})
 }
 
 func (d *Daemon) takeCrashes(facts []spread.Fact) {
