Base the hold on a daemon's confirmation by the fleet

Cause: a holder's lease ran from the last answer of any peer, and others counted its end from when they last heard it. In a fleet where not every member hears every other, a member that was never heard counted as ended at once, so that a pause shorter than the lease let two daemons dispatch.

Change: a holder dispatches while membership confirms it, which ends before others count it among the dead; a claimant waits for the fleet to count a silent member among the dead, or outwaits it and then relies on load reports. An earlier silence does not count.

--- a/coordination/hold/hold.go
+++ b/coordination/hold/hold.go
@@ -1,10 +1,11 @@
 // Package hold decides when a daemon may dispatch on an upstream.
 //
 // An upstream has one holder. A daemon that becomes the holder asks every
-// other member first. A member that still dispatches refuses; a member that
-// does not answer may still dispatch until its lease has run out. A daemon's
-// lease runs from the last answer that it got from a peer, by its own clock:
-// a daemon that was paused or cut off stops dispatching by itself.
+// other member first. A member that still dispatches refuses. A member that
+// does not answer may still dispatch, until the fleet counts it among the
+// dead: by then its own confirmation has run out. A daemon that nobody
+// confirms, or that alone does not reach a member, waits longer and then
+// relies on the upstream's load reports.
 package hold
 
 import (
@@ -13,43 +14,34 @@
 )
 
 const (
-	// Term is how long a daemon dispatches without an answer from a peer.
+	// Term is the longest pause after which a daemon goes on by itself.
 	Term = 2 * time.Second
-	// Margin is how much longer than Term others wait: peers hear from each
-	// other at different moments.
+	// Margin is how much longer than Term others wait.
 	Margin = 500 * time.Millisecond
+	// maxCallGap is the longest time between two calls of one silence.
+	maxCallGap = 2 * time.Second
 	// ReserveTerm is how long slots stay reserved for requests of an earlier
 	// holder that nobody but the upstream knows of.
 	ReserveTerm = 5 * time.Second
 )
 
-// Lease tells whether a daemon may dispatch and whether others have stopped.
-// It is safe for concurrent use.
+// Lease tells whether a daemon may dispatch and how long others have been
+// silent. It is safe for concurrent use.
 type Lease struct {
 	mu sync.Mutex
-	// renewed is when a call was made that a peer answered.
-	renewed time.Time
 	// checked is when the daemon last looked at its duties.
 	checked time.Time
-	heard   map[string]time.Time
-	started time.Time
+	// silent is since when members have not answered.
+	silent map[string]silence
 }
 
+// silence is the time between the first and the last call that a member did
+// not answer.
+type silence struct{ first, last time.Time }
+
 // NewLease returns the lease of a daemon that starts now.
 func NewLease(now time.Time) *Lease {
-	return &Lease{renewed: now, checked: now, started: now, heard: map[string]time.Time{}}
-}
-
-// Heard records that a member answered a call made at a time.
-func (l *Lease) Heard(member string, at time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if at.After(l.renewed) {
-		l.renewed = at
-	}
-	if at.After(l.heard[member]) {
-		l.heard[member] = at
-	}
+	return &Lease{checked: now, silent: map[string]silence{}}
 }
 
 // Check records that the daemon looks at its duties. It returns false if the
@@ -62,35 +54,42 @@
 	return passed <= Term
 }
 
-// Valid reports whether the daemon may dispatch. A daemon that has no peers,
-// or has outwaited them, needs no answers from them.
-func (l *Lease) Valid(now time.Time, alone bool) bool {
+// Valid reports whether the daemon may dispatch. Confirmed says that others
+// count it among the living, or that it has outwaited them.
+func (l *Lease) Valid(now time.Time, confirmed bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.checked) > Term {
-		return false
-	}
-	return alone || now.Sub(l.renewed) <= Term
+	return confirmed && now.Sub(l.checked) <= Term
 }
 
-// Ended reports whether the lease of a member that does not answer has run
-// out. The lease of a member that was never heard from counts from the start
-// of this daemon.
-func (l *Lease) Ended(member string, now time.Time) bool {
+// Heard records that a member answered.
+func (l *Lease) Heard(member string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	last, ok := l.heard[member]
-	if !ok {
-		last = l.started
+	delete(l.silent, member)
+}
+
+// outwaited records that a member does not answer, and reports whether it has
+// not for so long that it must have stopped by itself.
+func (l *Lease) outwaited(member string, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.silent[member]
+	if now.Sub(s.last) > maxCallGap {
+		s.first = now
 	}
-	return now.Sub(last) > Term+Margin
+	s.last = now
+	l.silent[member] = s
+	return now.Sub(s.first) > Term+Margin
 }
 
 // Reply is what one member said to a claim.
 type Reply struct {
 	Member string
-	// Silent is true if the member did not answer.
+	// Silent is true if the member did not answer, Dead if the fleet counts it
+	// among the dead.
 	Silent bool
+	Dead   bool
 	// Denied is true if the member still dispatches.
 	Denied bool
 	// InUse is the number of the member's requests that still run there.
@@ -104,24 +103,29 @@
 	// Reserved is the number of slots that earlier holders still use, as far
 	// as members know.
 	Reserved int
-	// Alone is true if some member did not answer and was outwaited. Its use
-	// of the slots is known from the upstream's reports only.
+	// Alone is true if a member that may live was outwaited. Its use of the
+	// slots is known from the upstream's reports only.
 	Alone bool
 }
 
 // Decide returns what the replies of all other members to a claim mean.
-func Decide(l *Lease, replies []Reply, now time.Time) Step {
-	step := Step{Open: true}
+// Confirmed says that others count the claimant among the living.
+func Decide(l *Lease, replies []Reply, confirmed bool, now time.Time) Step {
+	step := Step{Open: true, Alone: !confirmed}
 	for _, r := range replies {
+		step.Reserved += r.InUse
 		switch {
 		case r.Denied:
-			return Step{}
-		case r.Silent && !l.Ended(r.Member, now):
-			return Step{}
-		case r.Silent:
+			step.Open = false
+		case !r.Silent:
+			l.Heard(r.Member)
+		case r.Dead && confirmed:
+			l.outwaited(r.Member, now)
+		case l.outwaited(r.Member, now):
 			step.Alone = true
+		default:
+			step.Open = false
 		}
-		step.Reserved += r.InUse
 	}
 	return step
 }
--- a/coordination/hold/hold_test.go
+++ b/coordination/hold/hold_test.go
@@ -9,23 +9,11 @@
 
 func after(d time.Duration) time.Time { return start.Add(d) }
 
-func TestLeaseEndsWithoutAnswersOfPeers(t *testing.T) {
-	l := NewLease(start)
-	l.Heard("b", after(time.Second))
-	l.Check(after(time.Second + Term))
-	if !l.Valid(after(time.Second+Term), false) {
-		t.Error("lease is not valid at its term")
-	}
-	if l.Valid(after(time.Second+Term+1), false) {
-		t.Error("lease is valid past its term")
-	}
-	if !l.Valid(after(time.Second+Term+1), true) {
-		t.Error("a daemon without peers needs their answers")
-	}
-}
-
 func TestPausedDaemonDoesNotDispatch(t *testing.T) {
 	l := NewLease(start)
+	if !l.Valid(after(Term), true) || l.Valid(after(Term), false) {
+		t.Error("within its term only a confirmed daemon may dispatch")
+	}
 	resumed := after(Term + 1)
 	if l.Valid(resumed, true) {
 		t.Error("lease is valid before the daemon looked at its duties")
@@ -39,27 +27,48 @@
 }
 
 func TestClaim(t *testing.T) {
-	l := NewLease(start)
-	l.Heard("b", after(time.Second))
-	within, past := after(time.Second+Term), after(time.Second+Term+Margin+1)
+	silent := []Reply{{Member: "b", Silent: true}}
+	dead := []Reply{{Member: "b", Silent: true, Dead: true}}
+	within, past := Term+Margin, Term+Margin+1
 	for name, c := range map[string]struct {
-		replies []Reply
-		now     time.Time
-		want    Step
+		replies   []Reply
+		confirmed bool
+		// since is how long the member has been asked.
+		since time.Duration
+		want  Step
 	}{
-		"no members":               {nil, start, Step{Open: true}},
-		"all agree":                {[]Reply{{Member: "b", InUse: 2}, {Member: "c", InUse: 1}}, start, Step{Open: true, Reserved: 3}},
-		"one still dispatches":     {[]Reply{{Member: "b", Denied: true}}, past, Step{}},
-		"silent within its lease":  {[]Reply{{Member: "b", Silent: true}}, within, Step{}},
-		"silent past its lease":    {[]Reply{{Member: "b", Silent: true}}, past, Step{Open: true, Alone: true}},
-		"never heard, after start": {[]Reply{{Member: "c", Silent: true}}, after(Term), Step{}},
+		"no members":                {nil, true, 0, Step{Open: true}},
+		"all agree":                 {[]Reply{{Member: "b", InUse: 2}, {Member: "c", InUse: 1}}, true, 0, Step{Open: true, Reserved: 3}},
+		"one still dispatches":      {[]Reply{{Member: "b", Denied: true}}, true, past, Step{}},
+		"one is silent":             {silent, true, within, Step{}},
+		"one is silent for long":    {silent, true, past, Step{Open: true, Alone: true}},
+		"one is dead":               {dead, true, 0, Step{Open: true}},
+		"nobody confirms":           {dead, false, within, Step{Alone: true}},
+		"nobody confirms for long":  {dead, false, past, Step{Open: true, Alone: true}},
+		"one is dead, one is quiet": {append([]Reply{{Member: "c", Silent: true}}, dead...), true, within, Step{}},
 	} {
-		if got := Decide(l, c.replies, c.now); got != c.want {
+		l := NewLease(start)
+		for at := time.Duration(0); at < c.since; at += time.Second {
+			Decide(l, c.replies, c.confirmed, after(at))
+		}
+		if got := Decide(l, c.replies, c.confirmed, after(c.since)); got != c.want {
 			t.Errorf("%s: got %+v, want %+v", name, got, c.want)
 		}
 	}
 }
 
+func TestEarlierSilenceDoesNotCount(t *testing.T) {
+	silent := []Reply{{Member: "b", Silent: true}}
+	for name, between := range map[string][]Reply{"answered": {{Member: "b"}}, "not asked": nil} {
+		l := NewLease(start)
+		Decide(l, silent, true, start)
+		Decide(l, between, true, after(time.Second))
+		if step := Decide(l, silent, true, after(time.Hour)); step.Open {
+			t.Errorf("%s: outwaited at once", name)
+		}
+	}
+}
+
 func TestReserve(t *testing.T) {
 	open := Step{Open: true, Reserved: 1}
 	alone := Step{Open: true, Alone: true}
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -48,8 +48,8 @@
 		return
 	}
 	h := d.holders.get(u)
-	if h.expired(d.lease, time.Now()) {
-		h.close("lease-ended")
+	if h.isOpen() && !d.mayDispatch(h) {
+		h.close("not-confirmed")
 	}
 	if generation, ok := h.beginClaim(); ok {
 		go d.takeOver(ctx, u.Name, h, generation)
@@ -67,7 +67,7 @@
 func (d *Daemon) takeOver(ctx context.Context, upstream string, h *held, generation int) {
 	var opened time.Time
 	for h.at(generation) {
-		step := hold.Decide(d.lease, d.claim(ctx, upstream), time.Now())
+		step := hold.Decide(d.lease, d.claim(ctx, upstream), d.confirmed(), time.Now())
 		report := d.report(ctx, h)
 		now := time.Now()
 		if step.Open && opened.IsZero() {
@@ -106,12 +106,10 @@
 func (d *Daemon) claimFrom(ctx context.Context, m membership.Member, upstream string) hold.Reply {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	sent := time.Now()
 	out, err := peer.Call[wire.Claimed](ctx, d.peers, m.Peer, wire.TypeClaim, &wire.Claim{Upstream: upstream})
 	if err != nil {
-		return hold.Reply{Member: m.ID, Silent: true}
+		return hold.Reply{Member: m.ID, Silent: true, Dead: m.State == membership.Dead}
 	}
-	d.lease.Heard(m.ID, sent)
 	return hold.Reply{Member: m.ID, Denied: out.Denied, InUse: out.InUse}
 }
 
@@ -126,7 +124,7 @@
 	}
 	h := d.holders.get(u)
 	mine := d.isHolder(set, u)
-	if h.keeps(mine, d.lease, d.self.ID < from) {
+	if mine && h.keeps(d.mayDispatch(h), d.self.ID < from) {
 		return &wire.Claimed{Denied: true}, nil
 	}
 	h.close("claimed-by-" + from)
@@ -153,6 +151,14 @@
 	return r
 }
 
+// mayDispatch reports whether this daemon may use an upstream that it holds.
+func (d *Daemon) mayDispatch(h *held) bool {
+	h.mu.Lock()
+	alone := h.alone
+	h.mu.Unlock()
+	return d.lease.Valid(time.Now(), alone || d.confirmed())
+}
+
 // release closes the hold on an upstream that another daemon holds.
 func (h *holders) release(upstream string) {
 	h.mu.Lock()
@@ -178,27 +184,17 @@
 	return h.generation == generation
 }
 
-// expired reports whether an open hold has outlived the daemon's lease.
-func (h *held) expired(lease *hold.Lease, now time.Time) bool {
+func (h *held) isOpen() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.state == holdOpen && !lease.Valid(now, h.alone)
+	return h.state == holdOpen
 }
 
 // keeps reports whether the hold stays although another member claims it.
-func (h *held) keeps(mine bool, lease *hold.Lease, first bool) bool {
+func (h *held) keeps(mayDispatch, first bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !mine {
-		return false
-	}
-	switch h.state {
-	case holdOpen:
-		return lease.Valid(time.Now(), h.alone)
-	case holdClaiming:
-		return first
-	}
-	return false
+	return h.state == holdOpen && mayDispatch || h.state == holdClaiming && first
 }
 
 func (h *held) beginClaim() (generation int, ok bool) {
--- a/daemon/holder.go
+++ b/daemon/holder.go
@@ -79,8 +79,8 @@
 		return request.Refuse(request.ReasonNoUpstream, upstream)
 	}
 	h := d.holders.get(u)
-	generation, ok := h.mayDispatch(d.lease)
-	if !ok {
+	generation, open := h.opened()
+	if !open || !d.mayDispatch(h) {
 		return request.Refuse(request.ReasonNotHolder, upstream)
 	}
 	release, err := h.scheduler.Acquire(ctx, classOf(set, req), req.Deadline)
@@ -89,7 +89,7 @@
 	}
 	defer release()
 	// The daemon may have been paused or replaced while the request waited.
-	if now, ok := h.mayDispatch(d.lease); !ok || now != generation {
+	if !h.at(generation) || !d.mayDispatch(h) {
 		return request.Refuse(request.ReasonNotHolder, upstream)
 	}
 	answer := h.run(ctx, req)
@@ -121,12 +121,11 @@
 	return request.Refuse(reason, upstream+": "+err.Error())
 }
 
-// mayDispatch reports whether the daemon holds the upstream, and since which
-// change of state.
-func (h *held) mayDispatch(lease *hold.Lease) (generation int, ok bool) {
+// opened reports whether the hold is open, and since which change of state.
+func (h *held) opened() (generation int, open bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.generation, h.state == holdOpen && lease.Valid(time.Now(), h.alone)
+	return h.generation, h.state == holdOpen
 }
 
 // run runs a request that has a slot.
--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -185,7 +185,6 @@
 		return
 	}
 	m.ID = hello.ID
-	d.lease.Heard(m.ID, sent)
 	first := !d.joined() || d.lifeOf(m.ID) != hello.Incarnation
 	d.withTracker(func(t *membership.Tracker) []membership.Record {
 		t.Heard(hello.ID, hello.Incarnation, time.Now())
