Keep an accepted report in the platform until it is answered

Cause: a report that found no slot in time was lost with its refusal.

Change: a durable request that cannot be answered within its deadline is written to the platform and answered 202 (accepted) only when the platform has it; a write without an answer is repeated, and the conflict with oneself proves that it took effect. One daemon, by duty, lists what was accepted and runs it under a lease in the object; the answer is an object of another kind, written before the request is deleted. GET /v1/reports/{name} tells what became of it.

Weighed: rendezvous over report names (every daemon lists, 9 reads a second in place of 1) against one daemon for all; taken the latter, 8 runs at once.

--- a/coordination/platform/platform.go
+++ b/coordination/platform/platform.go
@@ -14,7 +14,9 @@
 const (
 	KindCatalogue = "catalogue"
 	KindReport    = "report"
-	KindLease     = "lease"
+	// KindReportAnswer is the answer of the report of the same name.
+	KindReportAnswer = "report-answer"
+	KindLease        = "lease"
 )
 
 // MaxObjectBytes is the largest object that the platform holds.
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -27,6 +27,7 @@
 func (d *Daemon) callerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+callerapi.PathLookup, d.handleLookup)
+	mux.HandleFunc("GET "+callerapi.PathReports+"{id}", d.handleReport)
 	mux.HandleFunc("POST "+callerapi.PathRun+"{service}", d.handleRun)
 	mux.HandleFunc("POST "+callerapi.PathRun+"{service}/{path...}", d.handleRun)
 	return mux
@@ -145,6 +146,7 @@
 	h.Set(callerapi.HeaderOutcome, string(answer.Outcome))
 	h.Set(callerapi.HeaderReason, string(answer.Reason))
 	h.Set(callerapi.HeaderHost, host)
+	setReport(h, answer.Report)
 	if answer.Upstream != "" {
 		h.Set(callerapi.HeaderUpstream, answer.Upstream)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -160,6 +160,7 @@
 	group.Go(func() error { return d.followHosts(background) })
 	group.Go(func() error { return d.followMembers(background) })
 	group.Go(func() error { return d.followHolds(background) })
+	group.Go(func() error { return d.followReports(background) })
 	d.log.Info().Str("event", "daemon.ready").Str("incarnation", d.self.Incarnation).
 		Stringer("caller", d.CallerAddr()).Stringer("peer", d.PeerAddr()).Stringer("operator", d.OperatorAddr()).Send()
 	<-ctx.Done()
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -38,9 +38,10 @@
 	m.repairs = m.counter("fact_repairs")
 	m.loadReportsDropped = m.counter("load_reports_dropped")
 	for outcome, name := range map[request.Outcome]string{
-		request.Done:    "requests_done",
-		request.NotRun:  "requests_not_run",
-		request.Unknown: "requests_unknown",
+		request.Done:     "requests_done",
+		request.NotRun:   "requests_not_run",
+		request.Unknown:  "requests_unknown",
+		request.Accepted: "requests_accepted",
 	} {
 		m.outcomes[outcome] = m.counter(name)
 	}
--- /dev/null
+++ b/daemon/reports.go
@@ -0,0 +1,290 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"bilberrytiller.example/tiller/coordination/duty"
+	"bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/coordination/report"
+	"bilberrytiller.example/tiller/protocol/callerapi"
+	"bilberrytiller.example/tiller/state/catalogue"
+	"bilberrytiller.example/tiller/state/request"
+)
+
+const (
+	// storeTime is the part of a deadline that is kept to store a request.
+	storeTime = time.Second
+	// storePause is the wait before a write without an answer is repeated.
+	storePause = 50 * time.Millisecond
+	// reportPeriod is how often accepted requests are looked for.
+	reportPeriod = time.Second
+	// reportWorkers is how many accepted requests one daemon runs at once.
+	reportWorkers = 8
+	// sweepPeriod is how often expired answers are deleted.
+	sweepPeriod = time.Hour
+	// dutyReports names the duty of the daemon that runs accepted requests.
+	dutyReports = "reports"
+)
+
+// serveDurable runs a durable request within its deadline or else has the
+// platform keep it.
+func (d *Daemon) serveDurable(ctx context.Context, set *catalogue.Set, req *request.Request) request.Answer {
+	inTime := *req
+	left := time.Until(req.Deadline)
+	inTime.Deadline = req.Deadline.Add(-min(storeTime, left/2))
+	answer := d.place(ctx, set, &inTime)
+	if report.Ends(answer) || ctx.Err() != nil {
+		return answer
+	}
+	return d.accept(ctx, req, answer)
+}
+
+// accept stores a request in the platform. The caller is told that it was
+// accepted only if the platform has it.
+func (d *Daemon) accept(ctx context.Context, req *request.Request, answer request.Answer) request.Answer {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	data, err := json.Marshal(report.New(req, time.Now()))
+	if err != nil || len(data) > platform.MaxObjectBytes {
+		return answer
+	}
+	name := strings.ToLower(req.ID)
+	stored, sent := d.store(ctx, name, data)
+	d.log.Info().Str("event", "report.decision").Str("request", req.ID).Str("service", req.Service).
+		Bool("stored", stored).Str("reason", string(answer.Reason)).Send()
+	switch {
+	case stored:
+		return request.Answer{Outcome: request.Accepted, Reason: request.ReasonStored, Report: name}
+	case sent:
+		unknown := request.Undecided(request.ReasonStoreUnknown, "the platform gave no answer")
+		unknown.Report = name
+		return unknown
+	}
+	return answer
+}
+
+// store writes a new object, again while the platform gives no answer. An
+// object that exists already comes from an earlier write whose answer was
+// lost, since no two requests have one name. It reports whether the object is
+// there, and whether the platform may have got it.
+func (d *Daemon) store(ctx context.Context, name string, data []byte) (stored, sent bool) {
+	for {
+		_, err := d.platform.Put(ctx, platform.KindReport, name, 0, data)
+		var conflict *platform.ConflictError
+		if err == nil || errors.As(err, &conflict) {
+			return true, true
+		}
+		sent = sent || !notSent(err)
+		if !sleep(ctx, storePause) {
+			return false, sent
+		}
+	}
+}
+
+// notSent reports whether a call failed before it could reach the platform.
+func notSent(err error) bool {
+	var opErr *net.OpError
+	return errors.As(err, &opErr) && opErr.Op == "dial"
+}
+
+// handleReport answers what became of an accepted request.
+func (d *Daemon) handleReport(w http.ResponseWriter, r *http.Request) {
+	defer d.inFlight.begin()()
+	name := r.PathValue("id")
+	answer := d.readReport(r.Context(), name)
+	writeAnswer(w, d.self.ID, "", "", answer)
+}
+
+func (d *Daemon) readReport(ctx context.Context, name string) request.Answer {
+	// The answer is written before the request is deleted, so that a request
+	// that is not found was answered before the second look.
+	kinds := []string{platform.KindReportAnswer, platform.KindReport, platform.KindReportAnswer}
+	for _, kind := range kinds {
+		obj, err := d.platform.Get(ctx, kind, name)
+		switch {
+		case errors.Is(err, platform.ErrNotFound):
+			continue
+		case err != nil:
+			return request.Undecided(request.ReasonStoreUnknown, "the platform gave no answer")
+		case kind == platform.KindReport:
+			return request.Answer{Outcome: request.Accepted, Reason: request.ReasonStored, Report: name}
+		}
+		kept, err := report.DecodeAnswer(obj.Data)
+		if err != nil {
+			return request.Undecided(request.ReasonBadAnswer, err.Error())
+		}
+		return kept.Answer()
+	}
+	return request.Refuse(request.ReasonUnknownReport, name)
+}
+
+// followReports runs accepted requests while this daemon has the duty to.
+func (d *Daemon) followReports(ctx context.Context) error {
+	w := &reportWorker{daemon: d, places: make(chan struct{}, reportWorkers), running: newNameSet()}
+	var swept time.Time
+	for sleep(ctx, reportPeriod) {
+		if !d.runsReports() {
+			continue
+		}
+		if err := w.look(ctx); err != nil && ctx.Err() == nil {
+			d.log.Warn().Str("event", "report.platform").Err(err).Send()
+			continue
+		}
+		if time.Since(swept) > sweepPeriod {
+			swept = time.Now()
+			w.sweep(ctx)
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) runsReports() bool {
+	holder, ok := duty.Holder(d.view.Load(), dutyReports, "")
+	return ok && holder.ID == d.self.ID && d.confirmed() && !d.leaving.Load()
+}
+
+// usable reports whether an incarnation belongs to a usable member.
+func (d *Daemon) usable(incarnation string) bool {
+	m, ok := d.view.Load().ByIncarnation(incarnation)
+	return ok && m.Usable()
+}
+
+// reportWorker runs accepted requests.
+type reportWorker struct {
+	daemon  *Daemon
+	places  chan struct{}
+	running *nameSet
+}
+
+// look starts what is due.
+func (w *reportWorker) look(ctx context.Context) error {
+	list, err := w.daemon.platform.List(ctx, platform.KindReport)
+	if err != nil {
+		return err
+	}
+	for _, obj := range list.Objects {
+		record, err := report.Decode(obj.Data)
+		if err != nil {
+			w.daemon.log.Error().Str("event", "report.invalid").Str("report", obj.Name).Err(err).Send()
+			continue
+		}
+		if !record.Due(w.daemon.self.Incarnation, w.daemon.usable, time.Now()) || !w.running.add(obj.Name) {
+			continue
+		}
+		select {
+		case w.places <- struct{}{}:
+			go w.run(ctx, obj, record)
+		default:
+			w.running.remove(obj.Name)
+			return nil
+		}
+	}
+	return nil
+}
+
+// run runs one accepted request and stores its answer.
+func (w *reportWorker) run(ctx context.Context, obj platform.Object, record report.Record) {
+	defer w.daemon.inFlight.begin()()
+	defer func() {
+		w.running.remove(obj.Name)
+		<-w.places
+	}()
+	if _, err := w.daemon.platform.Get(ctx, platform.KindReportAnswer, obj.Name); err == nil {
+		w.forget(ctx, obj.Name, obj.Version)
+		return
+	}
+	service := w.daemon.catalogue.Load().Service(record.Service)
+	if service == nil {
+		return
+	}
+	leased := record.Leased(w.daemon.self.Incarnation, time.Duration(service.Class.Deadline), time.Now())
+	version, err := w.put(ctx, obj.Name, obj.Version, leased)
+	if err != nil {
+		return
+	}
+	answer := w.place(ctx, service, record)
+	if report.Ends(answer) {
+		w.finish(ctx, obj.Name, version, answer)
+		return
+	}
+	_, _ = w.put(ctx, obj.Name, version, leased.Failed(time.Now()))
+}
+
+func (w *reportWorker) place(ctx context.Context, service *catalogue.Service, record report.Record) request.Answer {
+	req := record.Request(rand.Text())
+	complete(req, service, time.Now())
+	answer := w.daemon.place(ctx, w.daemon.catalogue.Load(), req)
+	w.daemon.log.Info().Str("event", "report.run").Str("request", req.ID).Str("service", record.Service).
+		Int("attempt", record.Attempts).Str("outcome", string(answer.Outcome)).Str("reason", string(answer.Reason)).Send()
+	return answer
+}
+
+// finish stores an answer until the platform has it, then forgets the request.
+func (w *reportWorker) finish(ctx context.Context, name string, version uint64, answer request.Answer) {
+	data, err := json.Marshal(report.Keep(answer, time.Now()))
+	if err == nil && len(data) > platform.MaxObjectBytes {
+		answer.Body, answer.Outcome, answer.Reason = nil, request.Unknown, request.ReasonTooLarge
+		data, err = json.Marshal(report.Keep(answer, time.Now()))
+	}
+	if err != nil {
+		w.daemon.log.Error().Str("event", "report.encode").Str("report", name).Err(err).Send()
+		return
+	}
+	for {
+		_, err := w.daemon.platform.Put(ctx, platform.KindReportAnswer, name, 0, data)
+		var conflict *platform.ConflictError
+		if err == nil || errors.As(err, &conflict) {
+			break
+		}
+		if !sleep(ctx, reportPeriod) {
+			return
+		}
+	}
+	w.forget(ctx, name, version)
+}
+
+// forget deletes a request that was answered. A worker finds one that stays.
+func (w *reportWorker) forget(ctx context.Context, name string, version uint64) {
+	if err := w.daemon.platform.Delete(ctx, platform.KindReport, name, version); err != nil {
+		w.daemon.log.Debug().Str("event", "report.not-deleted").Str("report", name).Err(err).Send()
+	}
+}
+
+func (w *reportWorker) put(ctx context.Context, name string, version uint64, record report.Record) (uint64, error) {
+	data, err := json.Marshal(record)
+	if err != nil {
+		return 0, err
+	}
+	return w.daemon.platform.Put(ctx, platform.KindReport, name, version, data)
+}
+
+// sweep deletes expired answers.
+func (w *reportWorker) sweep(ctx context.Context) {
+	list, err := w.daemon.platform.List(ctx, platform.KindReportAnswer)
+	if err != nil {
+		return
+	}
+	for _, obj := range list.Objects {
+		answer, err := report.DecodeAnswer(obj.Data)
+		if err != nil || !answer.Expired(time.Now()) {
+			continue
+		}
+		_ = w.daemon.platform.Delete(ctx, platform.KindReportAnswer, obj.Name, obj.Version)
+	}
+}
+
+// setReport writes the header that names an accepted request.
+func setReport(h http.Header, name string) {
+	if name == "" {
+		return
+	}
+	h.Set(callerapi.HeaderReport, name)
+	h.Set("Location", callerapi.PathReports+name)
+}
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -33,6 +33,9 @@
 		return request.Refuse(request.ReasonUnknownService, req.Service)
 	}
 	complete(req, service, time.Now())
+	if service.Class.Durable {
+		return d.serveDurable(ctx, set, req)
+	}
 	if service.Class.Idempotent {
 		return d.place(ctx, set, req)
 	}
--- a/protocol/callerapi/callerapi.go
+++ b/protocol/callerapi/callerapi.go
@@ -14,6 +14,8 @@
 	PathLookup = "/v1/lookup"
 	// PathRun is followed by the service and the path to call there.
 	PathRun = "/v1/run/"
+	// PathReports is followed by the name of an accepted request.
+	PathReports = "/v1/reports/"
 )
 
 // Parameters of a look-up.
@@ -32,6 +34,8 @@
 	HeaderReason    = "Tiller-Reason"
 	HeaderUpstream  = "Tiller-Upstream"
 	HeaderHost      = "Tiller-Host"
+	// HeaderReport names an accepted request.
+	HeaderReport = "Tiller-Report"
 	// HeaderHosts lists the addresses of entry hosts to use, best first.
 	HeaderHosts = "Tiller-Hosts"
 )
@@ -76,6 +80,8 @@
 	request.ReasonKeyExpired:     http.StatusGone,
 	request.ReasonKeyReused:      http.StatusConflict,
 	request.ReasonPoison:         http.StatusUnprocessableEntity,
+	request.ReasonStored:         http.StatusAccepted,
+	request.ReasonUnknownReport:  http.StatusNotFound,
 }
 
 // Status returns the HTTP status of an answer whose outcome is not done.
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -38,6 +38,8 @@
 	Host     string
 	Upstream string
 	Tries    int
+	// Report names an accepted request.
+	Report string
 }
 
 // Caller sends requests. It is safe for concurrent use.
@@ -109,6 +111,22 @@
 	return c.runAt(ctx, lookup.Hosts[0].Address, service, "", lookup.Key, body, nil)
 }
 
+// Report asks the known entry hosts in turn what became of an accepted
+// request.
+func (c *Caller) Report(ctx context.Context, name string) Result {
+	result := Result{Outcome: request.Unknown, Reason: request.ReasonConnectionLost}
+	for _, entry := range c.entries {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry+callerapi.PathReports+name, nil)
+		if err != nil {
+			return Result{Outcome: request.NotRun, Reason: request.ReasonBadRequest}
+		}
+		if result = c.send(req); result.Status != 0 {
+			break
+		}
+	}
+	return result
+}
+
 // again reports whether the same request is to be sent once more.
 func again(r Result) bool {
 	return r.Outcome == request.Unknown && r.Reason != request.ReasonKeyExpired ||
@@ -201,6 +219,7 @@
 		Body:     body,
 		Host:     resp.Header.Get(callerapi.HeaderHost),
 		Upstream: resp.Header.Get(callerapi.HeaderUpstream),
+		Report:   resp.Header.Get(callerapi.HeaderReport),
 	}
 }
 
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -92,7 +92,7 @@
 func (s *Server) SetFaults(f Faults) {
 	frozen := map[string]platform.List{}
 	if f.FreezeReads {
-		for _, kind := range []string{platform.KindCatalogue, platform.KindReport, platform.KindLease} {
+		for _, kind := range []string{platform.KindCatalogue, platform.KindReport, platform.KindReportAnswer, platform.KindLease} {
 			frozen[kind] = s.store.list(kind)
 		}
 	}
--- a/state/request/request.go
+++ b/state/request/request.go
@@ -1,10 +1,11 @@
 // Package request holds the types that describe one caller's request on its
 // way through the system and the answer that comes back for it.
 //
-// A request ends in exactly one of three outcomes. Done carries the whole
+// A request ends in exactly one of four outcomes. Done carries the whole
 // answer of the backend server. NotRun states that no backend server ran or
 // will run the request. Unknown states that it may have run; the caller
-// learns more by sending the same key again.
+// learns more by sending the same key again. Accepted states that the platform
+// keeps a durable request until it is answered.
 package request
 
 import (
@@ -16,11 +17,12 @@
 // Outcome is what became of a request.
 type Outcome string
 
-// The three outcomes of a request.
+// The outcomes of a request.
 const (
-	Done    Outcome = "done"
-	NotRun  Outcome = "not-run"
-	Unknown Outcome = "unknown"
+	Done     Outcome = "done"
+	NotRun   Outcome = "not-run"
+	Unknown  Outcome = "unknown"
+	Accepted Outcome = "accepted"
 )
 
 // Rank orders work by urgency.
@@ -129,6 +131,11 @@
 	ReasonBadAnswer        Reason = "bad-answer"
 	ReasonNotHolder        Reason = "not-holder"
 	ReasonPoison           Reason = "poison"
+	// ReasonStored says that the platform keeps a durable request,
+	// ReasonStoreUnknown that it may.
+	ReasonStored        Reason = "stored"
+	ReasonStoreUnknown  Reason = "store-unknown"
+	ReasonUnknownReport Reason = "unknown-report"
 )
 
 // Answer is the end of a request.
@@ -142,6 +149,8 @@
 	Header   http.Header
 	Body     []byte
 	Upstream string
+	// Report names an accepted request.
+	Report string
 }
 
 // Refuse returns an answer that says the request did not run.
