--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -31,7 +31,7 @@
 
 // New returns a controller of one daemon.
 func New() *Controller {
-	limits := schedule.Limits{Slots: maxInFlight, Waiting: maxWaiting, RankShare: rankShare}
+	limits := schedule.Limits{Slots: maxInFlight, Waiting: maxWaiting, RankShare: rankShare, Untimed: true}
 	return &Controller{scheduler: schedule.New(limits)}
 }
 
--- a/coordination/hold/hold.go
+++ b/coordination/hold/hold.go
@@ -98,8 +98,9 @@
 
 // Step is what to do about a claim.
 type Step struct {
-	// Open is true if the claimant may dispatch.
-	Open bool
+	// Open is true if the claimant may dispatch, Denied if a member still does.
+	Open   bool
+	Denied bool
 	// Reserved is the number of slots that earlier holders still use, as far
 	// as members know.
 	Reserved int
@@ -112,11 +113,15 @@
 // Confirmed says that others count the claimant among the living.
 func Decide(l *Lease, replies []Reply, confirmed bool, now time.Time) Step {
 	step := Step{Open: true, Alone: !confirmed}
+	if !confirmed && len(replies) == 0 {
+		// The fleet may not be known yet.
+		step.Open = l.outwaited("", now)
+	}
 	for _, r := range replies {
 		step.Reserved += r.InUse
 		switch {
 		case r.Denied:
-			step.Open = false
+			step.Open, step.Denied = false, true
 		case !r.Silent:
 			l.Heard(r.Member)
 		case r.Dead && confirmed:
--- a/coordination/hold/hold_test.go
+++ b/coordination/hold/hold_test.go
@@ -38,8 +38,10 @@
 		want  Step
 	}{
 		"no members":                {nil, true, 0, Step{Open: true}},
+		"none known":                {nil, false, within, Step{Alone: true}},
+		"none known for long":       {nil, false, past, Step{Open: true, Alone: true}},
 		"all agree":                 {[]Reply{{Member: "b", InUse: 2}, {Member: "c", InUse: 1}}, true, 0, Step{Open: true, Reserved: 3}},
-		"one still dispatches":      {[]Reply{{Member: "b", Denied: true}}, true, past, Step{}},
+		"one still dispatches":      {[]Reply{{Member: "b", Denied: true}}, true, past, Step{Denied: true}},
 		"one is silent":             {silent, true, within, Step{}},
 		"one is silent for long":    {silent, true, past, Step{Open: true, Alone: true}},
 		"one is dead":               {dead, true, 0, Step{Open: true}},
--- a/coordination/schedule/queue.go
+++ b/coordination/schedule/queue.go
@@ -62,6 +62,9 @@
 	// RankShare is the largest fraction of the slots that one rank may use.
 	// Zero is no limit.
 	RankShare float64
+	// Untimed is set where the time of an answer says nothing of the next
+	// one's. A request is then refused only when its deadline has passed.
+	Untimed bool
 }
 
 // Ticket is one request in a queue.
@@ -158,7 +161,9 @@
 // Release gives a granted ticket's slot back.
 func (q *Queue) Release(t *Ticket, now time.Time) []Event {
 	q.advance(now)
-	t.class.service.add(now.Sub(t.granted), now)
+	if !q.limits.Untimed {
+		t.class.service.add(now.Sub(t.granted), now)
+	}
 	q.inUse--
 	t.class.inUse--
 	q.byRank[t.class.Rank]--
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -29,10 +29,6 @@
 			d.log.Warn().Str("event", "hold.paused").Send()
 			d.holders.closeAll()
 		}
-		if d.view.Load() == d.firstView {
-			// Other daemons may hold everything.
-			continue
-		}
 		set := d.catalogue.Load()
 		for _, u := range set.AllUpstreams() {
 			d.checkHold(ctx, set, u)
@@ -51,6 +47,9 @@
 	if h.isOpen() && !d.mayDispatch(h) {
 		h.close("not-confirmed")
 	}
+	if generation, ok := h.recheck(d.view.Load()); ok {
+		go d.takeOver(ctx, u.Name, h, generation)
+	}
 	if generation, ok := h.beginClaim(); ok {
 		go d.takeOver(ctx, u.Name, h, generation)
 	}
@@ -67,15 +66,20 @@
 func (d *Daemon) takeOver(ctx context.Context, upstream string, h *held, generation int) {
 	var opened time.Time
 	for h.at(generation) {
-		step := hold.Decide(d.lease, d.claim(ctx, upstream), d.confirmed(), time.Now())
+		view := d.view.Load()
+		step := hold.Decide(d.lease, d.claim(ctx, view, upstream), d.confirmed(), time.Now())
 		report := d.report(ctx, h)
 		now := time.Now()
+		if step.Denied && !opened.IsZero() {
+			h.close("denied")
+			return
+		}
 		if step.Open && opened.IsZero() {
 			opened = now
 		}
 		if !opened.IsZero() {
 			done := h.reserve(generation, step, report, now.Sub(opened))
-			h.open(generation, step.Alone)
+			h.open(generation, step.Alone, view)
 			if done {
 				return
 			}
@@ -87,9 +91,9 @@
 }
 
 // claim tells all other members that this daemon is to hold an upstream.
-func (d *Daemon) claim(ctx context.Context, upstream string) []hold.Reply {
+func (d *Daemon) claim(ctx context.Context, view *membership.View, upstream string) []hold.Reply {
 	var others []membership.Member
-	for _, m := range d.view.Load().Members() {
+	for _, m := range view.Members() {
 		if m.ID != d.self.ID {
 			others = append(others, m)
 		}
@@ -194,7 +198,13 @@
 func (h *held) keeps(mayDispatch, first bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.state == holdOpen && mayDispatch || h.state == holdClaiming && first
+	switch h.state {
+	case holdOpen:
+		return mayDispatch
+	case holdClaiming, holdRechecking:
+		return first
+	}
+	return false
 }
 
 func (h *held) beginClaim() (generation int, ok bool) {
@@ -209,7 +219,7 @@
 }
 
 // open lets requests have slots.
-func (h *held) open(generation int, alone bool) {
+func (h *held) open(generation int, alone bool, asked *membership.View) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.generation != generation {
@@ -220,6 +230,34 @@
 	}
 	h.state = holdOpen
 	h.alone = alone
+	h.asked = map[string]bool{}
+	for _, m := range asked.Members() {
+		h.asked[m.Incarnation] = true
+	}
+}
+
+// recheck grants no slots until members that have appeared since the hold was
+// opened have been asked too. Requests that wait go on waiting.
+func (h *held) recheck(view *membership.View) (generation int, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.state != holdOpen || !h.missing(view) {
+		return 0, false
+	}
+	h.state = holdRechecking
+	h.generation++
+	h.scheduler.Reserve(h.upstream.Slots)
+	return h.generation, true
+}
+
+// missing reports whether a member was not asked. The lock must be held.
+func (h *held) missing(view *membership.View) bool {
+	for _, m := range view.Members() {
+		if m.State != membership.Dead && !h.asked[m.Incarnation] {
+			return true
+		}
+	}
+	return false
 }
 
 // reserve keeps slots for the requests of others. It reports whether there
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -54,8 +54,6 @@
 	catalogue atomic.Pointer[catalogue.Set]
 	invalid   *invalidObjects
 	view      atomic.Pointer[membership.View]
-	// firstView is the view before anything is known of the fleet.
-	firstView *membership.View
 	steered   atomic.Pointer[steering]
 	roster    *roster
 
@@ -126,8 +124,7 @@
 	d.control = peer.NewClient(d.auth, addrOf(d.listeners.peer).Addr())
 	d.roster = newRoster(d.self, time.Now())
 	d.catalogue.Store(catalogue.Empty())
-	d.firstView = membership.NewView(d.self, []membership.Member{d.self})
-	d.view.Store(d.firstView)
+	d.view.Store(membership.NewView(d.self, []membership.Member{d.self}))
 	d.registerCalls()
 	d.onFact(factCatalogue, d.takeCatalogue)
 	d.onFact(factCrash, d.takeCrashes)
--- a/daemon/holder.go
+++ b/daemon/holder.go
@@ -34,8 +34,10 @@
 
 const (
 	holdClosed holdState = iota
-	// holdClaiming is the state while other members are asked.
+	// holdClaiming is the state while other members are asked, holdRechecking
+	// while those are asked that appeared since.
 	holdClaiming
+	holdRechecking
 	holdOpen
 )
 
@@ -59,6 +61,8 @@
 	generation int
 	// alone is true if other members were outwaited.
 	alone bool
+	// asked are the incarnations of the members that were asked.
+	asked map[string]bool
 	// usable is when the upstream became usable, zero if it always was.
 	usable time.Time
 	// failures counts failed connections in a row.
@@ -79,8 +83,7 @@
 		return request.Refuse(request.ReasonNoUpstream, upstream)
 	}
 	h := d.holders.get(u)
-	generation, open := h.opened()
-	if !open || !d.mayDispatch(h) {
+	if !d.isHolder(set, u) || !h.takesWork() {
 		return request.Refuse(request.ReasonNotHolder, upstream)
 	}
 	release, err := h.scheduler.Acquire(ctx, classOf(set, req), req.Deadline)
@@ -89,7 +92,7 @@
 	}
 	defer release()
 	// The daemon may have been paused or replaced while the request waited.
-	if !h.at(generation) || !d.mayDispatch(h) {
+	if !h.isOpen() || !d.mayDispatch(h) {
 		return request.Refuse(request.ReasonNotHolder, upstream)
 	}
 	answer := h.run(ctx, req)
@@ -121,11 +124,12 @@
 	return request.Refuse(reason, upstream+": "+err.Error())
 }
 
-// opened reports whether the hold is open, and since which change of state.
-func (h *held) opened() (generation int, open bool) {
+// takesWork reports whether requests may wait for a slot here: the daemon
+// holds the upstream, or is about to again.
+func (h *held) takesWork() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.generation, h.state == holdOpen
+	return h.state == holdOpen || h.state == holdRechecking
 }
 
 // run runs a request that has a slot.
--- a/daemon/reports.go
+++ b/daemon/reports.go
@@ -252,7 +252,7 @@
 
 // forget deletes a request that was answered. A worker finds one that stays.
 func (w *reportWorker) forget(ctx context.Context, name string, version uint64) {
-	if err := w.daemon.platform.Delete(ctx, platform.KindReport, name, version); err != nil {
+	if _, err := w.daemon.platform.Delete(ctx, platform.KindReport, name, version); err != nil {
 		w.daemon.log.Debug().Str("event", "report.not-deleted").Str("report", name).Err(err).Send()
 	}
 }
@@ -276,7 +276,7 @@
 		if err != nil || !answer.Expired(time.Now()) {
 			continue
 		}
-		_ = w.daemon.platform.Delete(ctx, platform.KindReportAnswer, obj.Name, obj.Version)
+		_, _ = w.daemon.platform.Delete(ctx, platform.KindReportAnswer, obj.Name, obj.Version)
 	}
 }
 
--- a/standin/proofs/reports_test.go
+++ b/standin/proofs/reports_test.go
@@ -143,11 +143,11 @@
 
 // workerOf returns the host whose daemon has the lease of a report.
 func workerOf(f *fleet.Fleet, name string) *fleet.Host {
-	data, err := f.Platform.Object(tiller.KindReport, name)
+	obj, err := f.Platform.Object(tiller.KindReport, name)
 	if err != nil {
 		return nil
 	}
-	record, err := report.Decode(data)
+	record, err := report.Decode(obj.Data)
 	if err != nil {
 		return nil
 	}
