--- a/daemon/holder.go
+++ b/daemon/holder.go
@@ -23,6 +23,10 @@
 	// failingAfter is the number of failed connections in a row after which
 	// an upstream counts as failing.
 	failingAfter = 3
+	// busyFactor times the mean time of an answer is how long a request
+	// without one is taken to run, at most maxBusy.
+	busyFactor = 2
+	maxBusy    = 10 * time.Second
 )
 
 // errNotHolder ends requests that wait for a slot of an upstream that this
@@ -90,12 +94,18 @@
 	if err != nil {
 		return refuseSlot(upstream, err)
 	}
-	defer release()
 	// The daemon may have been paused or replaced while the request waited.
 	if !h.isOpen() || !d.mayDispatch(h) {
+		release()
 		return request.Refuse(request.ReasonNotHolder, upstream)
 	}
+	started := time.Now()
 	answer := h.run(ctx, req)
+	if busy := h.stillBusy(answer, time.Since(started)); busy > 0 {
+		time.AfterFunc(busy, release)
+	} else {
+		release()
+	}
 	answer.Upstream = upstream
 	return answer
 }
@@ -143,6 +153,17 @@
 	return answer
 }
 
+// stillBusy is how long the upstream is expected to go on with a request that
+// ended without its answer. The slot is not free before.
+func (h *held) stillBusy(answer request.Answer, passed time.Duration) time.Duration {
+	if answer.Outcome != request.Unknown {
+		return 0
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return max(0, min(busyFactor*h.service, maxBusy)-passed)
+}
+
 // note learns from an answer how the upstream does.
 func (h *held) note(answer request.Answer, started, now time.Time) {
 	const weight = 10
@@ -159,6 +180,9 @@
 		h.usable = now
 	}
 	h.failures = 0
+	if h.service == 0 {
+		h.service = now.Sub(started)
+	}
 	h.service += (now.Sub(started) - h.service) / weight
 	h.lastDone = now
 }
--- a/standin/proofs/slots_test.go
+++ b/standin/proofs/slots_test.go
@@ -253,3 +253,18 @@
 	}
 	return out
 }
+
+// A caller that goes away does not end the work of the backend server, so
+// that the slot is not free yet.
+func TestAbandonedRequestKeepsItsSlot(t *testing.T) {
+	t.Parallel()
+	f := fleet.Start(t, oneUpstream(1, 400*time.Millisecond))
+	wantDone(t, run(t, f.Client(), "lookups", "first"), "lookups", "first")
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _, _ = f.Client().Run(ctx, "lookups", "", []byte("abandoned"), nil) }()
+	fleet.Eventually(t, "the request runs", func() bool { return f.Backends["lookups-1"].Stats().Runs == 2 })
+	cancel()
+	wantDone(t, run(t, f.Client(), "lookups", "next"), "lookups", "next")
+	wantOverSlots(t, f, "lookups-1", 0)
+}
