--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -94,7 +94,7 @@
 			break
 		}
 		host := lookup.Hosts[try%len(lookup.Hosts)]
-		result = c.runAt(ctx, host.Address, service, path, lookup.Key, body, header)
+		result = c.RunAt(ctx, host.Address, service, path, lookup.Key, body, header)
 		result.Tries = try + 1
 		if !again(result) {
 			break
@@ -108,7 +108,7 @@
 	if len(lookup.Hosts) == 0 {
 		return Result{Outcome: request.NotRun, Reason: request.ReasonNoUpstream}
 	}
-	return c.runAt(ctx, lookup.Hosts[0].Address, service, "", lookup.Key, body, nil)
+	return c.RunAt(ctx, lookup.Hosts[0].Address, service, "", lookup.Key, body, nil)
 }
 
 // Report asks the known entry hosts in turn what became of an accepted
@@ -183,7 +183,8 @@
 	return lookup, nil
 }
 
-func (c *Caller) runAt(ctx context.Context, host, service, path, key string, body []byte, header http.Header) Result {
+// RunAt makes one try at one entry host, with a key unless it is empty.
+func (c *Caller) RunAt(ctx context.Context, host, service, path, key string, body []byte, header http.Header) Result {
 	target := "http://" + host + callerapi.PathRun + service + "/" + path
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
 	if err != nil {
