--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -98,6 +98,8 @@
 	mu      sync.Mutex
 	faults  Faults
 	present int
+	// sampled is the most requests seen at once since a sample began.
+	sampled int
 	ledger  []*Run
 	byKey   map[string]int
 	waiting map[string]chan struct{}
@@ -169,6 +171,18 @@
 	return s.stats
 }
 
+// SampleMostInUse returns the largest number of requests seen at once while
+// do runs.
+func (s *Server) SampleMostInUse(do func()) int {
+	s.mu.Lock()
+	s.sampled = s.present
+	s.mu.Unlock()
+	do()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sampled
+}
+
 func (s *Server) isSilent(addr string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -258,6 +272,7 @@
 	s.progress[id] = backendapi.ProgressWaiting
 	s.present++
 	s.stats.MostInUse = max(s.stats.MostInUse, s.present)
+	s.sampled = max(s.sampled, s.present)
 	if s.present > s.opts.Slots {
 		s.stats.OverSlots++
 		shed = s.faults.Shed
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -94,6 +94,8 @@
 	Service    string
 	DataCentre string
 	Options    backend.Options
+	// Services are more services that it runs.
+	Services []string
 }
 
 // Fleet is a running fleet. It ends with its test.
@@ -106,7 +108,9 @@
 	// PlatformURL is the platform's base URL.
 	PlatformURL string
 	Backends    map[string]*backend.Server
-	Hosts       []*Host
+	// backendServers are the listeners of the backend servers.
+	backendServers map[string]*httptest.Server
+	Hosts          []*Host
 }
 
 // Host is one entry host with the process of its daemon.
@@ -141,7 +145,7 @@
 	t.Helper()
 	f := &Fleet{
 		t: t, opts: opts, Platform: platform.New(),
-		Backends: map[string]*backend.Server{}, upstreams: map[string]catalogue.Upstream{},
+		Backends: map[string]*backend.Server{}, upstreams: map[string]catalogue.Upstream{}, backendServers: map[string]*httptest.Server{},
 	}
 	server := httptest.NewServer(f.Platform)
 	t.Cleanup(server.Close)
@@ -182,6 +186,21 @@
 	return version
 }
 
+// UpstreamEntry returns the catalogue entry of an upstream.
+func (f *Fleet) UpstreamEntry(name string) *catalogue.Upstream {
+	f.t.Helper()
+	id := catalogue.ID{Kind: catalogue.KindUpstream, Name: name}
+	obj, err := f.Platform.Object(tiller.KindCatalogue, id.String())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	entry, err := catalogue.Decode(obj.Data)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return entry.(*catalogue.Upstream)
+}
+
 // ListHosts tells the platform the hosts as they are, some of them as leaving.
 func (f *Fleet) ListHosts(leaving ...*Host) { f.Platform.SetHosts(f.Listed(leaving...)) }
 
@@ -292,8 +311,9 @@
 		server.Close()
 	})
 	f.Backends[u.Name] = s
+	f.backendServers[u.Name] = server
 	entry := catalogue.Upstream{
-		Meta: meta(catalogue.KindUpstream, u.Name), Services: []string{u.Service}, DataCentre: u.DataCentre,
+		Meta: meta(catalogue.KindUpstream, u.Name), Services: append([]string{u.Service}, u.Services...), DataCentre: u.DataCentre,
 		Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Slots: u.Options.Slots, Connections: 330,
 	}
 	f.upstreams[u.Name] = entry
@@ -308,6 +328,13 @@
 	f.Apply(&entry)
 }
 
+// StopBackend ends a backend server, cutting what it runs.
+func (f *Fleet) StopBackend(name string) {
+	server := f.backendServers[name]
+	_ = server.Listener.Close()
+	server.CloseClientConnections()
+}
+
 // startHost starts a host's daemon on a loopback address of its own, so that
 // its connections can be told from those of other hosts.
 func (f *Fleet) startHost(i int, dc string) *Host {
