--- a/standin/proofs/limits_test.go
+++ b/standin/proofs/limits_test.go
@@ -37,8 +37,8 @@
 	return f, f.Backends["only"]
 }
 
-// flood sends requests through the given hosts until stopped.
-type flood struct {
+// limitFlood sends requests through the given hosts until stopped.
+type limitFlood struct {
 	stop    chan struct{}
 	wait    sync.WaitGroup
 	mu      sync.Mutex
@@ -46,8 +46,8 @@
 	refused int
 }
 
-func startFlood(f *fleet.Fleet, workers int, hosts ...*fleet.Host) *flood {
-	fl := &flood{stop: make(chan struct{})}
+func startLimitFlood(f *fleet.Fleet, workers int, hosts ...*fleet.Host) *limitFlood {
+	fl := &limitFlood{stop: make(chan struct{})}
 	for _, h := range hosts {
 		for range workers {
 			fl.wait.Go(func() { fl.send(h) })
@@ -57,7 +57,7 @@
 }
 
 // send sends to one host's address as it is at the moment.
-func (fl *flood) send(h *fleet.Host) {
+func (fl *limitFlood) send(h *fleet.Host) {
 	for {
 		select {
 		case <-fl.stop:
@@ -76,23 +76,23 @@
 	}
 }
 
-func (fl *flood) counts() (done, refused int) {
+func (fl *limitFlood) counts() (done, refused int) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	return fl.done, fl.refused
 }
 
-// more waits until the flood got a number of answers more.
-func (fl *flood) more(t *testing.T, n int) {
+// more waits until the limitFlood got a number of answers more.
+func (fl *limitFlood) more(t *testing.T, n int) {
 	t.Helper()
 	before, _ := fl.counts()
-	fleet.Eventually(t, fmt.Sprintf("flood gets %d answers", n), func() bool {
+	fleet.Eventually(t, fmt.Sprintf("limitFlood gets %d answers", n), func() bool {
 		done, _ := fl.counts()
 		return done >= before+n
 	})
 }
 
-func (fl *flood) end() {
+func (fl *limitFlood) end() {
 	close(fl.stop)
 	fl.wait.Wait()
 }
@@ -120,7 +120,7 @@
 func TestRateLimitHoldsWhileViewsDiffer(t *testing.T) {
 	const rate = 30
 	f, b := limitFleet(t, catalogue.Limits{Rate: rate}, time.Millisecond)
-	fl := startFlood(f, 4, f.Hosts...)
+	fl := startLimitFlood(f, 4, f.Hosts...)
 	fl.more(t, rate)
 	f.Partition("north", "south", relay.Cut)
 	fl.more(t, rate)
@@ -147,7 +147,7 @@
 func TestConcurrencyLimitHoldsWhileViewsDiffer(t *testing.T) {
 	const concurrency = 6
 	f, b := limitFleet(t, catalogue.Limits{Concurrency: concurrency}, 200*time.Millisecond)
-	fl := startFlood(f, 4, f.Hosts...)
+	fl := startLimitFlood(f, 4, f.Hosts...)
 	fl.more(t, 20)
 	f.Partition("north", "south", relay.Cut)
 	fl.more(t, 20)
@@ -185,14 +185,14 @@
 func TestDemandAtOneHostGetsMoreThanItsShare(t *testing.T) {
 	const rate = 60
 	f, b := limitFleet(t, catalogue.Limits{Rate: rate}, time.Millisecond)
-	fl := startFlood(f, 8, f.Hosts[2])
+	fl := startLimitFlood(f, 8, f.Hosts[2])
 	defer fl.end()
 	fleet.Eventually(t, "one host uses most of the limit", func() bool { return mostStarts(b, time.Second) >= rate*5/6 })
 	f.Platform.SetFaults(platform.Faults{Down: true})
 	before := len(b.Ledger())
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
-	fleet.Eventually(t, "the flood goes on during the outage", func() bool { return ctx.Err() != nil || len(b.Ledger()) > before+3*rate })
+	fleet.Eventually(t, "the limitFlood goes on during the outage", func() bool { return ctx.Err() != nil || len(b.Ledger()) > before+3*rate })
 	if most := mostStarts(b, time.Second-deliveryJitter); most > rate {
 		t.Errorf("%d requests ran within a second, limit %d", most, rate)
 	}
