--- a/coordination/platform/platform.go
+++ b/coordination/platform/platform.go
@@ -72,6 +72,8 @@
 	ErrNotFound = errors.New("no such object")
 	// ErrTooOld says that a watch asked for changes the platform no longer has.
 	ErrTooOld = errors.New("watch version is too old")
+	// ErrRefused says that the platform will not take a call as it is.
+	ErrRefused = errors.New("platform refused the call")
 	// ErrUnavailable says that the platform gave no answer; a write may have
 	// taken effect.
 	ErrUnavailable = errors.New("platform is unavailable")
--- a/transport/platformhttp/client.go
+++ b/transport/platformhttp/client.go
@@ -34,6 +34,14 @@
 	return fmt.Sprintf("platform answered %d: %s", e.Status, e.Body)
 }
 
+// Unwrap returns platform.ErrRefused for a status that blames the call.
+func (e *StatusError) Unwrap() error {
+	if e.Status >= http.StatusBadRequest && e.Status < http.StatusInternalServerError && e.Status != http.StatusTooManyRequests {
+		return platform.ErrRefused
+	}
+	return nil
+}
+
 // Client implements platform.Client. It is safe for concurrent use.
 type Client struct {
 	base string
