--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -129,6 +129,19 @@
 	return s.store.put(kind, name, current.Version, data)
 }
 
+// Remove deletes an object whatever its version and returns the version of
+// the deletion.
+func (s *Server) Remove(kind, name string) (uint64, error) {
+	current, err := s.store.get(kind, name)
+	if err != nil {
+		return 0, err
+	}
+	return s.store.delete(kind, name, current.Version)
+}
+
+// Forget drops the changes that a watch can look back on.
+func (s *Server) Forget() { s.store.forget() }
+
 // Object returns an object as it stands, whatever the faults.
 func (s *Server) Object(kind, name string) (platform.Object, error) { return s.store.get(kind, name) }
 
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -99,6 +99,14 @@
 	s.changed = make(chan struct{})
 }
 
+// forget drops the whole history.
+func (s *store) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropped = s.version
+	s.history = nil
+}
+
 // watch waits until there is a change of the kind after the version or ctx
 // ends, and returns the changes there are.
 func (s *store) watch(ctx context.Context, kind string, after uint64) (platform.Changes, error) {
--- a/standin/proofs/catalogue_test.go
+++ b/standin/proofs/catalogue_test.go
@@ -159,6 +159,27 @@
 	}
 }
 
+func TestEntryDeletedWhileNoRelayWatchedIsDeletedByTheNextList(t *testing.T) {
+	f := fleet.Start(t, nineHosts())
+	entry := fleet.Service("lookups", request.RankLookup, true)
+	inForce(t, f, f.Apply(&entry))
+	for _, h := range f.Hosts {
+		f.SetPlatform(h, relay.Cut)
+	}
+	if _, err := f.Platform.Remove(tiller.KindCatalogue, changedEntry); err != nil {
+		t.Fatal(err)
+	}
+	f.Platform.Forget()
+	for _, h := range f.Hosts {
+		f.SetPlatform(h, relay.Pass)
+	}
+	fleet.Eventually(t, "the entry is deleted everywhere", func() bool {
+		return !slices.ContainsFunc(f.Hosts, func(h *fleet.Host) bool { return !strings.Contains(h.Log(), "deleted=true") })
+	})
+	inForce(t, f, change(f, time.Second))
+	neverBelow(t, f)
+}
+
 func TestRelayKilledInTheMiddleOfSpreading(t *testing.T) {
 	f := fleet.Start(t, nineHosts())
 	only := relays(t, f)[0]
