--- a/coordination/platform/platform.go
+++ b/coordination/platform/platform.go
@@ -72,8 +72,6 @@
 	ErrNotFound = errors.New("no such object")
 	// ErrTooOld says that a watch asked for changes the platform no longer has.
 	ErrTooOld = errors.New("watch version is too old")
-	// ErrRefused says that the platform will not take a call as it is.
-	ErrRefused = errors.New("platform refused the call")
 	// ErrUnavailable says that the platform gave no answer; a write may have
 	// taken effect.
 	ErrUnavailable = errors.New("platform is unavailable")
@@ -99,8 +97,9 @@
 	// Put writes an object if it stands at the given version, 0 for one that
 	// must not exist, and returns its new version, or a *ConflictError.
 	Put(ctx context.Context, kind, name string, ifVersion uint64, data []byte) (uint64, error)
-	// Delete deletes an object if it stands at the given version.
-	Delete(ctx context.Context, kind, name string, ifVersion uint64) error
+	// Delete deletes an object if it stands at the given version, and returns
+	// the version of its deletion.
+	Delete(ctx context.Context, kind, name string, ifVersion uint64) (uint64, error)
 	// Watch waits for changes of a kind after a version, or returns ErrTooOld.
 	Watch(ctx context.Context, kind string, after uint64) (Changes, error)
 	// Hosts returns the lagging list of hosts.
--- a/coordination/platformwrite/platformwrite.go
+++ b/coordination/platformwrite/platformwrite.go
@@ -98,19 +98,20 @@
 	return version, outcome(err, unclear, kind, name)
 }
 
-// Delete deletes an object if it stands at ifVersion. It fails as Put does.
-// An object that is gone after a lost answer counts as deleted.
-func (w *Writer) Delete(ctx context.Context, kind, name string, ifVersion uint64) error {
+// Delete deletes an object if it stands at ifVersion, and returns the version
+// of the deletion. It fails as Put does. An object that is gone after a lost
+// answer counts as deleted, at version 0 for a version that is not known.
+func (w *Writer) Delete(ctx context.Context, kind, name string, ifVersion uint64) (uint64, error) {
 	unclear := false
-	_, err := retry(ctx, w, func() (struct{}, error) {
-		err := w.client.Delete(ctx, kind, name, ifVersion)
+	version, err := retry(ctx, w, func() (uint64, error) {
+		version, err := w.client.Delete(ctx, kind, name, ifVersion)
 		if errors.Is(err, platform.ErrNotFound) && unclear {
-			return struct{}{}, nil
+			return 0, nil
 		}
 		unclear = unclear || !decided(err)
-		return struct{}{}, err
+		return version, err
 	})
-	return outcome(err, unclear, kind, name)
+	return version, outcome(err, unclear, kind, name)
 }
 
 // Change reads an object and writes what change makes of it, anew after each
@@ -173,7 +174,12 @@
 // platform refused it.
 func decided(err error) bool {
 	var conflict *platform.ConflictError
-	return err == nil || errors.As(err, &conflict) || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrRefused)
+	var refusal interface{ Refused() bool }
+	switch {
+	case err == nil, errors.As(err, &conflict), errors.Is(err, platform.ErrNotFound):
+		return true
+	}
+	return errors.As(err, &refusal) && refusal.Refused()
 }
 
 // outcome names the outcome of a write. What the platform says after a lost
--- a/coordination/platformwrite/platformwrite_test.go
+++ b/coordination/platformwrite/platformwrite_test.go
@@ -68,19 +68,19 @@
 	return f.object.Version, nil
 }
 
-func (f *fake) Delete(_ context.Context, _, _ string, ifVersion uint64) error {
+func (f *fake) Delete(_ context.Context, _, _ string, ifVersion uint64) (uint64, error) {
 	what := f.next()
 	if f.object.Version == 0 {
-		return platform.ErrNotFound
+		return 0, platform.ErrNotFound
 	}
 	if f.object.Version != ifVersion {
-		return &platform.ConflictError{Want: ifVersion, Current: f.object}
+		return 0, &platform.ConflictError{Want: ifVersion, Current: f.object}
 	}
 	f.object = platform.Object{}
 	if what == lost {
-		return platform.ErrUnavailable
+		return 0, platform.ErrUnavailable
 	}
-	return nil
+	return ifVersion + 1, nil
 }
 
 var (
@@ -150,10 +150,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fake{object: platform.Object{Version: 3}, faults: []fault{lost}}
 		w := New(f, wide, waits)
-		if err := w.Delete(within(t, time.Minute), "report", "a", 3); err != nil {
+		if _, err := w.Delete(within(t, time.Minute), "report", "a", 3); err != nil {
 			t.Errorf("delete with a lost answer: %v", err)
 		}
-		if err := w.Delete(within(t, time.Minute), "report", "a", 3); !errors.Is(err, platform.ErrNotFound) {
+		if _, err := w.Delete(within(t, time.Minute), "report", "a", 3); !errors.Is(err, platform.ErrNotFound) {
 			t.Errorf("delete of no object: %v", err)
 		}
 	})
--- a/standin/proofs/catalogue_test.go
+++ b/standin/proofs/catalogue_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -39,14 +40,14 @@
 func neverBelow(t *testing.T, f *fleet.Fleet) {
 	t.Helper()
 	for _, h := range f.Hosts {
-		last := ""
+		var last uint64
 		for line := range strings.SplitSeq(h.Log(), "\n") {
-			if !strings.Contains(line, "event=catalogue.in-force") || !strings.Contains(line, "entry="+changedEntry+" ") {
+			if logField(line, "event") != "catalogue.in-force" || logField(line, "entry") != changedEntry {
 				continue
 			}
-			_, version, _ := strings.Cut(line, "version=")
-			if len(version) < len(last) || len(version) == len(last) && version < last {
-				t.Errorf("%s went from version %s back to %s", h.ID, last, version)
+			version, err := strconv.ParseUint(logField(line, "version"), 10, 64)
+			if err != nil || version < last {
+				t.Errorf("%s went from version %d back to %d: %v", h.ID, last, version, err)
 			}
 			last = version
 		}
--- a/standin/proofs/force_bench_test.go
+++ b/standin/proofs/force_bench_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -85,16 +86,15 @@
 
 // forceTime returns when a daemon put a version in force, by its log.
 func forceTime(b *testing.B, h *fleet.Host, version uint64) time.Time {
-	entry, ending := "entry="+changedEntry+" ", fmt.Sprintf("version=%d", version)
+	wanted := strconv.FormatUint(version, 10)
 	var at time.Time
 	fleet.Eventually(b, h.ID+" has the change in force", func() bool {
 		for line := range strings.SplitSeq(h.Log(), "\n") {
-			if !strings.Contains(line, entry) || !strings.HasSuffix(strings.TrimSpace(line), ending) {
+			if logField(line, "entry") != changedEntry || logField(line, "version") != wanted {
 				continue
 			}
-			text, _, _ := strings.Cut(strings.TrimPrefix(line, "time="), " ")
 			var err error
-			at, err = time.Parse(logTime, text)
+			at, err = time.Parse(logTime, logField(line, "time"))
 			return err == nil
 		}
 		return false
--- a/standin/proofs/membership_test.go
+++ b/standin/proofs/membership_test.go
@@ -76,6 +76,26 @@
 	everywhere(t, f, h.ID+" is "+state, func(s operatorapi.Status) bool { return memberOf(s, h.ID).State == state }, h)
 }
 
+// logField returns the value of a pair in a line of a daemon's log, or "".
+func logField(line, name string) string {
+	for pair := range strings.FieldsSeq(line) {
+		if value, ok := strings.CutPrefix(pair, name+"="); ok {
+			return value
+		}
+	}
+	return ""
+}
+
+// tookForDead reports whether a log tells that a member was taken for dead.
+func tookForDead(log, member string) bool {
+	for line := range strings.SplitSeq(log, "\n") {
+		if logField(line, "event") == "member.changed" && logField(line, "member") == member && logField(line, "state") == "dead" {
+			return true
+		}
+	}
+	return false
+}
+
 // metric reads a counter or gauge of a daemon, or fails the test.
 func metric(t *testing.T, h *fleet.Host, name string) int64 {
 	t.Helper()
@@ -103,6 +123,9 @@
 	before := statusOf(t, h).Incarnation
 	h.Kill()
 	seen(t, f, h, "dead")
+	if !tookForDead(f.Hosts[0].Log(), h.ID) {
+		t.Errorf("%s does not log the death of %s", f.Hosts[0].ID, h.ID)
+	}
 	f.Restart(h)
 	f.WaitConverged()
 	if after := memberOf(statusOf(t, f.Hosts[0]), h.ID).Incarnation; after == before || after != statusOf(t, h).Incarnation {
@@ -122,8 +145,10 @@
 	if after := memberOf(statusOf(t, f.Hosts[0]), h.ID).Incarnation; after != before {
 		t.Errorf("incarnation %s is seen after the pause, was %s", after, before)
 	}
-	if strings.Contains(strings.TrimPrefix(h.Log(), logged), "state=dead") {
-		t.Errorf("the paused daemon took others for dead:\n%s", h.Log())
+	for _, other := range f.Hosts {
+		if tookForDead(strings.TrimPrefix(h.Log(), logged), other.ID) {
+			t.Errorf("the paused daemon took %s for dead", other.ID)
+		}
 	}
 }
 
@@ -175,7 +200,7 @@
 	grown(t, h, "heartbeats_answered", 60)
 	f.WaitConverged()
 	for _, other := range f.Hosts {
-		if strings.Contains(strings.TrimPrefix(other.Log(), before[other]), "member="+h.ID+" state=dead") {
+		if tookForDead(strings.TrimPrefix(other.Log(), before[other]), h.ID) {
 			t.Errorf("%s took the host with silent connections for dead", other.ID)
 		}
 	}
