--- a/coordination/membership/tracker.go
+++ b/coordination/membership/tracker.go
@@ -159,6 +159,13 @@
 	}
 }
 
+// CountedAlive reports whether a version that another daemon holds of this
+// one counts this life of it among the living.
+func (t *Tracker) CountedAlive(version uint64) bool {
+	state := stateOf(version)
+	return sameLife(version, t.self.Version()) && (state == Alive || state == Leaving)
+}
+
 // Confirm takes over what a neighbour holds of this daemon, as the neighbour
 // said in answer to a heartbeat sent at the given time.
 func (t *Tracker) Confirm(version uint64, sent time.Time) []Record {
@@ -166,10 +173,8 @@
 	if !sameLife(version, own) {
 		return nil
 	}
-	if state := stateOf(version); state == Alive || state == Leaving {
-		if sent.After(t.confirmed) {
-			t.confirmed = sent
-		}
+	if t.CountedAlive(version) && sent.After(t.confirmed) {
+		t.confirmed = sent
 	}
 	return t.refute(version)
 }
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -55,7 +55,7 @@
 
 func (d *Daemon) isHolder(set *catalogue.Set, u *catalogue.Upstream) bool {
 	holder, ok := d.holderOf(set, u)
-	return ok && holder.ID == d.self.ID
+	return ok && holder.ID == d.self.ID && !d.superseded()
 }
 
 // takeOver asks the other members until this daemon may dispatch, and then
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -314,6 +314,16 @@
 	f.ListHosts()
 }
 
+// Replace starts a new daemon on a host whose daemon is paused, and returns
+// the host as it was.
+func (f *Fleet) Replace(h *Host) *Host {
+	f.t.Helper()
+	old := *h
+	f.t.Cleanup(old.Kill)
+	f.Restart(h)
+	return &old
+}
+
 func (f *Fleet) launch(h *Host) {
 	f.t.Helper()
 	listen := net.JoinHostPort(h.IP.String(), "0")
--- a/standin/proofs/membership_test.go
+++ b/standin/proofs/membership_test.go
@@ -15,6 +15,7 @@
 	tiller "bilberrytiller.example/tiller/coordination/platform"
 	"bilberrytiller.example/tiller/protocol/operatorapi"
 	"bilberrytiller.example/tiller/protocol/wire"
+	"bilberrytiller.example/tiller/state/request"
 	"bilberrytiller.example/tiller/transport/peer"
 
 	"bilberrytiller.example/standin/fleet"
@@ -150,6 +151,31 @@
 	}
 }
 
+func TestPausedDaemonThatWasReplacedHoldsNoDutyWhenItResumes(t *testing.T) {
+	f := fleet.Start(t, smallFleet())
+	h := f.Hosts[2]
+	before := statusOf(t, h).Incarnation
+	h.Pause()
+	old := f.Replace(h)
+	f.WaitConverged()
+	old.Resume()
+	fleet.Eventually(t, "the replaced daemon is superseded", func() bool {
+		s := statusOf(t, old).Standing
+		return s.Superseded && !s.Confirmed
+	})
+	f.WaitConverged()
+	for _, other := range f.Hosts {
+		if got := memberOf(statusOf(t, other), h.ID).Incarnation; got == before {
+			t.Errorf("%s takes the replaced daemon for %s", other.ID, h.ID)
+		}
+	}
+	for _, service := range []string{"lookups", "payments"} {
+		fleet.Eventually(t, service+" are served", func() bool {
+			return run(t, f.Client(), service, "after-replacement").Outcome == request.Done
+		})
+	}
+}
+
 func TestHostJoinsThroughPeersWhileThePlatformIsDown(t *testing.T) {
 	f := fleet.Start(t, nineHosts())
 	f.Platform.SetFaults(platform.Faults{Down: true})
