--- a/standin/proofs/catalogue_test.go
+++ b/standin/proofs/catalogue_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -39,14 +40,14 @@
 func neverBelow(t *testing.T, f *fleet.Fleet) {
 	t.Helper()
 	for _, h := range f.Hosts {
-		last := ""
+		var last uint64
 		for line := range strings.SplitSeq(h.Log(), "\n") {
-			if !strings.Contains(line, "event=catalogue.in-force") || !strings.Contains(line, "entry="+changedEntry+" ") {
+			if logField(line, "event") != "catalogue.in-force" || logField(line, "entry") != changedEntry {
 				continue
 			}
-			_, version, _ := strings.Cut(line, "version=")
-			if len(version) < len(last) || len(version) == len(last) && version < last {
-				t.Errorf("%s went from version %s back to %s", h.ID, last, version)
+			version, err := strconv.ParseUint(logField(line, "version"), 10, 64)
+			if err != nil || version < last {
+				t.Errorf("%s went from version %d back to %d: %v", h.ID, last, version, err)
 			}
 			last = version
 		}
@@ -159,6 +160,27 @@
 	}
 }
 
+func TestEntryDeletedWhileNoRelayWatchedIsDeletedByTheNextList(t *testing.T) {
+	f := fleet.Start(t, nineHosts())
+	entry := fleet.Service("lookups", request.RankLookup, true)
+	inForce(t, f, f.Apply(&entry))
+	for _, h := range f.Hosts {
+		f.SetPlatform(h, relay.Cut)
+	}
+	if _, err := f.Platform.Remove(tiller.KindCatalogue, changedEntry); err != nil {
+		t.Fatal(err)
+	}
+	f.Platform.Forget()
+	for _, h := range f.Hosts {
+		f.SetPlatform(h, relay.Pass)
+	}
+	fleet.Eventually(t, "the entry is deleted everywhere", func() bool {
+		return !slices.ContainsFunc(f.Hosts, func(h *fleet.Host) bool { return !strings.Contains(h.Log(), "deleted=true") })
+	})
+	inForce(t, f, change(f, time.Second))
+	neverBelow(t, f)
+}
+
 func TestRelayKilledInTheMiddleOfSpreading(t *testing.T) {
 	f := fleet.Start(t, nineHosts())
 	only := relays(t, f)[0]
