Refuse unknown paths and methods with a typed answer

A wrong path or method got the HTTP library's plain text, without an outcome; it now gets outcome not-run and reason unknown-path with the method and path, and on the operators' listener the field that is wrong. wait prints JSON where asked and tells an interrupt from a timeout.

--- a/cli/tillerctl/watch.go
+++ b/cli/tillerctl/watch.go
@@ -127,17 +127,33 @@
 		missing := c.missing(ctx, daemons, want)
 		if len(missing) == 0 {
 			line.end()
-			fmt.Fprintf(c.env.stdout, "version %d is in force on %d daemons\n", want.version, len(daemons))
-			return nil
+			return c.done(want, len(daemons))
 		}
 		line.show(fmt.Sprintf("waiting for %d of %d daemons: %s", len(missing), len(daemons), missing[0]))
 		if !pause(ctx, waitPeriod) {
 			line.end()
+			if c.env.ctx.Err() != nil {
+				return c.env.ctx.Err()
+			}
 			return &TimeoutError{After: c.Timeout, Missing: missing}
 		}
 	}
 }
 
+// inForce is the JSON form of what a wait has come to.
+type inForce struct {
+	Version uint64 `json:"version"`
+	Daemons int    `json:"daemons"`
+}
+
+func (c *waitCommand) done(want target, daemons int) error {
+	if c.env.json() {
+		return printJSON(c.env.stdout, inForce{Version: want.version, Daemons: daemons})
+	}
+	fmt.Fprintf(c.env.stdout, "version %d is in force on %d daemons\n", want.version, daemons)
+	return nil
+}
+
 // target is what daemons are to have in force: each entry at least at its
 // version, and no entry beyond those that is not newer.
 type target struct {
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -29,9 +29,15 @@
 	mux.HandleFunc("GET "+callerapi.PathLookup, d.handleLookup)
 	mux.HandleFunc("POST "+callerapi.PathRun+"{service}", d.handleRun)
 	mux.HandleFunc("POST "+callerapi.PathRun+"{service}/{path...}", d.handleRun)
+	mux.HandleFunc("/", d.handleUnknownPath)
 	return mux
 }
 
+// handleUnknownPath refuses what no other handler takes.
+func (d *Daemon) handleUnknownPath(w http.ResponseWriter, r *http.Request) {
+	writeAnswer(w, d.self.ID, "", "", request.Refuse(request.ReasonUnknownPath, r.Method+" "+r.URL.Path))
+}
+
 func (d *Daemon) handleRun(w http.ResponseWriter, r *http.Request) {
 	defer d.inFlight.begin()()
 	req, err := newRequest(w, r)
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -16,6 +16,9 @@
 	mux.HandleFunc("GET "+operatorapi.PathExplain, d.handleExplain)
 	mux.HandleFunc("GET "+operatorapi.PathMetrics, d.handleMetrics)
 	mux.HandleFunc("POST "+operatorapi.PathAccepted, d.handleAccepted)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		failOperator(w, http.StatusNotFound, "path", "unknown: "+r.Method+" "+r.URL.Path)
+	})
 	return d.authenticated(mux)
 }
 
--- a/protocol/callerapi/callerapi.go
+++ b/protocol/callerapi/callerapi.go
@@ -67,6 +67,7 @@
 }
 
 var statuses = map[request.Reason]int{
+	request.ReasonUnknownPath:    http.StatusNotFound,
 	request.ReasonUnknownService: http.StatusNotFound,
 	request.ReasonBadRequest:     http.StatusBadRequest,
 	request.ReasonTooLarge:       http.StatusRequestEntityTooLarge,
--- a/state/request/request.go
+++ b/state/request/request.go
@@ -102,6 +102,7 @@
 	ReasonAnswered        Reason = "answered"
 	ReasonReplayed        Reason = "replayed"
 	ReasonNotKept         Reason = "answer-not-kept"
+	ReasonUnknownPath     Reason = "unknown-path"
 	ReasonUnknownService  Reason = "unknown-service"
 	ReasonBadRequest      Reason = "bad-request"
 	ReasonTooLarge        Reason = "too-large"
