--- a/transport/platformhttp/client.go
+++ b/transport/platformhttp/client.go
@@ -20,6 +20,7 @@
 const (
 	callTimeout  = 5 * time.Second
 	watchTimeout = 60 * time.Second
+	maxIdleConns = 8
 	// maxAnswerBytes bounds an answer; a list may hold many objects.
 	maxAnswerBytes = 256 << 20
 )
@@ -50,7 +51,11 @@
 
 // New returns a client of the platform at a base URL.
 func New(base string) *Client {
-	return &Client{base: base, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
+	return &Client{base: base, http: &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns},
+		// A write that is redirected would be sent on as a read.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
 }
 
 // Get returns an object, or platform.ErrNotFound.
