Wait also for the deletion of the newest entry

wait compared what a daemon still holds with the highest version of the entries that are left, so that a deletion of the newest entry counted as in force before any daemon knew of it.

Seen without the change: TestTargetLacks fails for the deletion of the newest.

--- /dev/null
+++ b/cli/tillerctl/wait_test.go
@@ -0,0 +1,35 @@
+package tillerctl
+
+import (
+	"slices"
+	"testing"
+
+	"bilberrytiller.example/tiller/protocol/operatorapi"
+)
+
+func TestTargetLacks(t *testing.T) {
+	listed := target{version: 6, asOf: 8, entries: map[string]uint64{"region.a": 4, "region.b": 6}, invalid: map[string]bool{"region.bad": true}}
+	a, b := operatorapi.Entry{Entry: "region.a", Version: 4}, operatorapi.Entry{Entry: "region.b", Version: 6}
+	cases := []struct {
+		name   string
+		target target
+		held   []operatorapi.Entry
+		want   []string
+	}{
+		{"all in force", listed, []operatorapi.Entry{a, b}, nil},
+		{"newer than listed", listed, []operatorapi.Entry{a, b, {Entry: "region.c", Version: 9}}, nil},
+		{"deleted", listed, []operatorapi.Entry{a, b, {Entry: "region.c", Version: 8, Deleted: true}}, nil},
+		{"last valid of an invalid one", listed, []operatorapi.Entry{a, b, {Entry: "region.bad", Version: 2}}, nil},
+		{"deletion of the newest not seen", listed, []operatorapi.Entry{a, b, {Entry: "region.c", Version: 7}}, []string{"still has region.c"}},
+		{"one entry behind", listed, []operatorapi.Entry{{Entry: "region.a", Version: 2}, b}, []string{"lacks region.a version 4, it has 2"}},
+		{"nothing yet", listed, nil, []string{"lacks version 6, it has 0"}},
+		{"version only", target{version: 6}, []operatorapi.Entry{b, {Entry: "region.c", Version: 1}}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := c.target.lacks(c.held); !slices.Equal(got, c.want) {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
