Do not fail on an event that is no valid JSON

A value of one quote made Append slice out of range. zerolog does not write such an event; a writer of log lines must not end the process for one.

FuzzAppend found it within a second; with the mend, 20 s of it found no other failure.

--- a/transport/logline/logline.go
+++ b/transport/logline/logline.go
@@ -139,7 +139,7 @@
 
 // plain returns a JSON value without its quotes where it needs none.
 func plain(value []byte) []byte {
-	if value[0] != '"' || len(value) == 2 {
+	if len(value) <= len(`""`) || value[0] != '"' || value[len(value)-1] != '"' {
 		return value
 	}
 	inner := value[1 : len(value)-1]
--- a/transport/logline/logline_test.go
+++ b/transport/logline/logline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
 	"os"
 	"strings"
@@ -109,3 +110,19 @@
 		})
 	}
 }
+
+// FuzzAppend checks that every event becomes one line, whatever it holds.
+func FuzzAppend(f *testing.F) {
+	for _, seed := range []string{`{"a":1}`, `{"a":"x\ny"}`, `{`, `{}`, `{"a"`, `{"a":}`, `{:}`, `{"":""}`, `{"a":[1,{"b":"]"}]}`, `{a:b,c}`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, event []byte) {
+		line := logline.Append([]byte("before\n"), event)
+		if !bytes.HasPrefix(line, []byte("before\n")) {
+			t.Errorf("%q changed the line before it: %q", event, line)
+		}
+		if json.Valid(event) && bytes.Count(line[len("before\n"):], []byte("\n")) > 1+bytes.Count(event, []byte("\n")) {
+			t.Errorf("%q became more than a line: %q", event, line)
+		}
+	})
+}
