--- a/cli/tillerctl/wait.go
+++ b/cli/tillerctl/wait.go
@@ -18,7 +18,7 @@
 
 type waitCommand struct {
 	env     *env
-	Timeout time.Duration `long:"timeout" default:"30s" description:"how long to wait"`
+	Timeout time.Duration `long:"timeout" value-name:"DURATION" default:"30s" description:"how long to wait"`
 	Members int           `long:"members" value-name:"COUNT" description:"wait also until each daemon sees this many members alive"`
 	Args    struct {
 		Version string `positional-arg-name:"VERSION"`
--- a/cli/tillerctl/watch.go
+++ b/cli/tillerctl/watch.go
@@ -27,8 +27,9 @@
 
 type watchCommand struct {
 	env     *env
-	Count   int           `long:"count" description:"end after this many changes"`
-	Timeout time.Duration `long:"timeout" description:"end after this time, such as 30s"`
+	Count   int           `long:"count" value-name:"COUNT" description:"end after this many changes"`
+	Timeout time.Duration `long:"timeout" value-name:"DURATION" description:"end after this time, such as 30s"`
+	After   *uint64       `long:"after" value-name:"VERSION" description:"print the changes after this version, not only those to come"`
 }
 
 // Execute prints changes as they happen.
@@ -39,11 +40,11 @@
 	}
 	ctx, cancel := c.env.timeout(c.Timeout)
 	defer cancel()
-	list, err := p.List(ctx, platform.KindCatalogue)
+	after, err := c.start(ctx, p)
 	if err != nil {
-		return fmt.Errorf("list: %w", err)
+		return err
 	}
-	after, seen := list.Version, 0
+	seen := 0
 	for ctx.Err() == nil && (c.Count == 0 || seen < c.Count) {
 		changes, err := p.Watch(ctx, platform.KindCatalogue, after)
 		switch {
@@ -64,6 +65,18 @@
 	return nil
 }
 
+// start returns the version whose changes to print from.
+func (c *watchCommand) start(ctx context.Context, p platform.Client) (uint64, error) {
+	if c.After != nil {
+		return *c.After, nil
+	}
+	list, err := p.List(ctx, platform.KindCatalogue)
+	if err != nil {
+		return 0, fmt.Errorf("list: %w", err)
+	}
+	return list.Version, nil
+}
+
 func (c *watchCommand) print(events []platform.Event, seen *int) error {
 	for _, e := range events {
 		if c.Count > 0 && *seen == c.Count {
