--- /dev/null
+++ b/standin/fleet/payment.go
@@ -0,0 +1,114 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"bilberrytiller.example/tiller/protocol/callerapi"
+	"bilberrytiller.example/tiller/state/request"
+
+	"bilberrytiller.example/standin/caller"
+)
+
+// paymentService is the service that payments are sent to.
+const paymentService = "payments"
+
+// Payment is one request with its key, to be sent to any host and as often
+// as a test likes.
+type Payment struct {
+	t   testing.TB
+	f   *Fleet
+	Key string
+	// Body is the request's content, the same each time.
+	Body string
+	// Deadline is in milliseconds, "" for that of the service.
+	Deadline string
+}
+
+// NewPayment returns a payment whose key the given host owns.
+func (f *Fleet) NewPayment(t testing.TB, owner *Host, body string) *Payment {
+	t.Helper()
+	p, ownerID, err := f.LookUpPayment(t, owner, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if ownerID != owner.ID {
+		t.Fatalf("key is owned by %s, want %s", ownerID, owner.ID)
+	}
+	return p
+}
+
+// LookUpPayment returns a payment with a key that the given host issued, and
+// the host that owns the key.
+func (f *Fleet) LookUpPayment(t testing.TB, at *Host, body string) (p *Payment, owner string, err error) {
+	lookup, err := f.Client(at).Lookup(context.Background(), paymentService)
+	if err != nil {
+		return nil, "", err
+	}
+	if len(lookup.Hosts) == 0 {
+		return nil, "", caller.ErrNoEntry
+	}
+	return &Payment{t: t, f: f, Key: lookup.Key, Body: body}, lookup.Hosts[0].ID, nil
+}
+
+// Send sends the payment to one entry host, once.
+func (p *Payment) Send(ctx context.Context, h *Host) caller.Result {
+	header := http.Header{}
+	if p.Deadline != "" {
+		header.Set(callerapi.HeaderDeadline, p.Deadline)
+	}
+	return p.f.Client(h).RunAt(ctx, h.Caller.String(), paymentService, "", p.Key, []byte(p.Body), header)
+}
+
+// Whole reports whether a result is the whole answer to the payment.
+func (p *Payment) Whole(r caller.Result) bool {
+	return r.Outcome == request.Done && string(r.Body) == fmt.Sprintf("ran %s for %s\n", p.Body, paymentService)
+}
+
+// Want sends the payment and checks its outcome, and its answer when done.
+func (p *Payment) Want(h *Host, outcome request.Outcome) {
+	p.t.Helper()
+	result := p.Send(context.Background(), h)
+	if result.Outcome != outcome || (outcome == request.Done && !p.Whole(result)) {
+		p.t.Fatalf("%s at %s: got %s (%s) %q, want %s", p.Body, h.ID, result.Outcome, result.Reason, result.Body, outcome)
+	}
+}
+
+// Eventually sends the payment until it is done.
+func (p *Payment) Eventually(h *Host) {
+	p.t.Helper()
+	Eventually(p.t, p.Body+" is done at "+h.ID, func() bool { return p.Whole(p.Send(context.Background(), h)) })
+}
+
+// Runs counts the runs of the payment on all backend servers.
+func (p *Payment) Runs() int {
+	n := 0
+	for _, b := range p.f.Backends {
+		for _, r := range b.Ledger() {
+			if r.Key == p.Key {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// WantRuns checks how often the payment ran.
+func (p *Payment) WantRuns(n int) {
+	p.t.Helper()
+	if got := p.Runs(); got != n {
+		p.t.Fatalf("%s ran %d times, want %d", p.Body, got, n)
+	}
+}
+
+// Start sends the payment at a host and returns once a backend server runs
+// it. The result comes later.
+func (p *Payment) Start(ctx context.Context, h *Host) <-chan caller.Result {
+	p.t.Helper()
+	result := make(chan caller.Result, 1)
+	go func() { result <- p.Send(ctx, h) }()
+	Eventually(p.t, p.Body+" starts", func() bool { return p.Runs() == 1 })
+	return result
+}
