Keep ended runs small and hold 250,000 keys

Cause: the table held 100,000 keys, which 15 minutes of 100 payments a second fill; each ended run kept two channels of its own.

--- a/coordination/permit/table.go
+++ b/coordination/permit/table.go
@@ -142,6 +142,7 @@
 		return
 	}
 	e.settled = true
+	e.run = endedRun(answer)
 	t.keep(e)
 }
 
@@ -174,6 +175,13 @@
 	return len(t.entries)
 }
 
+// ended is closed.
+var ended = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 func newRun() *Run {
 	return &Run{done: make(chan struct{}), abandoned: make(chan struct{})}
 }
@@ -268,11 +276,10 @@
 	e.element, e.bytes = nil, 0
 }
 
+// endedRun returns a run without channels of its own, since most of what a
+// table holds are ended runs.
 func endedRun(answer request.Answer) *Run {
-	run := newRun()
-	run.answer = answer
-	close(run.done)
-	return run
+	return &Run{done: ended, abandoned: ended, answer: answer}
 }
 
 // notKept returns what is left of an answer that is too large to keep.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -36,7 +36,7 @@
 	// leaveNotice is how long other daemons may take to see this one leave.
 	leaveNotice      = heartbeatTimeout + 2*heartbeatPeriod
 	maxHeaderBytes   = 16 << 10
-	maxKeys          = 100_000
+	maxKeys          = 250_000
 	incarnationBytes = 8
 )
 
--- a/daemon/handover.go
+++ b/daemon/handover.go
@@ -143,9 +143,9 @@
 		return nil, err
 	}
 	if whole != nil {
-		d.publishNow(successionFact(*whole, d.self.Incarnation))
 		d.log.Info().Str("event", "keys.taken-over").Str("peer", from).
 			Str("incarnation", whole.From).Int("keys", len(whole.Records)).Send()
+		d.publishNow(successionFact(*whole, d.self.Incarnation))
 	}
 	return &wire.HandedOver{Receipt: receipt}, nil
 }
