Tell the age of an attempt's copies by the holder's clock

Cause: a copy sent again by an owner that had been paused for longer than the holder knows an attempt would run it a second time, and five minutes of all attempts fill the holder's table at 333 a second.

Ruled out: longer retention (memory, and any finite one is outlived by a pause); the owner's own clock (it may stop between the check and the write); a question before each resend (the holder may have forgotten by then, too).

Change: accepting a connection tells the holder's clock, which runs on while it is paused; the first copy's time by that clock travels with all copies. A copy older than a minute starts no run and is unknown. Attempts are known for 2 min. Hand-overs that were not completed and expired keys are forgotten by the daemon's tick too.

Tests: TestCopyTooOldStartsNoRun for the decision; no fleet is paused for a minute, so that on real processes this is not proved.

--- a/coordination/attempt/attempt.go
+++ b/coordination/attempt/attempt.go
@@ -5,7 +5,8 @@
 // an attempt sends it again to the same incarnation. The holder runs the
 // attempt once, whichever copy comes first, and gives all copies one answer.
 // An attempt that did not run stays known, so that a copy that comes late
-// does not run it after all.
+// does not run it after all. A copy that comes later still, held back by the
+// network or by a paused sender, is told by its age.
 package attempt
 
 import (
@@ -18,17 +19,27 @@
 )
 
 const (
-	// Retention is how long an attempt is known after its start. It is far
-	// longer than the network may hold a copy back, and than any request runs.
-	Retention = 5 * time.Minute
+	// MaxAge is the age beyond which a copy starts no run. The attempt may have
+	// run and been forgotten, or its sender may long have given it up.
+	MaxAge = time.Minute
+	// Retention is how long an attempt is known after its start. Beyond MaxAge
+	// it covers the drift between the clocks of two daemons.
+	Retention = 2 * time.Minute
 	// answerRetention is how long an answer is kept after the attempt's end.
 	answerRetention = 30 * time.Second
+	// maxLead is how far a copy may seem to come from the future.
+	maxLead = 10 * time.Second
 	// maxAttempts bounds the attempts that are known at once.
 	maxAttempts = 100_000
 )
 
-// ErrFull says that no more attempts can be known.
-var ErrFull = errors.New("too many attempts are known")
+// Errors of Table.Begin.
+var (
+	// ErrFull says that no more attempts can be known.
+	ErrFull = errors.New("too many attempts are known")
+	// ErrStale says that a copy is too old to tell whether the attempt ran.
+	ErrStale = errors.New("copy of an attempt is too old")
+)
 
 // Table records the attempts at one holder. It is safe for concurrent use.
 type Table struct {
@@ -56,8 +67,9 @@
 func NewTable() *Table { return &Table{runs: map[string]*Run{}} }
 
 // Begin returns true for the first copy of an attempt, whose run must end
-// with Finish, and the run of the first copy for others.
-func (t *Table) Begin(id string, now time.Time) (*Run, bool, error) {
+// with Finish, and the run of the first copy for others. The age is the time
+// since the first copy was sent, by this holder's clock.
+func (t *Table) Begin(id string, age time.Duration, now time.Time) (*Run, bool, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.purge(now)
@@ -65,6 +77,9 @@
 		run.copies++
 		return run, false, nil
 	}
+	if age > MaxAge || age < -maxLead {
+		return nil, false, ErrStale
+	}
 	if len(t.runs) >= maxAttempts {
 		return nil, false, ErrFull
 	}
--- a/coordination/attempt/attempt_test.go
+++ b/coordination/attempt/attempt_test.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -10,7 +11,7 @@
 func TestCopiesOfAnAttemptShareOneRun(t *testing.T) {
 	table := NewTable()
 	now := time.Unix(1e9, 0)
-	run, first, err := table.Begin("one", now)
+	run, first, err := table.Begin("one", 0, now)
 	if !first || err != nil {
 		t.Fatalf("first copy: got first %v, error %v", first, err)
 	}
@@ -26,7 +27,7 @@
 		{Retention, false, request.Unknown},
 		{Retention + 1, true, ""},
 	} {
-		run, first, err := table.Begin("one", now.Add(c.after))
+		run, first, err := table.Begin("one", min(c.after, MaxAge), now.Add(c.after))
 		if first != c.first || err != nil {
 			t.Fatalf("after %v: got first %v, error %v", c.after, first, err)
 		}
@@ -35,3 +36,11 @@
 		}
 	}
 }
+
+func TestCopyTooOldStartsNoRun(t *testing.T) {
+	for age, want := range map[time.Duration]error{MaxAge: nil, MaxAge + 1: ErrStale, -maxLead: nil, -maxLead - 1: ErrStale} {
+		if _, _, err := NewTable().Begin("one", age, time.Unix(1e9, 0)); !errors.Is(err, want) {
+			t.Errorf("age %v: got %v, want %v", age, err, want)
+		}
+	}
+}
--- a/coordination/permit/handover.go
+++ b/coordination/permit/handover.go
@@ -21,6 +21,9 @@
 	maxChunks = 1 << 12
 	// maxPending bounds the hand-overs that arrive at once.
 	maxPending = 32
+	// pendingTimeout is how long an incomplete hand-over is kept after its
+	// last chunk. Its sender, if it lives, starts again.
+	pendingTimeout = time.Minute
 )
 
 // Errors of Receiver.Accept.
@@ -168,18 +171,24 @@
 	mu      sync.Mutex
 	self    string
 	table   *Table
-	pending map[string]map[int]Chunk
+	pending map[string]*partial
 	done    map[string]bool
 }
 
+// partial is a hand-over of which some chunks have come.
+type partial struct {
+	chunks map[int]Chunk
+	last   time.Time
+}
+
 // NewReceiver returns a receiver for the table of the given incarnation.
 func NewReceiver(incarnation string, table *Table) *Receiver {
-	return &Receiver{self: incarnation, table: table, pending: map[string]map[int]Chunk{}, done: map[string]bool{}}
+	return &Receiver{self: incarnation, table: table, pending: map[string]*partial{}, done: map[string]bool{}}
 }
 
 // Accept takes a chunk. It returns the whole hand-over when this chunk made
 // it complete.
-func (r *Receiver) Accept(c Chunk) (Receipt, *Handover, error) {
+func (r *Receiver) Accept(c Chunk, now time.Time) (Receipt, *Handover, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if c.To != r.self {
@@ -188,13 +197,13 @@
 	if r.done[c.From] {
 		return Receipt{Complete: true}, nil, nil
 	}
-	if err := r.collect(c); err != nil {
+	if err := r.collect(c, now); err != nil {
 		return Receipt{}, nil, err
 	}
-	if len(r.pending[c.From]) < c.Count {
+	if len(r.pending[c.From].chunks) < c.Count {
 		return Receipt{}, nil, nil
 	}
-	whole := join(r.pending[c.From])
+	whole := join(r.pending[c.From].chunks)
 	delete(r.pending, c.From)
 	if err := r.table.Import(whole); err != nil {
 		return Receipt{Refused: true}, nil, nil
@@ -203,7 +212,14 @@
 	return Receipt{Complete: true}, &whole, nil
 }
 
-func (r *Receiver) collect(c Chunk) error {
+// Purge forgets hand-overs that were not completed.
+func (r *Receiver) Purge(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.pending, func(_ string, p *partial) bool { return now.Sub(p.last) > pendingTimeout })
+}
+
+func (r *Receiver) collect(c Chunk, now time.Time) error {
 	if c.Count < 1 || c.Count > maxChunks || c.Index < 0 || c.Index >= c.Count {
 		return fmt.Errorf("%d of %d: %w", c.Index, c.Count, ErrChunk)
 	}
@@ -212,15 +228,15 @@
 		if len(r.pending) >= maxPending {
 			return ErrManyPending
 		}
-		held = map[int]Chunk{}
+		held = &partial{chunks: map[int]Chunk{}}
 		r.pending[c.From] = held
 	}
-	for _, other := range held {
+	for _, other := range held.chunks {
 		if other.Count != c.Count {
 			return fmt.Errorf("%d instead of %d chunks: %w", c.Count, other.Count, ErrChunk)
 		}
 	}
-	held[c.Index] = c
+	held.chunks[c.Index], held.last = c, now
 	return nil
 }
 
--- a/coordination/permit/machine_test.go
+++ b/coordination/permit/machine_test.go
@@ -175,7 +175,7 @@
 	if to.dead {
 		return
 	}
-	receipt, whole, err := to.receiver.Accept(c)
+	receipt, whole, err := to.receiver.Accept(c, f.now)
 	if err != nil {
 		return
 	}
--- a/coordination/permit/table.go
+++ b/coordination/permit/table.go
@@ -168,6 +168,13 @@
 	return t.quiet
 }
 
+// Purge forgets the keys that are past their expiry and margin.
+func (t *Table) Purge(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.purge(now)
+}
+
 // Len returns the number of keys held.
 func (t *Table) Len() int {
 	t.mu.Lock()
--- a/daemon/attempts.go
+++ b/daemon/attempts.go
@@ -31,7 +31,11 @@
 	if req.Key == "" {
 		return peer.CallSettled[wire.Answered](ctx, d.peers, holder.Peer, wire.TypeDispatch, in, graceOf(req))
 	}
-	in.Attempt = rand.Text()
+	sent, err := d.peers.Clock(ctx, holder.Peer)
+	if err != nil {
+		return nil, err
+	}
+	in.Attempt, in.Sent = rand.Text(), sent
 	var lost error
 	for range 1 + maxResends {
 		in.Request = wire.NewRequest(req, time.Now())
@@ -69,7 +73,10 @@
 	if in.Attempt == "" {
 		return d.dispatchHere(ctx, in.Upstream, req)
 	}
-	run, first, err := d.attempts.Begin(in.Attempt, time.Now())
+	run, first, err := d.attempts.Begin(in.Attempt, d.peerServe.Clock()-in.Sent, time.Now())
+	if errors.Is(err, attempt.ErrStale) {
+		return request.Undecided(request.ReasonPeerLost, in.Upstream+": "+err.Error())
+	}
 	if err != nil {
 		return refuseCopy(in, request.ReasonQueueFull, err.Error())
 	}
--- a/daemon/handover.go
+++ b/daemon/handover.go
@@ -138,7 +138,7 @@
 
 // answerHandover takes a part of another daemon's keys.
 func (d *Daemon) answerHandover(_ context.Context, from string, in *wire.Handover) (*wire.HandedOver, error) {
-	receipt, whole, err := d.handovers.Accept(in.Chunk)
+	receipt, whole, err := d.handovers.Accept(in.Chunk, time.Now())
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -144,6 +144,8 @@
 	if now.Sub(d.roster.lastPurge) > purgePeriod {
 		d.roster.lastPurge = now
 		d.facts.Purge(now)
+		d.keys.Purge(now)
+		d.handovers.Purge(now)
 	}
 	for _, m := range d.roster.neighbours() {
 		d.startHeartbeat(ctx, m)
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -90,6 +90,8 @@
 	// Attempt names the attempt that all copies of this dispatch belong to,
 	// empty for work that may run twice.
 	Attempt string `cbor:"att,omitempty"`
+	// Sent is the receiver's clock when the first copy was sent.
+	Sent time.Duration `cbor:"sent,omitempty"`
 	// Again says that an earlier copy may have been received.
 	Again bool `cbor:"again,omitempty"`
 }
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -90,6 +90,16 @@
 	}
 }
 
+// Clock estimates the clock of the peer at an address, which is the estimate
+// or a little more.
+func (c *Client) Clock(ctx context.Context, addr netip.AddrPort) (time.Duration, error) {
+	conn, err := c.conn(ctx, addr)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return conn.clock.estimate(time.Now()), nil
+}
+
 // Renew ends the connection to an address, so that the next call dials anew:
 // an open connection may have gone silent while new ones work.
 func (c *Client) Renew(addr netip.AddrPort) {
@@ -108,11 +118,11 @@
 	if s.conn != nil && !s.conn.closed() {
 		return s.conn, nil
 	}
-	ws, err := c.dial(ctx, addr)
+	ws, clock, err := c.dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	s.conn = newConn(ws)
+	s.conn = newConn(ws, clock)
 	return s.conn, nil
 }
 
@@ -127,19 +137,24 @@
 	return s
 }
 
-func (c *Client) dial(ctx context.Context, addr netip.AddrPort) (*websocket.Conn, error) {
+func (c *Client) dial(ctx context.Context, addr netip.AddrPort) (*websocket.Conn, reading, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	header := http.Header{}
 	header.Set(HeaderAuth, c.auth.Token(time.Now()))
-	ws, _, err := websocket.Dial(ctx, "ws://"+addr.String()+Path, &websocket.DialOptions{
+	ws, resp, err := websocket.Dial(ctx, "ws://"+addr.String()+Path, &websocket.DialOptions{
 		HTTPClient:      c.http,
 		HTTPHeader:      header,
 		CompressionMode: websocket.CompressionDisabled,
 	})
 	if err != nil {
-		return nil, fmt.Errorf("dial peer %s: %w", addr, err)
+		return nil, reading{}, fmt.Errorf("dial peer %s: %w", addr, err)
+	}
+	clock, err := newReading(resp, time.Now())
+	if err != nil {
+		_ = ws.CloseNow()
+		return nil, reading{}, fmt.Errorf("dial peer %s: %w", addr, err)
 	}
 	ws.SetReadLimit(wire.MaxFrameBytes)
-	return ws, nil
+	return ws, clock, nil
 }
--- a/transport/peer/conn.go
+++ b/transport/peer/conn.go
@@ -45,6 +45,8 @@
 	open map[uint64]openCall
 	err  error
 	done chan struct{}
+	// clock is the peer's when it accepted the connection.
+	clock reading
 	// active tells when the peer was last heard.
 	active activity
 }
@@ -55,8 +57,8 @@
 	answer   chan wire.Envelope
 }
 
-func newConn(ws *websocket.Conn) *conn {
-	c := &conn{ws: ws, open: map[uint64]openCall{}, done: make(chan struct{})}
+func newConn(ws *websocket.Conn, clock reading) *conn {
+	c := &conn{ws: ws, clock: clock, open: map[uint64]openCall{}, done: make(chan struct{})}
 	c.active.touch(time.Now())
 	go c.readLoop()
 	go c.watchSilence()
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -23,11 +24,12 @@
 	auth     *Auth
 	log      zerolog.Logger
 	handlers map[wire.Type]handler
+	started  time.Time
 }
 
 // NewServer returns a server that checks peers with auth.
 func NewServer(auth *Auth, log zerolog.Logger) *Server {
-	return &Server{auth: auth, log: log, handlers: map[wire.Type]handler{}}
+	return &Server{auth: auth, log: log, handlers: map[wire.Type]handler{}, started: time.Now()}
 }
 
 // Handle registers the handler of a call. It must be called before the
@@ -51,6 +53,7 @@
 		http.Error(w, err.Error(), http.StatusUnauthorized)
 		return
 	}
+	w.Header().Set(HeaderClock, strconv.FormatInt(s.Clock().Milliseconds(), 10))
 	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		return
