--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -36,7 +36,7 @@
 	readTimeout      = 30 * time.Second
 	idleTimeout      = 2 * time.Minute
 	maxHeaderBytes   = 16 << 10
-	maxKeys          = 100_000
+	maxKeys          = 250_000
 	incarnationBytes = 8
 )
 
--- a/daemon/handover.go
+++ b/daemon/handover.go
@@ -140,14 +140,14 @@
 
 // answerHandover takes a part of another daemon's keys.
 func (d *Daemon) answerHandover(_ context.Context, from string, in *wire.Handover) (*wire.HandedOver, error) {
-	receipt, whole, err := d.handovers.Accept(in.Chunk)
+	receipt, whole, err := d.handovers.Accept(in.Chunk, time.Now())
 	if err != nil {
 		return nil, err
 	}
 	if whole != nil {
-		d.publishNow(successionFact(*whole, d.self.Incarnation))
 		d.log.Info().Str("event", "keys.taken-over").Str("peer", from).
 			Str("incarnation", whole.From).Int("keys", len(whole.Records)).Send()
+		d.publishNow(successionFact(*whole, d.self.Incarnation))
 	}
 	return &wire.HandedOver{Receipt: receipt}, nil
 }
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -24,6 +25,7 @@
 	auth     *Auth
 	log      zerolog.Logger
 	handlers map[wire.Type]handler
+	started  time.Time
 	calls    inflight.Counter
 
 	mu    sync.Mutex
@@ -32,7 +34,7 @@
 
 // NewServer returns a server that checks peers with auth.
 func NewServer(auth *Auth, log zerolog.Logger) *Server {
-	return &Server{auth: auth, log: log, handlers: map[wire.Type]handler{}, conns: map[*websocket.Conn]bool{}}
+	return &Server{auth: auth, log: log, handlers: map[wire.Type]handler{}, conns: map[*websocket.Conn]bool{}, started: time.Now()}
 }
 
 // Handle registers the handler of a call. It must be called before the
@@ -56,6 +58,7 @@
 		http.Error(w, err.Error(), http.StatusUnauthorized)
 		return
 	}
+	w.Header().Set(HeaderClock, strconv.FormatInt(s.Clock().Milliseconds(), 10))
 	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		return
