--- /dev/null
+++ b/internal/docs/doc.go
@@ -0,0 +1,2 @@
+// Package docs checks that the documents name tests that exist.
+package docs
