Find the holders of upstreams once for a view, and ask few members on a claim

Cause: every 50 ms a daemon sorted all upstreams and scored all members for each of them, each request scored all members again, and a claim asked every member of the fleet. Fine at 9 hosts and 36 upstreams, far beyond a core at 5,500 hosts and tens of thousands.

Ruled out: holders chosen within a data centre only (a data centre that is lost takes its holders with it, and the region can carry them).

Change: assignments are made once for a view and a catalogue; only upstreams of the own region, or of a region without usable members, are looked at. A claim asks the 16 members of the region and 8 outside that the duty goes to first, dead ones too. At 9 hosts that is every member, as before.

--- a/coordination/duty/duty.go
+++ b/coordination/duty/duty.go
@@ -16,19 +16,26 @@
 // Holder returns the member that carries the named duty in a region, and
 // false if no member is usable. An empty region prefers no member.
 func Holder(view *membership.View, name, region string) (membership.Member, bool) {
-	var best membership.Member
-	var bestScore score
-	found := false
-	for _, m := range view.Members() {
-		if !m.Usable() {
+	return best(view.Members(), name, region)
+}
+
+// best returns the usable member with the highest score, and false for none.
+func best(members []membership.Member, name, region string) (membership.Member, bool) {
+	var top score
+	found := -1
+	for i := range members {
+		if !members[i].Usable() {
 			continue
 		}
-		s := scoreOf(m, name, region)
-		if !found || s.above(bestScore) {
-			best, bestScore, found = m, s, true
+		s := scoreOf(members[i], name, region)
+		if found < 0 || s.above(top) {
+			top, found = s, i
 		}
 	}
-	return best, found
+	if found < 0 {
+		return membership.Member{}, false
+	}
+	return members[found], true
 }
 
 // Carries reports whether a member is among the count members of a region
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"bilberrytiller.example/tiller/coordination/duty"
 	"bilberrytiller.example/tiller/coordination/hold"
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/protocol/wire"
@@ -17,6 +20,10 @@
 	holdPeriod = 50 * time.Millisecond
 	// claimTimeout bounds the wait for one member's reply.
 	claimTimeout = 500 * time.Millisecond
+	// claimsInside and claimsOutside are how many members of the upstream's
+	// region, and of other regions, are asked.
+	claimsInside  = 16
+	claimsOutside = 8
 	// loadTimeout bounds the wait for a load report.
 	loadTimeout = 500 * time.Millisecond
 )
@@ -29,18 +36,27 @@
 			d.log.Warn().Str("event", "hold.paused").Send()
 			d.holders.closeAll()
 		}
-		set := d.catalogue.Load()
-		for _, u := range set.AllUpstreams() {
-			d.checkHold(ctx, set, u)
+		d.releaseLost()
+		for _, u := range d.assigned().own {
+			d.checkHold(ctx, u)
 		}
 	}
 	d.holders.closeAll()
 	return nil
 }
 
-func (d *Daemon) checkHold(ctx context.Context, set *catalogue.Set, u *catalogue.Upstream) {
-	if !d.isHolder(set, u) {
-		d.holders.release(u.Name)
+// releaseLost lets go of the upstreams that others are to hold.
+func (d *Daemon) releaseLost() {
+	set := d.catalogue.Load()
+	for _, name := range d.holders.names() {
+		if u := set.Upstream(name); u == nil || !d.isHolder(u) {
+			d.holders.release(name)
+		}
+	}
+}
+
+func (d *Daemon) checkHold(ctx context.Context, u *catalogue.Upstream) {
+	if !d.isHolder(u) {
 		return
 	}
 	h := d.holders.get(u)
@@ -56,18 +72,13 @@
 	h.warmUp(time.Now())
 }
 
-func (d *Daemon) isHolder(set *catalogue.Set, u *catalogue.Upstream) bool {
-	holder, ok := d.holderOf(set, u)
-	return ok && holder.ID == d.self.ID && !d.superseded()
-}
-
 // takeOver asks the other members until this daemon may dispatch, and then
 // for as long as requests of earlier holders use slots.
 func (d *Daemon) takeOver(ctx context.Context, upstream string, h *held, generation int) {
 	var opened time.Time
 	for h.at(generation) {
 		view := d.view.Load()
-		step := hold.Decide(d.lease, d.claim(ctx, view, upstream), d.confirmed(), time.Now())
+		step := hold.Decide(d.lease, d.claim(ctx, view, h), d.confirmed(), time.Now())
 		report := d.report(ctx, h)
 		now := time.Now()
 		if step.Denied && !opened.IsZero() {
@@ -91,13 +102,13 @@
 }
 
 // claim tells all other members that this daemon is to hold an upstream.
-func (d *Daemon) claim(ctx context.Context, view *membership.View, upstream string) []hold.Reply {
-	var others []membership.Member
-	for _, m := range view.Members() {
-		if m.ID != d.self.ID {
-			others = append(others, m)
-		}
-	}
+func (d *Daemon) claim(ctx context.Context, view *membership.View, h *held) []hold.Reply {
+	h.mu.Lock()
+	upstream, dataCentre := h.upstream.Name, h.upstream.DataCentre
+	h.mu.Unlock()
+	region := d.catalogue.Load().RegionOf(dataCentre)
+	others := duty.Candidates(view, dutyOf(upstream), region, claimsInside, claimsOutside)
+	others = slices.DeleteFunc(others, func(m membership.Member) bool { return m.ID == d.self.ID })
 	replies := make([]hold.Reply, len(others))
 	var calls sync.WaitGroup
 	for i, m := range others {
@@ -127,7 +138,7 @@
 		return &wire.Claimed{}, nil
 	}
 	h := d.holders.get(u)
-	mine := d.isHolder(set, u)
+	mine := d.isHolder(u)
 	if mine && h.keeps(d.mayDispatch(h), d.self.ID < from) {
 		return &wire.Claimed{Denied: true}, nil
 	}
@@ -163,6 +174,13 @@
 	return d.lease.Valid(time.Now(), alone || d.confirmed())
 }
 
+// names returns the upstreams that were held at some time.
+func (h *holders) names() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Collect(maps.Keys(h.held))
+}
+
 // release closes the hold on an upstream that another daemon holds.
 func (h *holders) release(upstream string) {
 	h.mu.Lock()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -59,7 +59,9 @@
 	invalid   *invalidObjects
 	view      atomic.Pointer[membership.View]
 	steered   atomic.Pointer[steering]
-	roster    *roster
+	// assignedNow are the assignments last made.
+	assignedNow atomic.Pointer[assignments]
+	roster      *roster
 
 	facts  *spread.Store
 	takers map[spread.Kind]func([]spread.Fact)
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -221,12 +221,9 @@
 func (d *Daemon) readLoadReports(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, loadReportTimeout)
 	defer cancel()
-	set := d.catalogue.Load()
 	var reads sync.WaitGroup
-	for _, u := range set.AllUpstreams() {
-		if d.isHolder(set, u) {
-			reads.Go(func() { d.readLoadReport(ctx, u) })
-		}
+	for _, u := range d.assigned().own {
+		reads.Go(func() { d.readLoadReport(ctx, u) })
 	}
 	reads.Wait()
 }
--- a/daemon/explain.go
+++ b/daemon/explain.go
@@ -86,7 +86,7 @@
 	used := map[string]bool{}
 	for i, c := range d.candidates(set, service) {
 		used[c.Upstream.Name] = true
-		holder, _ := d.holderOf(set, c.Upstream)
+		holder, _ := d.holderOf(c.Upstream)
 		out = append(out, operatorapi.UpstreamChoice{
 			Order: i + 1, Upstream: c.Upstream.Name, DataCentre: c.Upstream.DataCentre, Holder: holder.ID, Distance: c.Distance,
 			Slots: c.Upstream.Slots, InUse: c.Load.InUse, Waiting: c.Load.Waiting, CostMs: c.Cost.Milliseconds(), Reason: c.Reason(),
--- a/daemon/holder.go
+++ b/daemon/holder.go
@@ -86,7 +86,7 @@
 		return request.Refuse(request.ReasonDraining, upstream)
 	}
 	h := d.holders.get(u)
-	if !d.isHolder(set, u) || !h.takesWork() {
+	if !d.isHolder(u) || !h.takesWork() {
 		return request.Refuse(request.ReasonNotHolder, upstream)
 	}
 	queued, taken := d.drains.whileTaking(ctx, upstream)
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"bilberrytiller.example/tiller/coordination/duty"
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/placement"
 	"bilberrytiller.example/tiller/protocol/wire"
@@ -184,7 +183,7 @@
 // offer sends a request to the holder of one upstream.
 func (d *Daemon) offer(ctx context.Context, set *catalogue.Set, c placement.Candidate, req *request.Request) request.Answer {
 	name := c.Upstream.Name
-	holder, ok := d.holderOf(set, c.Upstream)
+	holder, ok := d.holderOf(c.Upstream)
 	if !ok {
 		return request.Refuse(request.ReasonNoUpstream, name)
 	}
@@ -222,10 +221,6 @@
 	return request.Undecided(request.ReasonPeerLost, m.ID+": "+err.Error())
 }
 
-func (d *Daemon) holderOf(set *catalogue.Set, u *catalogue.Upstream) (membership.Member, bool) {
-	return duty.Holder(d.view.Load(), "upstream/"+u.Name, set.RegionOf(u.DataCentre))
-}
-
 func (d *Daemon) logDecision(req *request.Request, c placement.Candidate, attempt int, answer request.Answer) {
 	d.log.Info().Str("event", "route.decision").Str("request", req.ID).Str("service", req.Service).
 		Stringer("rank", req.Rank).Str("upstream", c.Upstream.Name).Int("distance", c.Distance).
--- a/state/catalogue/set.go
+++ b/state/catalogue/set.go
@@ -63,8 +63,10 @@
 	Version Version
 	records map[ID]Record
 
-	services    map[string]*Service
-	upstreams   map[string]*Upstream
+	services  map[string]*Service
+	upstreams map[string]*Upstream
+	// byName lists the upstreams by name.
+	byName      []*Upstream
 	byService   map[string][]*Upstream
 	dataCentres map[string]*DataCentre
 	links       map[[2]string]*Link
@@ -150,10 +152,9 @@
 // change the slice.
 func (s *Set) Upstreams(service string) []*Upstream { return s.byService[service] }
 
-// AllUpstreams returns every upstream, by name.
-func (s *Set) AllUpstreams() []*Upstream {
-	return slices.SortedFunc(maps.Values(s.upstreams), func(a, b *Upstream) int { return cmp.Compare(a.Name, b.Name) })
-}
+// AllUpstreams returns every upstream, by name. The caller must not change
+// the slice.
+func (s *Set) AllUpstreams() []*Upstream { return s.byName }
 
 // DataCentre returns a data centre by name, or nil.
 func (s *Set) DataCentre(name string) *DataCentre { return s.dataCentres[name] }
@@ -208,6 +209,7 @@
 			s.index(r.Entry)
 		}
 	}
+	s.byName = slices.SortedFunc(maps.Values(s.upstreams), func(a, b *Upstream) int { return cmp.Compare(a.Name, b.Name) })
 	for _, list := range s.byService {
 		slices.SortFunc(list, func(a, b *Upstream) int { return cmp.Compare(a.Name, b.Name) })
 	}
