Prove that no refusal says not-run of a key that ran

A payment that is done is sent again with a deadline that cannot be read, and after its service has left the catalogue: unknown, and the recorded answer.

Seen failing: a request that cannot be read told as not-run whatever its key (not-run, bad-request); the service looked up before the owner of the key is asked (not-run, unknown-service). After: 1 run, never not-run.

--- a/standin/proofs/atmostonce_test.go
+++ b/standin/proofs/atmostonce_test.go
@@ -8,8 +8,10 @@
 	"testing"
 	"time"
 
+	tiller "bilberrytiller.example/tiller/coordination/platform"
 	"bilberrytiller.example/tiller/protocol/operatorapi"
 	"bilberrytiller.example/tiller/state/request"
+	"bilberrytiller.example/tiller/transport/platformhttp"
 
 	"bilberrytiller.example/standin/caller"
 	"bilberrytiller.example/standin/fleet"
@@ -233,3 +235,29 @@
 	wantDone(t, <-result, "payments", running.Body)
 	running.WantRuns(1)
 }
+
+func TestRefusalsNeverSayNotRunOfAKeyThatRan(t *testing.T) {
+	f := fleet.Start(t, smallFleet())
+	p := f.NewPayment(t, f.Hosts[0], "paid")
+	p.Want(f.Hosts[0], request.Done)
+	p.Deadline = "no number"
+	p.Want(f.Hosts[1], request.Unknown)
+	p.Deadline = ""
+	client := platformhttp.New(f.PlatformURL)
+	entry, err := client.Get(context.Background(), tiller.KindCatalogue, "service.payments")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Delete(context.Background(), tiller.KindCatalogue, entry.Name, entry.Version); err != nil {
+		t.Fatal(err)
+	}
+	f.WaitConverged()
+	for _, h := range f.Hosts {
+		fleet.Eventually(t, "service is gone", func() bool {
+			_, _, err := f.LookUpPayment(t, h, "other")
+			return err != nil
+		})
+		p.Want(h, request.Done)
+	}
+	p.WantRuns(1)
+}
