Prove two planned stops at the same moment

Two of three hosts get SIGTERM together; a done payment of each is sent again at the third: its recorded answer, one run.

--- a/standin/proofs/atmostonce_test.go
+++ b/standin/proofs/atmostonce_test.go
@@ -261,3 +261,19 @@
 	}
 	p.WantRuns(1)
 }
+
+func TestTwoPlannedStopsAtOnce(t *testing.T) {
+	f := fleet.Start(t, slowFleet(20*time.Millisecond, 4))
+	payments := []*fleet.Payment{f.NewPayment(t, f.Hosts[0], "of-host-1"), f.NewPayment(t, f.Hosts[2], "of-host-3")}
+	for _, p := range payments {
+		p.Want(f.Hosts[1], request.Done)
+	}
+	f.Hosts[0].Leave()
+	f.Hosts[2].Leave()
+	<-f.Hosts[0].Exited()
+	<-f.Hosts[2].Exited()
+	for _, p := range payments {
+		p.Want(f.Hosts[1], request.Done)
+		p.WantRuns(1)
+	}
+}
