--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -10,6 +10,21 @@
 	"bilberrytiller.example/tiller/state/request"
 )
 
+// A request that waited long for its upstream says nothing of the next one.
+func TestSlowAnswerDoesNotKeepOutTheNext(t *testing.T) {
+	c := New()
+	class := schedule.Class{Service: "lookups", Owner: "a", Rank: request.RankLookup}
+	release, err := c.Admit(t.Context(), class, time.Now().Add(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	release()
+	if _, err := c.Admit(t.Context(), class, time.Now().Add(10*time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestFloodOfOneRankLeavesPlacesToOthers(t *testing.T) {
 	for rank := range request.RankCount {
 		c := New()
--- a/daemon/attempts.go
+++ b/daemon/attempts.go
@@ -58,7 +58,6 @@
 
 // answerDispatch runs a request on an upstream whose slots this daemon holds.
 func (d *Daemon) answerDispatch(ctx context.Context, _ string, in *wire.Dispatch) (*wire.Answered, error) {
-	defer d.inFlight.begin()()
 	answer := d.dispatchFor(ctx, in, in.Request.Open(time.Now()))
 	load := d.holders.load(in.Upstream)
 	return &wire.Answered{Answer: answer, Load: wire.Load{
@@ -81,7 +80,11 @@
 		return refuseCopy(in, request.ReasonQueueFull, err.Error())
 	}
 	if first {
-		go func() { d.attempts.Finish(run, d.dispatchHere(run.Context(), in.Upstream, req), time.Now()) }()
+		end := d.runs.Begin()
+		go func() {
+			defer end()
+			d.attempts.Finish(run, d.dispatchHere(run.Context(), in.Upstream, req), time.Now())
+		}()
 	}
 	select {
 	case <-run.Done():
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -27,13 +27,14 @@
 func (d *Daemon) callerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+callerapi.PathLookup, d.handleLookup)
+	mux.HandleFunc("GET "+callerapi.PathReports+"{id}", d.handleReport)
 	mux.HandleFunc("POST "+callerapi.PathRun+"{service}", d.handleRun)
 	mux.HandleFunc("POST "+callerapi.PathRun+"{service}/{path...}", d.handleRun)
 	return mux
 }
 
 func (d *Daemon) handleRun(w http.ResponseWriter, r *http.Request) {
-	defer d.inFlight.begin()()
+	defer d.requests.Begin()()
 	req, err := newRequest(w, r)
 	if err != nil {
 		d.finish(w, req, refuseRequest(req, err))
@@ -53,7 +54,7 @@
 
 // ownKey returns a key that this daemon owns, or "".
 func (d *Daemon) ownKey() string {
-	if d.leaving.Load() {
+	if d.withdrawn() {
 		return ""
 	}
 	key, err := d.issuer.Issue(d.self.Incarnation, time.Now().Add(d.settings.KeyTTL))
@@ -150,6 +151,7 @@
 	h.Set(callerapi.HeaderOutcome, string(answer.Outcome))
 	h.Set(callerapi.HeaderReason, string(answer.Reason))
 	h.Set(callerapi.HeaderHost, host)
+	setReport(h, answer.Report)
 	if answer.Upstream != "" {
 		h.Set(callerapi.HeaderUpstream, answer.Upstream)
 	}
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -44,8 +44,11 @@
 		return
 	}
 	h := d.holders.get(u)
-	if h.expired(d.lease, time.Now()) {
-		h.close("lease-ended")
+	if h.isOpen() && !d.mayDispatch(h) {
+		h.close("not-confirmed")
+	}
+	if generation, ok := h.recheck(d.view.Load()); ok {
+		go d.takeOver(ctx, u.Name, h, generation)
 	}
 	if generation, ok := h.beginClaim(); ok {
 		go d.takeOver(ctx, u.Name, h, generation)
@@ -63,15 +66,20 @@
 func (d *Daemon) takeOver(ctx context.Context, upstream string, h *held, generation int) {
 	var opened time.Time
 	for h.at(generation) {
-		step := hold.Decide(d.lease, d.claim(ctx, upstream), time.Now())
+		view := d.view.Load()
+		step := hold.Decide(d.lease, d.claim(ctx, view, upstream), d.confirmed(), time.Now())
 		report := d.report(ctx, h)
 		now := time.Now()
+		if step.Denied && !opened.IsZero() {
+			h.close("denied")
+			return
+		}
 		if step.Open && opened.IsZero() {
 			opened = now
 		}
 		if !opened.IsZero() {
 			done := h.reserve(generation, step, report, now.Sub(opened))
-			h.open(generation, step.Alone)
+			h.open(generation, step.Alone, view)
 			if done {
 				return
 			}
@@ -83,9 +91,9 @@
 }
 
 // claim tells all other members that this daemon is to hold an upstream.
-func (d *Daemon) claim(ctx context.Context, upstream string) []hold.Reply {
+func (d *Daemon) claim(ctx context.Context, view *membership.View, upstream string) []hold.Reply {
 	var others []membership.Member
-	for _, m := range d.view.Load().Members() {
+	for _, m := range view.Members() {
 		if m.ID != d.self.ID {
 			others = append(others, m)
 		}
@@ -102,12 +110,10 @@
 func (d *Daemon) claimFrom(ctx context.Context, m membership.Member, upstream string) hold.Reply {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	sent := time.Now()
 	out, err := peer.Call[wire.Claimed](ctx, d.peers, m.Peer, wire.TypeClaim, &wire.Claim{Upstream: upstream})
 	if err != nil {
-		return hold.Reply{Member: m.ID, Silent: true}
+		return hold.Reply{Member: m.ID, Silent: true, Dead: m.State == membership.Dead}
 	}
-	d.lease.Heard(m.ID, sent)
 	return hold.Reply{Member: m.ID, Denied: out.Denied, InUse: out.InUse}
 }
 
@@ -122,7 +128,7 @@
 	}
 	h := d.holders.get(u)
 	mine := d.isHolder(set, u)
-	if h.keeps(mine, d.lease, d.self.ID < from) {
+	if mine && h.keeps(d.mayDispatch(h), d.self.ID < from) {
 		return &wire.Claimed{Denied: true}, nil
 	}
 	h.close("claimed-by-" + from)
@@ -149,6 +155,14 @@
 	return r
 }
 
+// mayDispatch reports whether this daemon may use an upstream that it holds.
+func (d *Daemon) mayDispatch(h *held) bool {
+	h.mu.Lock()
+	alone := h.alone
+	h.mu.Unlock()
+	return d.lease.Valid(time.Now(), alone || d.confirmed())
+}
+
 // release closes the hold on an upstream that another daemon holds.
 func (h *holders) release(upstream string) {
 	h.mu.Lock()
@@ -174,24 +188,20 @@
 	return h.generation == generation
 }
 
-// expired reports whether an open hold has outlived the daemon's lease.
-func (h *held) expired(lease *hold.Lease, now time.Time) bool {
+func (h *held) isOpen() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.state == holdOpen && !lease.Valid(now, h.alone)
+	return h.state == holdOpen
 }
 
 // keeps reports whether the hold stays although another member claims it.
-func (h *held) keeps(mine bool, lease *hold.Lease, first bool) bool {
+func (h *held) keeps(mayDispatch, first bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !mine {
-		return false
-	}
 	switch h.state {
 	case holdOpen:
-		return lease.Valid(time.Now(), h.alone)
-	case holdClaiming:
+		return mayDispatch
+	case holdClaiming, holdRechecking:
 		return first
 	}
 	return false
@@ -209,7 +219,7 @@
 }
 
 // open lets requests have slots.
-func (h *held) open(generation int, alone bool) {
+func (h *held) open(generation int, alone bool, asked *membership.View) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.generation != generation {
@@ -220,6 +230,34 @@
 	}
 	h.state = holdOpen
 	h.alone = alone
+	h.asked = map[string]bool{}
+	for _, m := range asked.Members() {
+		h.asked[m.Incarnation] = true
+	}
+}
+
+// recheck grants no slots until members that have appeared since the hold was
+// opened have been asked too. Requests that wait go on waiting.
+func (h *held) recheck(view *membership.View) (generation int, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.state != holdOpen || !h.missing(view) {
+		return 0, false
+	}
+	h.state = holdRechecking
+	h.generation++
+	h.scheduler.Reserve(h.upstream.Slots)
+	return h.generation, true
+}
+
+// missing reports whether a member was not asked. The lock must be held.
+func (h *held) missing(view *membership.View) bool {
+	for _, m := range view.Members() {
+		if m.State != membership.Dead && !h.asked[m.Incarnation] {
+			return true
+		}
+	}
+	return false
 }
 
 // reserve keeps slots for the requests of others. It reports whether there
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/duty"
@@ -47,6 +48,9 @@
 	if req.Key == "" && !service.Class.Idempotent {
 		return request.Refuse(request.ReasonKeyRequired, "send the key of a look-up in header Tiller-Key")
 	}
+	if service.Class.Durable && req.Key == "" {
+		return d.serveDurable(ctx, set, req)
+	}
 	return d.place(ctx, set, req)
 }
 
@@ -69,9 +73,14 @@
 		return refuseSlot("entry host "+d.self.ID, err)
 	}
 	defer release()
-	p := placing{req: req, answer: request.Refuse(request.ReasonNoUpstream, req.Service)}
+	giveBack, err := d.limits.admit(ctx, set, req)
+	if err != nil {
+		return request.Refuse(request.ReasonLimit, err.Error())
+	}
+	p := placing{req: req, tried: map[string]bool{}, answer: request.Refuse(request.ReasonNoUpstream, req.Service)}
 	for d.offerAll(ctx, &p) && sleep(ctx, placePause) {
 	}
+	giveBack(p.answer.Outcome)
 	return p.answer
 }
 
@@ -79,6 +88,8 @@
 type placing struct {
 	req      *request.Request
 	attempts int
+	// tried are the upstreams that refused the request themselves.
+	tried map[string]bool
 	// answer is the last one, or the one that left the outcome unknown.
 	answer request.Answer
 }
@@ -101,6 +112,9 @@
 		if ctx.Err() != nil {
 			return false
 		}
+		if p.tried[c.Upstream.Name] {
+			continue
+		}
 		if decided, ok := d.allowed(ctx, p.req); !ok {
 			p.take(decided)
 			return false
@@ -115,6 +129,7 @@
 			continue
 		}
 		p.attempts++
+		p.tried[c.Upstream.Name] = true
 		if !d.retry(set, p, answer) {
 			return false
 		}
@@ -132,6 +147,9 @@
 		return false
 	case answer.Outcome == request.Unknown && (p.req.Key != "" || service == nil || !service.Class.Idempotent):
 		return false
+	case answer.Reason == request.ReasonConnectionClosed:
+		// The server may have crashed on this request.
+		return false
 	case p.attempts >= maxAttempts:
 		return false
 	}
@@ -139,14 +157,16 @@
 }
 
 func (d *Daemon) candidates(set *catalogue.Set, service string) []placement.Candidate {
-	return placement.Upstreams(placement.Inputs{
+	return d.taking(placement.Upstreams(placement.Inputs{
 		Set: set, Self: d.self, Service: service, Load: d.loads.get, Now: time.Now(), Random: rand.IntN,
-	})
+	}))
 }
 
-// holderChanges reports whether an answer says that no holder was reached.
+// holderChanges reports whether an answer says that no holder was reached, or
+// that the upstream is leaving.
 func holderChanges(a request.Answer) bool {
-	return a.Outcome == request.NotRun && (a.Reason == request.ReasonNotHolder || a.Reason == request.ReasonPeerUnreachable)
+	reasons := []request.Reason{request.ReasonNotHolder, request.ReasonPeerUnreachable, request.ReasonDraining}
+	return a.Outcome == request.NotRun && slices.Contains(reasons, a.Reason)
 }
 
 // offerBest offers a request to the best upstream alone.
