--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 build:
 	mkdir -p bin
-	go build -o bin/ ./cmd/tillerd ./cmd/tillerctl ./standin/cmd/standin
+	go build -o bin/ ./cmd/tillerd ./cmd/tillerctl ./standin/cmd/standin ./standin/cmd/bench
 
 test:
 	go test -count=1 work
