--- a/daemon/holder.go
+++ b/daemon/holder.go
@@ -11,7 +11,6 @@
 	"bilberrytiller.example/tiller/coordination/hold"
 	"bilberrytiller.example/tiller/coordination/placement"
 	"bilberrytiller.example/tiller/coordination/schedule"
-	"bilberrytiller.example/tiller/protocol/wire"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/state/request"
 	"bilberrytiller.example/tiller/transport/backendhttp"
@@ -83,14 +82,16 @@
 func (d *Daemon) dispatchHere(ctx context.Context, upstream string, req *request.Request) request.Answer {
 	set := d.catalogue.Load()
 	u := set.Upstream(upstream)
-	if u == nil || set.Leaving(u) {
-		return request.Refuse(request.ReasonNoUpstream, upstream)
+	if u == nil || d.drains.leaving(upstream) {
+		return request.Refuse(request.ReasonDraining, upstream)
 	}
 	h := d.holders.get(u)
 	if !d.isHolder(set, u) || !h.takesWork() {
 		return request.Refuse(request.ReasonNotHolder, upstream)
 	}
-	release, err := h.scheduler.Acquire(ctx, classOf(set, req), req.Deadline)
+	queued, taken := d.drains.whileTaking(ctx, upstream)
+	release, err := h.scheduler.Acquire(queued, classOf(set, req), req.Deadline)
+	taken()
 	if err != nil {
 		return refuseSlot(upstream, err)
 	}
@@ -126,6 +127,8 @@
 	switch {
 	case errors.Is(err, schedule.ErrFull):
 		reason = request.ReasonQueueFull
+	case errors.Is(err, errDraining):
+		reason = request.ReasonDraining
 	case errors.Is(err, errNotHolder):
 		reason = request.ReasonNotHolder
 	case errors.Is(err, context.Canceled):
@@ -142,13 +145,17 @@
 	return h.state == holdOpen || h.state == holdRechecking
 }
 
+// clientNow returns the client of the upstream's present address.
+func (h *held) clientNow() *backendhttp.Client {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.client
+}
+
 // run runs a request that has a slot.
 func (h *held) run(ctx context.Context, req *request.Request) request.Answer {
-	h.mu.Lock()
-	client := h.client
-	h.mu.Unlock()
 	started := time.Now()
-	answer := client.Run(ctx, req)
+	answer := h.clientNow().Run(ctx, req)
 	h.note(answer, started, time.Now())
 	return answer
 }
@@ -262,20 +269,6 @@
 	return created
 }
 
-// answerDispatch runs a request on an upstream whose slots this daemon holds.
-func (d *Daemon) answerDispatch(ctx context.Context, _ string, in *wire.Dispatch) (*wire.Answered, error) {
-	defer d.inFlight.begin()()
-	if in.Holder != d.self.Incarnation {
-		return &wire.Answered{Answer: request.Refuse(request.ReasonNotHolder, in.Upstream+": other incarnation")}, nil
-	}
-	req := in.Request.Open(time.Now())
-	answer := d.dispatchHere(ctx, in.Upstream, req)
-	load := d.holders.load(in.Upstream)
-	return &wire.Answered{Answer: answer, Load: wire.Load{
-		InUse: load.InUse, Waiting: load.Waiting, Service: load.Service, Warm: load.Warm, Failing: load.Failing,
-	}}, nil
-}
-
 // loads keeps the latest known load of each upstream.
 type loads struct {
 	mu    sync.Mutex
--- a/daemon/reports.go
+++ b/daemon/reports.go
@@ -96,7 +96,7 @@
 
 // handleReport answers what became of an accepted request.
 func (d *Daemon) handleReport(w http.ResponseWriter, r *http.Request) {
-	defer d.inFlight.begin()()
+	defer d.requests.Begin()()
 	name := r.PathValue("id")
 	answer := d.readReport(r.Context(), name)
 	writeAnswer(w, d.self.ID, "", "", answer)
@@ -191,7 +191,7 @@
 
 // run runs one accepted request and stores its answer.
 func (w *reportWorker) run(ctx context.Context, obj platform.Object, record report.Record) {
-	defer w.daemon.inFlight.begin()()
+	defer w.daemon.runs.Begin()()
 	defer func() {
 		w.running.remove(obj.Name)
 		<-w.places
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/duty"
@@ -72,9 +73,14 @@
 		return refuseSlot("entry host "+d.self.ID, err)
 	}
 	defer release()
+	giveBack, err := d.limits.admit(ctx, set, req)
+	if err != nil {
+		return request.Refuse(request.ReasonLimit, err.Error())
+	}
 	p := placing{req: req, tried: map[string]bool{}, answer: request.Refuse(request.ReasonNoUpstream, req.Service)}
 	for d.offerAll(ctx, &p) && sleep(ctx, placePause) {
 	}
+	giveBack(p.answer.Outcome)
 	return p.answer
 }
 
@@ -151,14 +157,16 @@
 }
 
 func (d *Daemon) candidates(set *catalogue.Set, service string) []placement.Candidate {
-	return placement.Upstreams(placement.Inputs{
+	return d.taking(placement.Upstreams(placement.Inputs{
 		Set: set, Self: d.self, Service: service, Load: d.loads.get, Now: time.Now(), Random: rand.IntN,
-	})
+	}))
 }
 
-// holderChanges reports whether an answer says that no holder was reached.
+// holderChanges reports whether an answer says that no holder was reached, or
+// that the upstream is leaving.
 func holderChanges(a request.Answer) bool {
-	return a.Outcome == request.NotRun && (a.Reason == request.ReasonNotHolder || a.Reason == request.ReasonPeerUnreachable)
+	reasons := []request.Reason{request.ReasonNotHolder, request.ReasonPeerUnreachable, request.ReasonDraining}
+	return a.Outcome == request.NotRun && slices.Contains(reasons, a.Reason)
 }
 
 // offerBest offers a request to the best upstream alone.
@@ -186,7 +194,7 @@
 		return answer
 	}
 	in := &wire.Dispatch{Upstream: name, Holder: holder.Incarnation, Request: wire.NewRequest(req, time.Now())}
-	out, err := peer.CallSettled[wire.Answered](ctx, d.peers, holder.Peer, wire.TypeDispatch, in, graceOf(req))
+	out, err := d.callHolder(ctx, holder, in, req)
 	if err != nil {
 		return peerFailure(holder, err)
 	}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -11,14 +11,17 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -28,6 +31,7 @@
 	"bilberrytiller.example/tiller/cli/tillerctl"
 	"bilberrytiller.example/tiller/cli/tillerd"
 	tiller "bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/protocol/callerapi"
 	"bilberrytiller.example/tiller/protocol/operatorapi"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/state/request"
@@ -96,9 +100,11 @@
 
 // Fleet is a running fleet. It ends with its test.
 type Fleet struct {
-	t        T
-	opts     Options
-	Platform *platform.Server
+	t    T
+	opts Options
+	// upstreams are the entries of the backend servers, by name.
+	upstreams map[string]catalogue.Upstream
+	Platform  *platform.Server
 	// PlatformURL is the platform's base URL.
 	PlatformURL string
 	Backends    map[string]*backend.Server
@@ -119,9 +125,11 @@
 	// platform stands between the daemon and the platform.
 	platform *relay.Relay
 	t        T
-	cmd      *exec.Cmd
-	log      *logBuffer
-	exited   chan struct{}
+	// callerAddr is Caller for senders that go on while the daemon restarts.
+	callerAddr atomic.Pointer[netip.AddrPort]
+	cmd        *exec.Cmd
+	log        *logBuffer
+	exited     chan struct{}
 }
 
 // Service returns a service entry of the given rank with common values.
@@ -135,7 +143,10 @@
 // the catalogue in force.
 func Start(t T, opts Options) *Fleet {
 	t.Helper()
-	f := &Fleet{t: t, opts: opts, Platform: platform.New(), Backends: map[string]*backend.Server{}, backendServers: map[string]*httptest.Server{}}
+	f := &Fleet{
+		t: t, opts: opts, Platform: platform.New(),
+		Backends: map[string]*backend.Server{}, upstreams: map[string]catalogue.Upstream{}, backendServers: map[string]*httptest.Server{},
+	}
 	server := httptest.NewServer(f.Platform)
 	t.Cleanup(server.Close)
 	f.PlatformURL = server.URL
@@ -190,15 +201,19 @@
 	return entry.(*catalogue.Upstream)
 }
 
-// ListHosts tells the platform the hosts as they are.
-func (f *Fleet) ListHosts() { f.Platform.SetHosts(f.Listed()) }
+// ListHosts tells the platform the hosts as they are, some of them as leaving.
+func (f *Fleet) ListHosts(leaving ...*Host) { f.Platform.SetHosts(f.Listed(leaving...)) }
 
 // Listed returns the hosts as ListHosts lists them.
-func (f *Fleet) Listed() []tiller.Host {
+func (f *Fleet) Listed(leaving ...*Host) []tiller.Host {
 	var hosts []tiller.Host
 	for _, h := range f.Hosts {
+		state := tiller.HostLive
+		if slices.Contains(leaving, h) {
+			state = tiller.HostLeaving
+		}
 		hosts = append(hosts, tiller.Host{
-			ID: h.ID, DataCentre: h.DataCentre, Region: h.Region, Peer: h.relay.Addr(), Caller: h.Caller, State: tiller.HostLive,
+			ID: h.ID, DataCentre: h.DataCentre, Region: h.Region, Peer: h.relay.Addr(), Caller: h.Caller, State: state,
 		})
 	}
 	return hosts
@@ -297,10 +312,20 @@
 	})
 	f.Backends[u.Name] = s
 	f.backendServers[u.Name] = server
-	f.Apply(&catalogue.Upstream{
+	entry := catalogue.Upstream{
 		Meta: meta(catalogue.KindUpstream, u.Name), Services: append([]string{u.Service}, u.Services...), DataCentre: u.DataCentre,
 		Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Slots: u.Options.Slots, Connections: 330,
-	})
+	}
+	f.upstreams[u.Name] = entry
+	f.Apply(&entry)
+}
+
+// DrainUpstream drains an upstream by its entry, or takes it back into use.
+func (f *Fleet) DrainUpstream(name string, drain bool) {
+	f.t.Helper()
+	entry := f.upstreams[name]
+	entry.Drain = drain
+	f.Apply(&entry)
 }
 
 // StopBackend ends a backend server, cutting what it runs.
@@ -369,6 +394,8 @@
 		f.t.Fatalf("%s did not start:\n%s", h.ID, h.Log())
 	}
 	h.Caller, h.Operator = ready["caller"], ready["operator"]
+	addr := h.Caller
+	h.callerAddr.Store(&addr)
 	relayListener.SetTarget(ready["peer"].String())
 	h.relay = relayListener
 }
@@ -451,6 +478,27 @@
 	}
 }
 
+// Send sends one request to the daemon as it runs now, and returns what its
+// answer says; a request without a whole answer has an unknown outcome.
+func (h *Host) Send(service, body string, timeout time.Duration) (request.Outcome, request.Reason) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	target := "http://" + h.callerAddr.Load().String() + callerapi.PathRun + service + "/"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader(body))
+	if err != nil {
+		return request.NotRun, request.ReasonBadRequest
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return request.Unknown, request.ReasonConnectionLost
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return request.Unknown, request.ReasonConnectionLost
+	}
+	return request.Outcome(resp.Header.Get(callerapi.HeaderOutcome)), request.Reason(resp.Header.Get(callerapi.HeaderReason))
+}
+
 // Status reads what the daemon knows.
 func (h *Host) Status() (operatorapi.Status, error) {
 	var status operatorapi.Status
--- a/state/request/request.go
+++ b/state/request/request.go
@@ -109,6 +109,7 @@
 	ReasonTooLarge        Reason = "too-large"
 	ReasonNoCatalogue     Reason = "no-catalogue"
 	ReasonNoUpstream      Reason = "no-upstream"
+	ReasonDraining        Reason = "draining"
 	ReasonShed            Reason = "shed"
 	ReasonQueueFull       Reason = "queue-full"
 	ReasonTooLate         Reason = "too-late"
@@ -129,9 +130,12 @@
 	// ReasonConnectionClosed says that the backend server closed the
 	// connection before it answered, as it does when it crashes.
 	ReasonConnectionClosed Reason = "connection-closed"
-	ReasonBadAnswer        Reason = "bad-answer"
-	ReasonNotHolder        Reason = "not-holder"
-	ReasonPoison           Reason = "poison"
+	// ReasonSilent says that the connection to the backend server was open and
+	// carried nothing any more.
+	ReasonSilent    Reason = "silent-connection"
+	ReasonBadAnswer Reason = "bad-answer"
+	ReasonNotHolder Reason = "not-holder"
+	ReasonPoison    Reason = "poison"
 	// ReasonStored says that the platform keeps a durable request,
 	// ReasonStoreUnknown that it may.
 	ReasonStored        Reason = "stored"
