--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -34,7 +34,7 @@
 
 // NewServer returns a server that checks peers with auth.
 func NewServer(auth *Auth, log zerolog.Logger) *Server {
-	return &Server{auth: auth, log: log, handlers: map[wire.Type]handler{}, started: time.Now(), conns: map[*websocket.Conn]bool{}}
+	return &Server{auth: auth, log: log, handlers: map[wire.Type]handler{}, conns: map[*websocket.Conn]bool{}, started: time.Now()}
 }
 
 // Handle registers the handler of a call. It must be called before the
