--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -340,7 +340,7 @@
 	d.view.Store(view)
 	d.metrics.members.Set(int64(len(view.Members())))
 	d.metrics.neighbours.Set(int64(len(near)))
-	d.metrics.isolated.Set(asInt(t.Isolated()))
+	d.showIsolated(t.Isolated())
 	d.logChanges(before, view)
 }
 
@@ -380,6 +380,13 @@
 	}
 }
 
+func (d *Daemon) showIsolated(isolated bool) {
+	if asInt(isolated) != d.metrics.isolated.Value() {
+		d.log.Warn().Str("event", "daemon.isolated").Bool("isolated", isolated).Send()
+	}
+	d.metrics.isolated.Set(asInt(isolated))
+}
+
 func asInt(b bool) int64 {
 	if b {
 		return 1
