--- a/daemon/handover.go
+++ b/daemon/handover.go
@@ -31,8 +31,9 @@
 // ErrNoSuccessor says that no daemon can take the keys over.
 var ErrNoSuccessor = errors.New("no usable daemon to hand keys over to")
 
-// handOver gives the keys to one successor. After it no key is run here.
-func (d *Daemon) handOver(ctx context.Context) {
+// handOver gives the keys to one successor. After it no key is run here. A
+// stop goes on also if nobody took them.
+func (d *Daemon) handOver(ctx context.Context) error {
 	defer close(d.handedOver)
 	d.awaitRuns(ctx)
 	transfer := permit.NewTransfer(d.keys.Export(d.lastKeyExpiry()))
@@ -40,13 +41,14 @@
 	for range maxHandoverAttempts {
 		if err = d.transfer(ctx, transfer); transfer.Complete() {
 			d.handoverDone(transfer)
-			return
+			return nil
 		}
 		if !sleep(ctx, handoverPause) {
 			break
 		}
 	}
 	d.log.Error().Str("event", "keys.not-handed-over").Int("keys", d.keys.Len()).Err(err).Send()
+	return nil
 }
 
 // awaitRuns freezes the keys and waits for the runs that are left, as long
--- a/daemon/hosts.go
+++ b/daemon/hosts.go
@@ -139,5 +139,6 @@
 }
 
 func (d *Daemon) takeList(hosts []membership.Host) {
+	d.noteListed(hosts)
 	d.withTracker(func(t *membership.Tracker) []membership.Record { return t.List(hosts, time.Now()) })
 }
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -18,6 +18,7 @@
 	peer.Handle(d.peerServe, wire.TypeFacts, d.answerFacts)
 	peer.Handle(d.peerServe, wire.TypeCompare, d.answerCompare)
 	peer.Handle(d.peerServe, wire.TypeFetch, d.answerFetch)
+	peer.Handle(d.peerServe, wire.TypeBorrow, d.limits.answerBorrow)
 }
 
 func (d *Daemon) peerHandler() http.Handler {
--- a/daemon/poison.go
+++ b/daemon/poison.go
@@ -163,7 +163,6 @@
 }
 
 func (d *Daemon) answerSuspect(ctx context.Context, _ string, in *wire.Run) (*wire.Answered, error) {
-	defer d.inFlight.begin()()
 	return &wire.Answered{Answer: d.runSuspectHere(ctx, in.Request.Open(time.Now()))}, nil
 }
 
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/coder/websocket"
 	"github.com/rs/zerolog"
 
+	"bilberrytiller.example/tiller/internal/inflight"
 	"bilberrytiller.example/tiller/protocol/wire"
 )
 
@@ -22,11 +24,15 @@
 	auth     *Auth
 	log      zerolog.Logger
 	handlers map[wire.Type]handler
+	calls    inflight.Counter
+
+	mu    sync.Mutex
+	conns map[*websocket.Conn]bool
 }
 
 // NewServer returns a server that checks peers with auth.
 func NewServer(auth *Auth, log zerolog.Logger) *Server {
-	return &Server{auth: auth, log: log, handlers: map[wire.Type]handler{}}
+	return &Server{auth: auth, log: log, handlers: map[wire.Type]handler{}, conns: map[*websocket.Conn]bool{}}
 }
 
 // Handle registers the handler of a call. It must be called before the
@@ -58,10 +64,40 @@
 	s.serve(r.Context(), ws, from)
 }
 
+// InFlight returns the number of calls whose answers are not yet written.
+func (s *Server) InFlight() int { return s.calls.Count() }
+
+// Shutdown waits until every call was answered and closes the connections.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.calls.Wait(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for ws := range s.conns {
+		_ = ws.CloseNow()
+	}
+	return nil
+}
+
+func (s *Server) track(ws *websocket.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[ws] = true
+}
+
+func (s *Server) untrack(ws *websocket.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, ws)
+}
+
 func (s *Server) serve(ctx context.Context, ws *websocket.Conn, from string) {
 	ctx, cancel := context.WithCancel(ctx)
+	s.track(ws)
 	var calls sync.WaitGroup
 	defer func() {
+		s.untrack(ws)
 		cancel()
 		_ = ws.CloseNow()
 		calls.Wait()
@@ -84,31 +120,36 @@
 			continue
 		}
 		open <- struct{}{}
+		written := s.calls.Begin()
 		callCtx, end := running.begin(ctx, env.ID)
 		calls.Go(func() {
 			out, err := s.dispatch(callCtx, from, env)
 			end()
 			s.answer(ctx, ws, env, out, err)
+			written()
 			<-open
 		})
 	}
 }
 
+// ErrCancelled is the cause of a call's context that the peer cancelled.
+var ErrCancelled = errors.New("call was cancelled by the peer")
+
 // running holds the calls of one connection that can be cancelled.
 type running struct {
 	mu      sync.Mutex
-	cancels map[uint64]context.CancelFunc
+	cancels map[uint64]context.CancelCauseFunc
 }
 
-func newRunning() *running { return &running{cancels: map[uint64]context.CancelFunc{}} }
+func newRunning() *running { return &running{cancels: map[uint64]context.CancelCauseFunc{}} }
 
 func (r *running) begin(ctx context.Context, id uint64) (callCtx context.Context, end func()) {
-	callCtx, cancel := context.WithCancel(ctx)
+	callCtx, cancel := context.WithCancelCause(ctx)
 	r.mu.Lock()
 	r.cancels[id] = cancel
 	r.mu.Unlock()
 	return callCtx, func() {
-		cancel()
+		cancel(nil)
 		r.mu.Lock()
 		delete(r.cancels, id)
 		r.mu.Unlock()
@@ -120,7 +161,7 @@
 	cancel := r.cancels[id]
 	r.mu.Unlock()
 	if cancel != nil {
-		cancel()
+		cancel(ErrCancelled)
 	}
 }
 
