--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -370,10 +370,14 @@
 // the host as it was.
 func (f *Fleet) Replace(h *Host) *Host {
 	f.t.Helper()
-	old := *h
+	old := &Host{
+		ID: h.ID, DataCentre: h.DataCentre, Region: h.Region, IP: h.IP, Caller: h.Caller, Operator: h.Operator,
+		relay: h.relay, platform: h.platform, t: h.t, cmd: h.cmd, log: h.log, exited: h.exited,
+	}
+	old.callerAddr.Store(h.callerAddr.Load())
 	f.t.Cleanup(old.Kill)
 	f.Restart(h)
-	return &old
+	return old
 }
 
 func (f *Fleet) launch(h *Host) {
--- a/standin/proofs/force_bench_test.go
+++ b/standin/proofs/force_bench_test.go
@@ -59,7 +59,7 @@
 					}
 				}
 			}
-			report(b, took)
+			reportQuantiles(b, took)
 		})
 	}
 }
@@ -102,7 +102,7 @@
 	return at
 }
 
-func report(b *testing.B, took []time.Duration) {
+func reportQuantiles(b *testing.B, took []time.Duration) {
 	slices.Sort(took)
 	ms := func(q float64) float64 {
 		return float64(took[int(q*float64(len(took)-1))].Microseconds()) / 1000
