Keep requests and answers between regions under a link's cap

Cause: the cap of a link entry was in no decision.

Ruled out: counting every frame in the transport, since the control traffic that hands units out would wait for them; a guess of the answer's size at the asking side, since the answering side knows it.

Requests over the budget are not run, reason link; answers wait. The stand-in platform counts versions for each kind, so that writes of shares do not move the versions of the catalogue that sessions print.

--- a/coordination/limit/account.go
+++ b/coordination/limit/account.go
@@ -97,11 +97,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.expire(now)
-	latest := a.holds.round(end)
-	if last := a.holds.latest(); last.After(latest) {
-		latest = last
-	}
-	if a.holds.total+units > a.usable(now, latest) {
+	if !a.fits(now, units, end) {
 		a.miss(now, units)
 		return false
 	}
@@ -109,6 +105,22 @@
 	return true
 }
 
+// Fits reports whether Take would succeed. It does not count as demand.
+func (a *Account) Fits(now time.Time, units int, end time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.expire(now)
+	return a.fits(now, units, end)
+}
+
+func (a *Account) fits(now time.Time, units int, end time.Time) bool {
+	latest := a.holds.round(end)
+	if last := a.holds.latest(); last.After(latest) {
+		latest = last
+	}
+	return a.holds.total+units <= a.usable(now, latest)
+}
+
 // Release ends a use before its time. The end is that of Take.
 func (a *Account) Release(units int, end time.Time) {
 	a.mu.Lock()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -80,6 +80,7 @@
 	retries   *retry.Budget
 
 	limits  *limits
+	links   *links
 	drains  *drains
 	reports *drain.Reports
 
@@ -147,6 +148,7 @@
 	d.catalogue.Store(catalogue.Empty())
 	d.view.Store(membership.NewView(d.self, []membership.Member{d.self}))
 	d.limits = newLimits(d)
+	d.links = newLinks(d)
 	d.registerCalls()
 	d.onFact(factCatalogue, d.takeCatalogue)
 	d.onFact(factDraining, d.drains.takeReported)
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -59,7 +59,9 @@
 
 func newLimits(d *Daemon) *limits {
 	l := &limits{d: d, set: catalogue.Empty(), shares: map[string]*shares{}, accounts: map[limitID]*account{}}
-	l.shares[groupFleet] = newShares(d, groupFleet)
+	for _, group := range []string{groupFleet, groupRegion(d.self.Region)} {
+		l.shares[group] = newShares(d, group)
+	}
 	return l
 }
 
@@ -93,6 +95,7 @@
 			l.setLimit(concurrencyID(s.Name), s.Limits.Concurrency, limit.Terms{Hold: time.Duration(s.Class.Deadline), Released: true})
 		}
 	}
+	l.setLinks(l.set)
 	l.apply()
 }
 
@@ -138,6 +141,12 @@
 	return nil
 }
 
+func (l *limits) unitsOf(a *account) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return a.units
+}
+
 // LimitError says which limit a request is over.
 type LimitError struct{ Limit string }
 
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -28,6 +28,8 @@
 	// limitRefused counts requests over a limit, unitsBorrowed what peers lent.
 	limitRefused  *expvar.Int
 	unitsBorrowed *expvar.Int
+	// linkRefused counts requests that found no room on a link.
+	linkRefused *expvar.Int
 }
 
 func newMetrics() *metrics {
@@ -38,6 +40,7 @@
 	m.members = m.counter("members")
 	m.limitRefused = m.counter("limit_refused")
 	m.unitsBorrowed = m.counter("units_borrowed")
+	m.linkRefused = m.counter("link_refused")
 	m.poisonCharged = m.counter("poison_charged")
 	m.neighbours = m.counter("neighbours")
 	m.isolated = m.counter("isolated")
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -105,6 +105,10 @@
 	if !ok || m.ID == d.self.ID {
 		return request.Undecided(request.ReasonOwnerGone, owner), false
 	}
+	if err := d.links.request(ctx, m, req); err != nil {
+		// The owner may have run an earlier copy.
+		return request.Undecided(request.ReasonLink, err.Error()), false
+	}
 	in := &wire.Run{Request: wire.NewRequest(req, time.Now()), Owner: owner, Hops: hops + 1}
 	out, err := peer.CallSettled[wire.Answered](ctx, d.peers, m.Peer, wire.TypeRun, in, settleGrace)
 	if err != nil {
--- a/daemon/poison.go
+++ b/daemon/poison.go
@@ -140,6 +140,9 @@
 	if !ok || holder.ID == d.self.ID {
 		return d.runSuspectHere(ctx, req)
 	}
+	if err := d.links.request(ctx, holder, req); err != nil {
+		return request.Refuse(request.ReasonLink, err.Error())
+	}
 	in := &wire.Run{Request: wire.NewRequest(req, time.Now())}
 	out, err := peer.CallSettled[wire.Answered](ctx, d.peers, holder.Peer, wire.TypeSuspect, in, graceOf(req))
 	if err != nil {
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -181,6 +181,9 @@
 		d.loads.set(name, d.holders.load(name))
 		return answer
 	}
+	if err := d.links.request(ctx, holder, req); err != nil {
+		return request.Refuse(request.ReasonLink, err.Error())
+	}
 	in := &wire.Dispatch{Upstream: name, Holder: holder.Incarnation, Request: wire.NewRequest(req, time.Now())}
 	out, err := peer.CallSettled[wire.Answered](ctx, d.peers, holder.Peer, wire.TypeDispatch, in, graceOf(req))
 	if err != nil {
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -89,6 +89,12 @@
 	Request Request `cbor:"req"`
 }
 
+// Rank returns the rank of the request.
+func (r *Run) Rank() request.Rank { return r.Request.Request.Rank }
+
+// Rank returns the rank of the request.
+func (d *Dispatch) Rank() request.Rank { return d.Request.Request.Rank }
+
 // Load is an upstream's load as its holder knows it.
 type Load struct {
 	InUse   int `cbor:"u"`
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -230,6 +230,26 @@
 // SetPlatform changes what happens on the path from a host to the platform.
 func (f *Fleet) SetPlatform(h *Host, mode relay.Mode) { h.platform.Set(loopback, mode) }
 
+// MeterLinks has the bytes between hosts of two regions counted from now on,
+// by the regions that they leave and reach.
+func (f *Fleet) MeterLinks(count func(from, to string, bytes int)) {
+	region := map[netip.Addr]string{}
+	for _, h := range f.Hosts {
+		region[h.IP] = h.Region
+	}
+	for _, h := range f.Hosts {
+		h.relay.SetMeter(func(source netip.Addr, back bool, bytes int) {
+			from, to := region[source], h.Region
+			if back {
+				from, to = to, from
+			}
+			if from != "" && to != "" && from != to {
+				count(from, to, bytes)
+			}
+		})
+	}
+}
+
 // CutOff changes the paths between one host and all others, both ways.
 func (f *Fleet) CutOff(h *Host, mode relay.Mode) {
 	for _, other := range f.Hosts {
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -13,19 +13,23 @@
 // historyEvents is how many events a watch can look back on.
 const historyEvents = 10_000
 
-// store holds the objects. Versions are taken from one counter.
+// store holds the objects. Each kind has its own counter of versions.
 type store struct {
-	mu      sync.Mutex
-	version uint64
-	objects map[string]map[string]platform.Object
-	history []platform.Event
-	// dropped is the version of the newest event no longer in history.
-	dropped uint64
+	mu       sync.Mutex
+	versions map[string]uint64
+	objects  map[string]map[string]platform.Object
+	history  []platform.Event
+	// dropped is the version of the newest event of each kind that is no
+	// longer in history.
+	dropped map[string]uint64
 	changed chan struct{}
 }
 
 func newStore() *store {
-	return &store{objects: map[string]map[string]platform.Object{}, changed: make(chan struct{})}
+	return &store{
+		versions: map[string]uint64{}, dropped: map[string]uint64{},
+		objects: map[string]map[string]platform.Object{}, changed: make(chan struct{}),
+	}
 }
 
 func (s *store) get(kind, name string) (platform.Object, error) {
@@ -41,7 +45,7 @@
 func (s *store) list(kind string) platform.List {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := platform.List{Version: s.version, Objects: []platform.Object{}}
+	list := platform.List{Version: s.versions[kind], Objects: []platform.Object{}}
 	for _, obj := range s.objects[kind] {
 		list.Objects = append(list.Objects, obj)
 	}
@@ -54,14 +58,14 @@
 	if err := s.check(kind, name, ifVersion); err != nil {
 		return 0, err
 	}
-	s.version++
-	obj := platform.Object{Kind: kind, Name: name, Version: s.version, Data: data}
+	s.versions[kind]++
+	obj := platform.Object{Kind: kind, Name: name, Version: s.versions[kind], Data: data}
 	if s.objects[kind] == nil {
 		s.objects[kind] = map[string]platform.Object{}
 	}
 	s.objects[kind][name] = obj
 	s.record(platform.Event{Object: obj})
-	return s.version, nil
+	return obj.Version, nil
 }
 
 func (s *store) delete(kind, name string, ifVersion uint64) (uint64, error) {
@@ -73,10 +77,10 @@
 	if err := s.check(kind, name, ifVersion); err != nil {
 		return 0, err
 	}
-	s.version++
+	s.versions[kind]++
 	delete(s.objects[kind], name)
-	s.record(platform.Event{Object: platform.Object{Kind: kind, Name: name, Version: s.version}, Deleted: true})
-	return s.version, nil
+	s.record(platform.Event{Object: platform.Object{Kind: kind, Name: name, Version: s.versions[kind]}, Deleted: true})
+	return s.versions[kind], nil
 }
 
 // check fails with a conflict unless the object stands at the version.
@@ -92,7 +96,7 @@
 func (s *store) record(e platform.Event) {
 	s.history = append(s.history, e)
 	if len(s.history) > historyEvents {
-		s.dropped = s.history[0].Object.Version
+		s.dropped[s.history[0].Object.Kind] = s.history[0].Object.Version
 		s.history = s.history[1:]
 	}
 	close(s.changed)
@@ -118,10 +122,10 @@
 func (s *store) changesAfter(kind string, after uint64) (platform.Changes, chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.dropped {
+	if after < s.dropped[kind] {
 		return platform.Changes{}, nil, platform.ErrTooOld
 	}
-	changes := platform.Changes{Version: s.version, Events: []platform.Event{}}
+	changes := platform.Changes{Version: s.versions[kind], Events: []platform.Event{}}
 	for _, e := range s.history {
 		if e.Object.Kind == kind && e.Object.Version > after {
 			changes.Events = append(changes.Events, e)
--- a/standin/proofs/limits_test.go
+++ b/standin/proofs/limits_test.go
@@ -41,13 +41,18 @@
 type flood struct {
 	stop    chan struct{}
 	wait    sync.WaitGroup
+	body    string
 	mu      sync.Mutex
 	done    int
-	refused int
+	reasons map[request.Reason]int
 }
 
-func startFlood(f *fleet.Fleet, workers int, hosts ...*fleet.Host) *flood {
-	fl := &flood{stop: make(chan struct{})}
+func startFlood(workers int, hosts ...*fleet.Host) *flood {
+	return startFloodOf("flood", workers, hosts...)
+}
+
+func startFloodOf(body string, workers int, hosts ...*fleet.Host) *flood {
+	fl := &flood{stop: make(chan struct{}), body: body, reasons: map[request.Reason]int{}}
 	for _, h := range hosts {
 		for range workers {
 			fl.wait.Go(func() { fl.send(h) })
@@ -64,32 +69,29 @@
 			return
 		case <-time.After(2 * time.Millisecond):
 		}
-		outcome, reason := h.Send("lookups", "flood", 5*time.Second)
+		outcome, reason := h.Send("lookups", fl.body, 5*time.Second)
 		fl.mu.Lock()
 		if outcome == request.Done {
 			fl.done++
 		}
-		if outcome == request.NotRun && reason == request.ReasonLimit {
-			fl.refused++
+		if outcome == request.NotRun {
+			fl.reasons[reason]++
 		}
 		fl.mu.Unlock()
 	}
 }
 
-func (fl *flood) counts() (done, refused int) {
+func (fl *flood) answers() int {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	return fl.done, fl.refused
+	return fl.done
 }
 
 // more waits until the flood got a number of answers more.
 func (fl *flood) more(t *testing.T, n int) {
 	t.Helper()
-	before, _ := fl.counts()
-	fleet.Eventually(t, fmt.Sprintf("flood gets %d answers", n), func() bool {
-		done, _ := fl.counts()
-		return done >= before+n
-	})
+	before := fl.answers()
+	fleet.Eventually(t, fmt.Sprintf("flood gets %d answers", n), func() bool { return fl.answers() >= before+n })
 }
 
 func (fl *flood) end() {
@@ -120,7 +122,7 @@
 func TestRateLimitHoldsWhileViewsDiffer(t *testing.T) {
 	const rate = 30
 	f, b := limitFleet(t, catalogue.Limits{Rate: rate}, time.Millisecond)
-	fl := startFlood(f, 4, f.Hosts...)
+	fl := startFlood(4, f.Hosts...)
 	fl.more(t, rate)
 	f.Partition("north", "south", relay.Cut)
 	fl.more(t, rate)
@@ -136,7 +138,7 @@
 	if most := mostStarts(b, time.Second-deliveryJitter); most > rate {
 		t.Errorf("%d requests ran within a second, limit %d", most, rate)
 	}
-	if _, refused := fl.counts(); refused == 0 {
+	if fl.reasons[request.ReasonLimit] == 0 {
 		t.Error("no request was refused for the limit")
 	}
 }
@@ -147,7 +149,7 @@
 func TestConcurrencyLimitHoldsWhileViewsDiffer(t *testing.T) {
 	const concurrency = 6
 	f, b := limitFleet(t, catalogue.Limits{Concurrency: concurrency}, 200*time.Millisecond)
-	fl := startFlood(f, 4, f.Hosts...)
+	fl := startFlood(4, f.Hosts...)
 	fl.more(t, 20)
 	f.Partition("north", "south", relay.Cut)
 	fl.more(t, 20)
@@ -185,7 +187,7 @@
 func TestDemandAtOneHostGetsMoreThanItsShare(t *testing.T) {
 	const rate = 60
 	f, b := limitFleet(t, catalogue.Limits{Rate: rate}, time.Millisecond)
-	fl := startFlood(f, 8, f.Hosts[2])
+	fl := startFlood(8, f.Hosts[2])
 	defer fl.end()
 	fleet.Eventually(t, "one host uses most of the limit", func() bool { return mostStarts(b, time.Second) >= rate*5/6 })
 	f.Platform.SetFaults(platform.Faults{Down: true})
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -34,8 +34,13 @@
 	modes map[netip.Addr]Mode
 	pairs map[*pair]bool
 	bytes map[netip.Addr]*atomic.Int64
+	meter Meter
 }
 
+// Meter is told of bytes that a relay has carried from a source to its target,
+// or back.
+type Meter func(source netip.Addr, back bool, bytes int)
+
 type pair struct {
 	source netip.Addr
 	in     net.Conn
@@ -98,6 +103,22 @@
 	return r.bytes[source]
 }
 
+// SetMeter names who is told of the bytes carried from now on.
+func (r *Relay) SetMeter(m Meter) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.meter = m
+}
+
+func (r *Relay) count(source netip.Addr, back bool, bytes int) {
+	r.mu.Lock()
+	m := r.meter
+	r.mu.Unlock()
+	if m != nil {
+		m(source, back, bytes)
+	}
+}
+
 // Close ends the relay and its connections.
 func (r *Relay) Close() {
 	_ = r.listener.Close()
@@ -138,8 +159,8 @@
 	p.set(r.modes[source])
 	r.mu.Unlock()
 	var both sync.WaitGroup
-	both.Go(func() { p.carry(out, in) })
-	both.Go(func() { p.carry(in, out) })
+	both.Go(func() { p.carry(out, in, func(n int) { r.count(source, false, n) }) })
+	both.Go(func() { p.carry(in, out, func(n int) { r.count(source, true, n) }) })
 	both.Wait()
 	r.mu.Lock()
 	delete(r.pairs, p)
@@ -163,7 +184,7 @@
 	_ = p.out.Close()
 }
 
-func (p *pair) carry(dst, src net.Conn) {
+func (p *pair) carry(dst, src net.Conn, count func(bytes int)) {
 	defer p.close()
 	buf := make([]byte, 32<<10)
 	for {
@@ -171,6 +192,7 @@
 		p.gate.wait()
 		p.bytes.Add(int64(n))
 		if n > 0 {
+			count(n)
 			if _, werr := dst.Write(buf[:n]); werr != nil {
 				return
 			}
--- a/state/catalogue/entry.go
+++ b/state/catalogue/entry.go
@@ -114,6 +114,18 @@
 	Delay Duration `json:"delay"`
 }
 
+// Other returns the region at the other end of the link, or false if neither
+// end is the given region.
+func (l *Link) Other(region string) (string, bool) {
+	switch region {
+	case l.Between[0]:
+		return l.Between[1], true
+	case l.Between[1]:
+		return l.Between[0], true
+	}
+	return "", false
+}
+
 // Class is the class of work of a service.
 type Class struct {
 	Rank request.Rank `json:"rank"`
--- a/state/catalogue/set.go
+++ b/state/catalogue/set.go
@@ -166,6 +166,9 @@
 	return ""
 }
 
+// Links returns every link. Their order is not fixed.
+func (s *Set) Links() []*Link { return slices.Collect(maps.Values(s.links)) }
+
 // Link returns the link between two regions in either order, or nil.
 func (s *Set) Link(a, b string) *Link { return s.links[linkKey(a, b)] }
 
