Move a service's traffic between regions no faster than its cap

Cause: shift_per_minute was in no decision.

Ruled out: a measurement of the fleet's traffic, which lags and goes missing; a daemon that keeps the cap for its own requests needs none. Counting what was sent to a region in place of what it answered: a region that fails would look as if it had the traffic, and nothing would ever move.

What may not move yet is not run, reason shift.

Left: traffic that moves because callers use entry hosts of another region.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -81,6 +81,7 @@
 
 	limits  *limits
 	links   *links
+	shifts  *shifts
 	drains  *drains
 	reports *drain.Reports
 
@@ -123,6 +124,7 @@
 		invalid:   newInvalidObjects(),
 		takers:    map[spread.Kind]func([]spread.Fact){},
 		drains:    newDrains(),
+		shifts:    newShifts(),
 		reports:   drain.NewReports(),
 	}
 	d.successions = permit.NewSuccessions()
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -78,6 +78,7 @@
 	for d.offerAll(ctx, &p) && sleep(ctx, placePause) {
 	}
 	giveBack(p.answer.Outcome)
+	d.shifts.served(set, &p)
 	return p.answer
 }
 
@@ -85,6 +86,8 @@
 type placing struct {
 	req      *request.Request
 	attempts int
+	// counted says that the request was counted against the shift cap.
+	counted bool
 	// answer is the last one, or the one that left the outcome unknown.
 	answer request.Answer
 }
@@ -103,7 +106,7 @@
 // are changing.
 func (d *Daemon) offerAll(ctx context.Context, p *placing) (again bool) {
 	set := d.catalogue.Load()
-	for _, c := range d.candidates(set, p.req.Service) {
+	for _, c := range d.shifts.allowed(set, p, d.candidates(set, p.req.Service)) {
 		if ctx.Err() != nil {
 			return false
 		}
--- /dev/null
+++ b/daemon/shifts.go
@@ -0,0 +1,84 @@
+package daemon
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"bilberrytiller.example/tiller/coordination/placement"
+	"bilberrytiller.example/tiller/coordination/shift"
+	"bilberrytiller.example/tiller/state/catalogue"
+	"bilberrytiller.example/tiller/state/request"
+)
+
+// shifts keeps the traffic of services with a shift cap from moving between
+// regions faster than the cap.
+type shifts struct {
+	mu       sync.Mutex
+	trackers map[string]*shift.Tracker
+}
+
+func newShifts() *shifts { return &shifts{trackers: map[string]*shift.Tracker{}} }
+
+// allowed returns the candidates in regions that may get the request.
+func (s *shifts) allowed(set *catalogue.Set, p *placing, candidates []placement.Candidate) []placement.Candidate {
+	service := set.Service(p.req.Service)
+	if service == nil || service.Limits.ShiftPerMinute == 0 || len(candidates) == 0 {
+		return candidates
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.tracker(service, regionOf(set, candidates[0]))
+	if !p.counted {
+		t.Begin(time.Now(), regionsOf(set, candidates))
+	}
+	out := slices.DeleteFunc(candidates, func(c placement.Candidate) bool { return !t.Allowed(regionOf(set, c)) })
+	if len(out) == 0 {
+		p.take(request.Refuse(request.ReasonShift, "traffic may not move to another region this fast"))
+		return nil
+	}
+	if !p.counted {
+		t.Send(regionOf(set, out[0]))
+	}
+	p.counted = true
+	return out
+}
+
+// served counts an answered request for the region that answered it.
+func (s *shifts) served(set *catalogue.Set, p *placing) {
+	u := set.Upstream(p.answer.Upstream)
+	if u == nil || p.answer.Outcome != request.Done {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.trackers[p.req.Service]; t != nil {
+		t.Served(set.RegionOf(u.DataCentre))
+	}
+}
+
+// tracker returns the tracker of a service. Its traffic is taken to go to the
+// region that is best for the first request.
+func (s *shifts) tracker(service *catalogue.Service, home string) *shift.Tracker {
+	t, ok := s.trackers[service.Name]
+	if !ok {
+		t = shift.NewTracker(home, service.Limits.ShiftPerMinute, time.Now())
+		s.trackers[service.Name] = t
+	}
+	t.SetCap(service.Limits.ShiftPerMinute)
+	return t
+}
+
+func regionOf(set *catalogue.Set, c placement.Candidate) string {
+	return set.RegionOf(c.Upstream.DataCentre)
+}
+
+func regionsOf(set *catalogue.Set, candidates []placement.Candidate) []string {
+	var out []string
+	for _, c := range candidates {
+		if region := regionOf(set, c); !slices.Contains(out, region) {
+			out = append(out, region)
+		}
+	}
+	return out
+}
--- a/state/request/request.go
+++ b/state/request/request.go
@@ -115,6 +115,7 @@
 	ReasonCancelled       Reason = "cancelled"
 	ReasonLimit           Reason = "limit"
 	ReasonLink            Reason = "link"
+	ReasonShift           Reason = "shift"
 	ReasonStopping        Reason = "stopping"
 	ReasonKeyRequired     Reason = "key-required"
 	ReasonKeyInvalid      Reason = "key-invalid"
