--- a/daemon/holder.go
+++ b/daemon/holder.go
@@ -11,7 +11,6 @@
 	"bilberrytiller.example/tiller/coordination/hold"
 	"bilberrytiller.example/tiller/coordination/placement"
 	"bilberrytiller.example/tiller/coordination/schedule"
-	"bilberrytiller.example/tiller/protocol/wire"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/state/request"
 	"bilberrytiller.example/tiller/transport/backendhttp"
@@ -23,6 +22,10 @@
 	// failingAfter is the number of failed connections in a row after which
 	// an upstream counts as failing.
 	failingAfter = 3
+	// busyFactor times the mean time of an answer is how long a request
+	// without one is taken to run, at most maxBusy.
+	busyFactor = 2
+	maxBusy    = 10 * time.Second
 )
 
 // errNotHolder ends requests that wait for a slot of an upstream that this
@@ -34,8 +37,10 @@
 
 const (
 	holdClosed holdState = iota
-	// holdClaiming is the state while other members are asked.
+	// holdClaiming is the state while other members are asked, holdRechecking
+	// while those are asked that appeared since.
 	holdClaiming
+	holdRechecking
 	holdOpen
 )
 
@@ -59,6 +64,8 @@
 	generation int
 	// alone is true if other members were outwaited.
 	alone bool
+	// asked are the incarnations of the members that were asked.
+	asked map[string]bool
 	// usable is when the upstream became usable, zero if it always was.
 	usable time.Time
 	// failures counts failed connections in a row.
@@ -79,8 +86,7 @@
 		return request.Refuse(request.ReasonDraining, upstream)
 	}
 	h := d.holders.get(u)
-	generation, ok := h.mayDispatch(d.lease)
-	if !ok {
+	if !d.isHolder(set, u) || !h.takesWork() {
 		return request.Refuse(request.ReasonNotHolder, upstream)
 	}
 	queued, taken := d.drains.whileTaking(ctx, upstream)
@@ -89,12 +95,18 @@
 	if err != nil {
 		return refuseSlot(upstream, err)
 	}
-	defer release()
 	// The daemon may have been paused or replaced while the request waited.
-	if now, ok := h.mayDispatch(d.lease); !ok || now != generation {
+	if !h.isOpen() || !d.mayDispatch(h) {
+		release()
 		return request.Refuse(request.ReasonNotHolder, upstream)
 	}
+	started := time.Now()
 	answer := h.run(ctx, req)
+	if busy := h.stillBusy(answer, time.Since(started)); busy > 0 {
+		time.AfterFunc(busy, release)
+	} else {
+		release()
+	}
 	answer.Upstream = upstream
 	return answer
 }
@@ -125,12 +137,12 @@
 	return request.Refuse(reason, upstream+": "+err.Error())
 }
 
-// mayDispatch reports whether the daemon holds the upstream, and since which
-// change of state.
-func (h *held) mayDispatch(lease *hold.Lease) (generation int, ok bool) {
+// takesWork reports whether requests may wait for a slot here: the daemon
+// holds the upstream, or is about to again.
+func (h *held) takesWork() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.generation, h.state == holdOpen && lease.Valid(time.Now(), h.alone)
+	return h.state == holdOpen || h.state == holdRechecking
 }
 
 // clientNow returns the client of the upstream's present address.
@@ -148,6 +160,17 @@
 	return answer
 }
 
+// stillBusy is how long the upstream is expected to go on with a request that
+// ended without its answer. The slot is not free before.
+func (h *held) stillBusy(answer request.Answer, passed time.Duration) time.Duration {
+	if answer.Outcome != request.Unknown {
+		return 0
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return max(0, min(busyFactor*h.service, maxBusy)-passed)
+}
+
 // note learns from an answer how the upstream does.
 func (h *held) note(answer request.Answer, started, now time.Time) {
 	const weight = 10
@@ -164,6 +187,9 @@
 		h.usable = now
 	}
 	h.failures = 0
+	if h.service == 0 {
+		h.service = now.Sub(started)
+	}
 	h.service += (now.Sub(started) - h.service) / weight
 	h.lastDone = now
 }
@@ -243,19 +269,6 @@
 	return created
 }
 
-// answerDispatch runs a request on an upstream whose slots this daemon holds.
-func (d *Daemon) answerDispatch(ctx context.Context, _ string, in *wire.Dispatch) (*wire.Answered, error) {
-	if in.Holder != d.self.Incarnation {
-		return &wire.Answered{Answer: request.Refuse(request.ReasonNotHolder, in.Upstream+": other incarnation")}, nil
-	}
-	req := in.Request.Open(time.Now())
-	answer := d.dispatchHere(ctx, in.Upstream, req)
-	load := d.holders.load(in.Upstream)
-	return &wire.Answered{Answer: answer, Load: wire.Load{
-		InUse: load.InUse, Waiting: load.Waiting, Service: load.Service, Warm: load.Warm, Failing: load.Failing,
-	}}, nil
-}
-
 // loads keeps the latest known load of each upstream.
 type loads struct {
 	mu    sync.Mutex
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -48,6 +48,9 @@
 	if req.Key == "" && !service.Class.Idempotent {
 		return request.Refuse(request.ReasonKeyRequired, "send the key of a look-up in header Tiller-Key")
 	}
+	if service.Class.Durable && req.Key == "" {
+		return d.serveDurable(ctx, set, req)
+	}
 	return d.place(ctx, set, req)
 }
 
@@ -74,7 +77,7 @@
 	if err != nil {
 		return request.Refuse(request.ReasonLimit, err.Error())
 	}
-	p := placing{req: req, answer: request.Refuse(request.ReasonNoUpstream, req.Service)}
+	p := placing{req: req, tried: map[string]bool{}, answer: request.Refuse(request.ReasonNoUpstream, req.Service)}
 	for d.offerAll(ctx, &p) && sleep(ctx, placePause) {
 	}
 	giveBack(p.answer.Outcome)
@@ -88,6 +91,8 @@
 	attempts int
 	// counted says that the request was counted against the shift cap.
 	counted bool
+	// tried are the upstreams that refused the request themselves.
+	tried map[string]bool
 	// answer is the last one, or the one that left the outcome unknown.
 	answer request.Answer
 }
@@ -110,6 +115,9 @@
 		if ctx.Err() != nil {
 			return false
 		}
+		if p.tried[c.Upstream.Name] {
+			continue
+		}
 		if decided, ok := d.allowed(ctx, p.req); !ok {
 			p.take(decided)
 			return false
@@ -124,6 +132,7 @@
 			continue
 		}
 		p.attempts++
+		p.tried[c.Upstream.Name] = true
 		if !d.retry(set, p, answer) {
 			return false
 		}
@@ -141,6 +150,9 @@
 		return false
 	case answer.Outcome == request.Unknown && (p.req.Key != "" || service == nil || !service.Class.Idempotent):
 		return false
+	case answer.Reason == request.ReasonConnectionClosed:
+		// The server may have crashed on this request.
+		return false
 	case p.attempts >= maxAttempts:
 		return false
 	}
@@ -188,7 +200,7 @@
 		return request.Refuse(request.ReasonLink, err.Error())
 	}
 	in := &wire.Dispatch{Upstream: name, Holder: holder.Incarnation, Request: wire.NewRequest(req, time.Now())}
-	out, err := peer.CallSettled[wire.Answered](ctx, d.peers, holder.Peer, wire.TypeDispatch, in, graceOf(req))
+	out, err := d.callHolder(ctx, holder, in, req)
 	if err != nil {
 		return peerFailure(holder, err)
 	}
--- a/standin/proofs/limits_test.go
+++ b/standin/proofs/limits_test.go
@@ -37,8 +37,8 @@
 	return f, f.Backends["only"]
 }
 
-// flood sends requests through the given hosts until stopped.
-type flood struct {
+// limitFlood sends requests through the given hosts until stopped.
+type limitFlood struct {
 	stop    chan struct{}
 	wait    sync.WaitGroup
 	body    string
@@ -47,12 +47,12 @@
 	reasons map[request.Reason]int
 }
 
-func startFlood(workers int, hosts ...*fleet.Host) *flood {
-	return startFloodOf("flood", workers, hosts...)
+func startLimitFlood(workers int, hosts ...*fleet.Host) *limitFlood {
+	return startLimitFloodOf("flood", workers, hosts...)
 }
 
-func startFloodOf(body string, workers int, hosts ...*fleet.Host) *flood {
-	fl := &flood{stop: make(chan struct{}), body: body, reasons: map[request.Reason]int{}}
+func startLimitFloodOf(body string, workers int, hosts ...*fleet.Host) *limitFlood {
+	fl := &limitFlood{stop: make(chan struct{}), body: body, reasons: map[request.Reason]int{}}
 	for _, h := range hosts {
 		for range workers {
 			fl.wait.Go(func() { fl.send(h) })
@@ -62,7 +62,7 @@
 }
 
 // send sends to one host's address as it is at the moment.
-func (fl *flood) send(h *fleet.Host) {
+func (fl *limitFlood) send(h *fleet.Host) {
 	for {
 		select {
 		case <-fl.stop:
@@ -81,20 +81,20 @@
 	}
 }
 
-func (fl *flood) answers() int {
+func (fl *limitFlood) answers() int {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	return fl.done
 }
 
 // more waits until the flood got a number of answers more.
-func (fl *flood) more(t *testing.T, n int) {
+func (fl *limitFlood) more(t *testing.T, n int) {
 	t.Helper()
 	before := fl.answers()
 	fleet.Eventually(t, fmt.Sprintf("flood gets %d answers", n), func() bool { return fl.answers() >= before+n })
 }
 
-func (fl *flood) end() {
+func (fl *limitFlood) end() {
 	close(fl.stop)
 	fl.wait.Wait()
 }
@@ -122,7 +122,7 @@
 func TestRateLimitHoldsWhileViewsDiffer(t *testing.T) {
 	const rate = 30
 	f, b := limitFleet(t, catalogue.Limits{Rate: rate}, time.Millisecond)
-	fl := startFlood(4, f.Hosts...)
+	fl := startLimitFlood(4, f.Hosts...)
 	fl.more(t, rate)
 	f.Partition("north", "south", relay.Cut)
 	fl.more(t, rate)
@@ -149,7 +149,7 @@
 func TestConcurrencyLimitHoldsWhileViewsDiffer(t *testing.T) {
 	const concurrency = 6
 	f, b := limitFleet(t, catalogue.Limits{Concurrency: concurrency}, 200*time.Millisecond)
-	fl := startFlood(4, f.Hosts...)
+	fl := startLimitFlood(4, f.Hosts...)
 	fl.more(t, 20)
 	f.Partition("north", "south", relay.Cut)
 	fl.more(t, 20)
@@ -187,7 +187,7 @@
 func TestDemandAtOneHostGetsMoreThanItsShare(t *testing.T) {
 	const rate = 60
 	f, b := limitFleet(t, catalogue.Limits{Rate: rate}, time.Millisecond)
-	fl := startFlood(8, f.Hosts[2])
+	fl := startLimitFlood(8, f.Hosts[2])
 	defer fl.end()
 	fleet.Eventually(t, "one host uses most of the limit", func() bool { return mostStarts(b, time.Second) >= rate*5/6 })
 	f.Platform.SetFaults(platform.Faults{Down: true})
--- a/standin/proofs/links_test.go
+++ b/standin/proofs/links_test.go
@@ -73,7 +73,7 @@
 	const capBytes = capMbit * 1_000_000 / 8
 	f, m := linkFleet(t, capMbit)
 	body := strings.Repeat("x", 10_000)
-	fl := startFloodOf(body, 8, f.Hosts[0], f.Hosts[1])
+	fl := startLimitFloodOf(body, 8, f.Hosts[0], f.Hosts[1])
 	fl.more(t, 60)
 	f.Platform.SetFaults(platform.Faults{Down: true})
 	f.Set(f.Hosts[0], f.Hosts[1], relay.Cut)
