--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -85,6 +85,8 @@
 	retries   *retry.Budget
 
 	limits  *limits
+	links   *links
+	shifts  *shifts
 	drains  *drains
 	reports *drain.Reports
 
@@ -127,6 +129,7 @@
 		invalid:   newInvalidObjects(),
 		takers:    map[spread.Kind]func([]spread.Fact){},
 		drains:    newDrains(),
+		shifts:    newShifts(),
 		reports:   drain.NewReports(),
 	}
 	d.attempts = attempt.NewTable()
@@ -153,6 +156,7 @@
 	d.catalogue.Store(catalogue.Empty())
 	d.view.Store(membership.NewView(d.self, []membership.Member{d.self}))
 	d.limits = newLimits(d)
+	d.links = newLinks(d)
 	d.registerCalls()
 	d.onFact(factCatalogue, d.takeCatalogue)
 	d.onFact(factDraining, d.drains.takeReported)
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -80,6 +80,7 @@
 	for d.offerAll(ctx, &p) && sleep(ctx, placePause) {
 	}
 	giveBack(p.answer.Outcome)
+	d.shifts.served(set, &p)
 	return p.answer
 }
 
@@ -87,6 +88,8 @@
 type placing struct {
 	req      *request.Request
 	attempts int
+	// counted says that the request was counted against the shift cap.
+	counted bool
 	// tried are the upstreams that refused the request themselves.
 	tried map[string]bool
 	// answer is the last one, or the one that left the outcome unknown.
@@ -107,7 +110,7 @@
 // are changing.
 func (d *Daemon) offerAll(ctx context.Context, p *placing) (again bool) {
 	set := d.catalogue.Load()
-	for _, c := range d.candidates(set, p.req.Service) {
+	for _, c := range d.shifts.allowed(set, p, d.candidates(set, p.req.Service)) {
 		if ctx.Err() != nil {
 			return false
 		}
@@ -192,6 +195,9 @@
 		d.loads.set(name, d.holders.load(name))
 		return answer
 	}
+	if err := d.links.request(ctx, holder, req); err != nil {
+		return request.Refuse(request.ReasonLink, err.Error())
+	}
 	in := &wire.Dispatch{Upstream: name, Holder: holder.Incarnation, Request: wire.NewRequest(req, time.Now())}
 	out, err := d.callHolder(ctx, holder, in, req)
 	if err != nil {
