--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,23 +17,24 @@
 	"golang.org/x/sync/errgroup"
 
 	"bilberrytiller.example/tiller/coordination/admission"
+	"bilberrytiller.example/tiller/coordination/attempt"
+	"bilberrytiller.example/tiller/coordination/drain"
 	"bilberrytiller.example/tiller/coordination/hold"
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/permit"
 	"bilberrytiller.example/tiller/coordination/platform"
 	"bilberrytiller.example/tiller/coordination/retry"
 	"bilberrytiller.example/tiller/coordination/spread"
+	"bilberrytiller.example/tiller/internal/inflight"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/transport/peer"
 	"bilberrytiller.example/tiller/transport/platformhttp"
 )
 
 const (
-	headerTimeout = 5 * time.Second
-	readTimeout   = 30 * time.Second
-	idleTimeout   = 2 * time.Minute
-	// leaveNotice is how long other daemons may take to see this one leave.
-	leaveNotice      = heartbeatTimeout + 2*heartbeatPeriod
+	headerTimeout    = 5 * time.Second
+	readTimeout      = 30 * time.Second
+	idleTimeout      = 2 * time.Minute
 	maxHeaderBytes   = 16 << 10
 	maxKeys          = 100_000
 	incarnationBytes = 8
@@ -70,8 +71,10 @@
 	successions *permit.Successions
 	handovers   *permit.Receiver
 	handedOver  chan struct{}
-	holders     *holders
-	loads       *loads
+	// attempts are the dispatches to this daemon of requests with a key.
+	attempts *attempt.Table
+	holders  *holders
+	loads    *loads
 	// suspects are the requests that backend servers crashed on.
 	suspects *suspects
 	// lease tells whether this daemon may dispatch.
@@ -79,10 +82,17 @@
 	admission *admission.Controller
 	retries   *retry.Budget
 
+	limits  *limits
+	drains  *drains
+	reports *drain.Reports
+
 	listeners listeners
-	// inFlight counts callers' requests that are being served.
-	inFlight inFlight
-	leaving  atomic.Bool
+	// requests counts callers' requests that are being served, runs the runs
+	// of requests whose keys this daemon owns.
+	requests inflight.Counter
+	runs     inflight.Counter
+	// leaving is set once the daemon has begun to stop.
+	leaving atomic.Bool
 }
 
 type listeners struct {
@@ -114,7 +124,10 @@
 		suspects:  newSuspects(),
 		invalid:   newInvalidObjects(),
 		takers:    map[spread.Kind]func([]spread.Fact){},
+		drains:    newDrains(),
+		reports:   drain.NewReports(),
 	}
+	d.attempts = attempt.NewTable()
 	d.successions = permit.NewSuccessions()
 	d.handovers = permit.NewReceiver(incarnation, d.keys)
 	d.handedOver = make(chan struct{})
@@ -137,8 +150,11 @@
 	d.roster = newRoster(d.self, time.Now())
 	d.catalogue.Store(catalogue.Empty())
 	d.view.Store(membership.NewView(d.self, []membership.Member{d.self}))
+	d.limits = newLimits(d)
 	d.registerCalls()
 	d.onFact(factCatalogue, d.takeCatalogue)
+	d.onFact(factDraining, d.drains.takeReported)
+	d.onFact(factShares, d.limits.takeShares)
 	d.onFact(factCrash, d.takeCrashes)
 	d.onFact(factInvalid, d.takeInvalid)
 	d.onFact(factMember, d.takeMembers)
@@ -163,13 +179,16 @@
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	var group errgroup.Group
-	for _, s := range servers {
+	for _, s := range servers.all() {
 		group.Go(func() error { return serve(s.server, s.listener) })
 	}
 	group.Go(func() error { return d.followCatalogue(background) })
 	group.Go(func() error { return d.followHosts(background) })
 	group.Go(func() error { return d.followMembers(background) })
 	group.Go(func() error { return d.followHolds(background) })
+	group.Go(func() error { return d.followLoadReports(background) })
+	group.Go(func() error { return d.limits.follow(background) })
+	group.Go(func() error { return d.followReports(background) })
 	d.log.Info().Str("event", "daemon.ready").Str("incarnation", d.self.Incarnation).
 		Stringer("caller", d.CallerAddr()).Stringer("peer", d.PeerAddr()).Stringer("operator", d.OperatorAddr()).Send()
 	<-ctx.Done()
@@ -180,50 +199,23 @@
 	return errors.Join(err, group.Wait())
 }
 
-// CutError says that a graceful stop ran out of time.
-type CutError struct{ After time.Duration }
-
-func (e *CutError) Error() string {
-	return fmt.Sprintf("requests were still in flight after %v", e.After)
-}
-
-// stop takes the daemon out of look-ups, serves callers that hold one until
-// it has expired, hands its keys over, and waits for the requests in flight.
-func (d *Daemon) stop(servers []server) error {
-	d.leaving.Store(true)
-	d.log.Info().Str("event", "daemon.leaving").Send()
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopTimeout)
-	defer cancel()
-	sleep(ctx, leaveNotice+d.settings.LookupTTL)
-	d.handOver(ctx)
-	idle := make(chan struct{})
-	go func() {
-		d.inFlight.wait.Wait()
-		close(idle)
-	}()
-	var err error
-	select {
-	case <-idle:
-	case <-ctx.Done():
-		err = &CutError{After: d.settings.StopTimeout}
-	}
-	for _, s := range servers {
-		_ = s.server.Close()
-	}
-	d.log.Info().Str("event", "daemon.stopped").Bool("cut", err != nil).Send()
-	return err
-}
-
 type server struct {
 	server   *http.Server
 	listener net.Listener
 }
 
-func (d *Daemon) servers() []server {
-	return []server{
-		{newServer(d.callerHandler()), d.listeners.caller},
-		{newServer(d.peerHandler()), d.listeners.peer},
-		{newServer(d.operatorHandler()), d.listeners.operator},
+// servers are the servers of the three listeners.
+type servers struct {
+	caller, peer, operator server
+}
+
+func (s servers) all() []server { return []server{s.caller, s.peer, s.operator} }
+
+func (d *Daemon) servers() servers {
+	return servers{
+		caller:   server{newServer(d.closeWhileLeaving(d.callerHandler())), d.listeners.caller},
+		peer:     server{newServer(d.peerHandler()), d.listeners.peer},
+		operator: server{newServer(d.operatorHandler()), d.listeners.operator},
 	}
 }
 
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -25,6 +25,9 @@
 	// loadReportsDropped counts load reports out of range, stale or from the
 	// future.
 	loadReportsDropped *expvar.Int
+	// limitRefused counts requests over a limit, unitsBorrowed what peers lent.
+	limitRefused  *expvar.Int
+	unitsBorrowed *expvar.Int
 }
 
 func newMetrics() *metrics {
@@ -33,6 +36,8 @@
 	m.catalogueVersion = m.counter("catalogue_version")
 	m.catalogueInvalid = m.counter("catalogue_invalid")
 	m.members = m.counter("members")
+	m.limitRefused = m.counter("limit_refused")
+	m.unitsBorrowed = m.counter("units_borrowed")
 	m.poisonCharged = m.counter("poison_charged")
 	m.neighbours = m.counter("neighbours")
 	m.isolated = m.counter("isolated")
@@ -42,9 +47,10 @@
 	m.heartbeatsFailed = m.counter("heartbeats_failed")
 	m.loadReportsDropped = m.counter("load_reports_dropped")
 	for outcome, name := range map[request.Outcome]string{
-		request.Done:    "requests_done",
-		request.NotRun:  "requests_not_run",
-		request.Unknown: "requests_unknown",
+		request.Done:     "requests_done",
+		request.NotRun:   "requests_not_run",
+		request.Unknown:  "requests_unknown",
+		request.Accepted: "requests_accepted",
 	} {
 		m.outcomes[outcome] = m.counter(name)
 	}
--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -198,7 +198,6 @@
 		return
 	}
 	m.ID = hello.ID
-	d.lease.Heard(m.ID, sent)
 	first := !d.joined() || d.lifeOf(m.ID) != hello.Incarnation
 	d.withTracker(func(t *membership.Tracker) []membership.Record {
 		t.Heard(hello.ID, hello.Incarnation, time.Now())
@@ -250,7 +249,7 @@
 	return &wire.Hello{
 		ID:          d.self.ID,
 		Incarnation: d.self.Incarnation,
-		Leaving:     d.leaving.Load(),
+		Leaving:     d.withdrawn(),
 		Digest:      d.facts.Digest(),
 		Known:       d.roster.tracker.Known(to),
 	}
@@ -337,6 +336,7 @@
 		}
 	}
 	d.roster.near.Store(&near)
+	view = d.drained(view)
 	d.view.Store(view)
 	d.metrics.members.Set(int64(len(view.Members())))
 	d.metrics.neighbours.Set(int64(len(near)))
