--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -144,6 +144,8 @@
 	if now.Sub(d.roster.lastPurge) > purgePeriod {
 		d.roster.lastPurge = now
 		d.facts.Purge(now)
+		d.keys.Purge(now)
+		d.handovers.Purge(now)
 	}
 	for _, m := range d.roster.neighbours() {
 		d.startHeartbeat(ctx, m)
@@ -347,6 +349,10 @@
 func (d *Daemon) logChanges(before, view *membership.View) {
 	for _, m := range view.Members() {
 		held, known := before.Member(m.ID)
+		if m.Incarnation == "" {
+			d.logListed(m, known)
+			continue
+		}
 		if !known || held.State != m.State || held.Incarnation != m.Incarnation {
 			d.log.Info().Str("event", "member.changed").Str("member", m.ID).Str("incarnation", m.Incarnation).
 				Stringer("state", m.State).Send()
@@ -354,6 +360,13 @@
 	}
 }
 
+// logListed logs a host that is listed and was never heard from.
+func (d *Daemon) logListed(m membership.Member, known bool) {
+	if !known {
+		d.log.Info().Str("event", "member.listed").Str("member", m.ID).Stringer("peer", m.Peer).Send()
+	}
+}
+
 // standing says what this daemon may do for the fleet.
 func (d *Daemon) standing() operatorapi.Standing {
 	near := []string{}
--- a/standin/proofs/membership_test.go
+++ b/standin/proofs/membership_test.go
@@ -15,6 +15,7 @@
 	tiller "bilberrytiller.example/tiller/coordination/platform"
 	"bilberrytiller.example/tiller/protocol/operatorapi"
 	"bilberrytiller.example/tiller/protocol/wire"
+	"bilberrytiller.example/tiller/state/request"
 	"bilberrytiller.example/tiller/transport/peer"
 
 	"bilberrytiller.example/standin/fleet"
@@ -76,6 +77,26 @@
 	everywhere(t, f, h.ID+" is "+state, func(s operatorapi.Status) bool { return memberOf(s, h.ID).State == state }, h)
 }
 
+// logField returns the value of a pair in a line of a daemon's log, or "".
+func logField(line, name string) string {
+	for pair := range strings.FieldsSeq(line) {
+		if value, ok := strings.CutPrefix(pair, name+"="); ok {
+			return value
+		}
+	}
+	return ""
+}
+
+// tookForDead reports whether a log tells that a member was taken for dead.
+func tookForDead(log, member string) bool {
+	for line := range strings.SplitSeq(log, "\n") {
+		if logField(line, "event") == "member.changed" && logField(line, "member") == member && logField(line, "state") == "dead" {
+			return true
+		}
+	}
+	return false
+}
+
 // metric reads a counter or gauge of a daemon, or fails the test.
 func metric(t *testing.T, h *fleet.Host, name string) int64 {
 	t.Helper()
@@ -103,6 +124,7 @@
 	before := statusOf(t, h).Incarnation
 	h.Kill()
 	seen(t, f, h, "dead")
+	fleet.Eventually(t, "the death is logged", func() bool { return tookForDead(f.Hosts[0].Log(), h.ID) })
 	f.Restart(h)
 	f.WaitConverged()
 	if after := memberOf(statusOf(t, f.Hosts[0]), h.ID).Incarnation; after == before || after != statusOf(t, h).Incarnation {
@@ -122,8 +144,35 @@
 	if after := memberOf(statusOf(t, f.Hosts[0]), h.ID).Incarnation; after != before {
 		t.Errorf("incarnation %s is seen after the pause, was %s", after, before)
 	}
-	if strings.Contains(strings.TrimPrefix(h.Log(), logged), "state=dead") {
-		t.Errorf("the paused daemon took others for dead:\n%s", h.Log())
+	for _, other := range f.Hosts {
+		if tookForDead(strings.TrimPrefix(h.Log(), logged), other.ID) {
+			t.Errorf("the paused daemon took %s for dead", other.ID)
+		}
+	}
+}
+
+func TestPausedDaemonThatWasReplacedHoldsNoDutyWhenItResumes(t *testing.T) {
+	f := fleet.Start(t, smallFleet())
+	h := f.Hosts[2]
+	before := statusOf(t, h).Incarnation
+	h.Pause()
+	old := f.Replace(h)
+	f.WaitConverged()
+	old.Resume()
+	fleet.Eventually(t, "the replaced daemon is superseded", func() bool {
+		s := statusOf(t, old).Standing
+		return s.Superseded && !s.Confirmed
+	})
+	f.WaitConverged()
+	for _, other := range f.Hosts {
+		if got := memberOf(statusOf(t, other), h.ID).Incarnation; got == before {
+			t.Errorf("%s takes the replaced daemon for %s", other.ID, h.ID)
+		}
+	}
+	for _, service := range []string{"lookups", "payments"} {
+		fleet.Eventually(t, service+" are served", func() bool {
+			return run(t, f.Client(), service, "after-replacement").Outcome == request.Done
+		})
 	}
 }
 
@@ -175,7 +224,7 @@
 	grown(t, h, "heartbeats_answered", 60)
 	f.WaitConverged()
 	for _, other := range f.Hosts {
-		if strings.Contains(strings.TrimPrefix(other.Log(), before[other]), "member="+h.ID+" state=dead") {
+		if tookForDead(strings.TrimPrefix(other.Log(), before[other]), h.ID) {
 			t.Errorf("%s took the host with silent connections for dead", other.ID)
 		}
 	}
