--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 
 	"bilberrytiller.example/tiller/coordination/platform"
@@ -107,7 +108,7 @@
 func (s *store) forget() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dropped = s.version
+	maps.Copy(s.dropped, s.versions)
 	s.history = nil
 }
 
