Write accepted reports through the one writer that tells a lost answer

Cause: coordination/platformwrite was built and used by nobody, and reports recognised lost answers by rules of their own, without backoff or budget.

Change: reports are written by the writer; a call that did not reach the platform is told from one whose answer was lost.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	go build -o bin/ ./cmd/tillerd ./cmd/tillerctl ./standin/cmd/standin ./standin/cmd/bench
 
 test:
-	go test -count=1 work
+	go test -count=1 -timeout 20m work
 
 lint:
 	test -z "$$(gofmt -l cmd cli coordination daemon internal protocol standin state transport | tee /dev/stderr)"
--- a/coordination/platform/platform.go
+++ b/coordination/platform/platform.go
@@ -77,6 +77,9 @@
 	// ErrUnavailable says that the platform gave no answer; a write may have
 	// taken effect.
 	ErrUnavailable = errors.New("platform is unavailable")
+	// ErrNotSent comes with ErrUnavailable for a call that did not reach the
+	// platform.
+	ErrNotSent = errors.New("call was not sent")
 )
 
 // ConflictError says that an object was not at the version a write asked
--- a/coordination/platformwrite/platformwrite.go
+++ b/coordination/platformwrite/platformwrite.go
@@ -92,7 +92,7 @@
 		if errors.As(err, &conflict) && unclear && conflict.Current.Version > ifVersion && equal(conflict.Current.Data, data) {
 			return conflict.Current.Version, nil
 		}
-		unclear = unclear || !decided(err)
+		unclear = unclear || mayHaveTakenEffect(err)
 		return version, err
 	})
 	return version, outcome(err, unclear, kind, name)
@@ -108,7 +108,7 @@
 		if errors.Is(err, platform.ErrNotFound) && unclear {
 			return 0, nil
 		}
-		unclear = unclear || !decided(err)
+		unclear = unclear || mayHaveTakenEffect(err)
 		return version, err
 	})
 	return version, outcome(err, unclear, kind, name)
@@ -182,6 +182,12 @@
 	return errors.As(err, &refusal) && refusal.Refused()
 }
 
+// mayHaveTakenEffect reports whether a write may have reached the platform
+// without its outcome being known.
+func mayHaveTakenEffect(err error) bool {
+	return !decided(err) && !errors.Is(err, platform.ErrNotSent)
+}
+
 // outcome names the outcome of a write. What the platform says after a lost
 // answer does not tell what became of the write that lost it.
 func outcome(err error, unclear bool, kind, name string) error {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/permit"
 	"bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/coordination/platformwrite"
 	"bilberrytiller.example/tiller/coordination/retry"
 	"bilberrytiller.example/tiller/coordination/spread"
 	"bilberrytiller.example/tiller/internal/inflight"
@@ -40,6 +41,13 @@
 	incarnationBytes = 8
 )
 
+// writeBudget and writeBackoff bound a daemon's writes to the platform, which
+// all daemons share.
+var (
+	writeBudget  = platformwrite.Budget{CallsPerSecond: 20, Burst: 40}
+	writeBackoff = platformwrite.Backoff{First: 50 * time.Millisecond, Most: 2 * time.Second}
+)
+
 // Daemon is the daemon of one entry host.
 type Daemon struct {
 	settings Settings
@@ -48,7 +56,9 @@
 	metrics  *metrics
 
 	platform platform.Client
-	peers    *peer.Client
+	// writes carries the writes that must take effect once.
+	writes *platformwrite.Writer
+	peers  *peer.Client
 	// control carries heartbeats and facts, apart from the requests that peers
 	// carries, so that a heartbeat waits for no request's bytes.
 	control   *peer.Client
@@ -137,6 +147,7 @@
 	d.handovers = permit.NewReceiver(incarnation, d.keys)
 	d.handedOver = make(chan struct{})
 	d.metrics.all.Set("keys_held", expvar.Func(func() any { return d.keys.Len() }))
+	d.writes = platformwrite.New(d.platform, writeBudget, writeBackoff)
 	d.peerServe = peer.NewServer(d.auth, d.log)
 	d.holders = newHolders(d.log)
 	if err := d.listen(); err != nil {
--- a/daemon/reports.go
+++ b/daemon/reports.go
@@ -5,13 +5,13 @@
 	"crypto/rand"
 	"encoding/json"
 	"errors"
-	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/duty"
 	"bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/coordination/platformwrite"
 	"bilberrytiller.example/tiller/coordination/report"
 	"bilberrytiller.example/tiller/protocol/callerapi"
 	"bilberrytiller.example/tiller/state/catalogue"
@@ -21,8 +21,6 @@
 const (
 	// storeTime is the part of a deadline that is kept to store a request.
 	storeTime = time.Second
-	// storePause is the wait before a write without an answer is repeated.
-	storePause = 50 * time.Millisecond
 	// reportPeriod is how often accepted requests are looked for.
 	reportPeriod = time.Second
 	// reportWorkers is how many accepted requests one daemon runs at once.
@@ -70,28 +68,18 @@
 	return answer
 }
 
-// store writes a new object, again while the platform gives no answer. An
-// object that exists already comes from an earlier write whose answer was
-// lost, since no two requests have one name. It reports whether the object is
-// there, and whether the platform may have got it.
+// store writes a new object. One that exists already comes from an earlier
+// write whose answer was lost, since no two requests have one name. It reports
+// whether the object is there, and whether the platform may have got it.
 func (d *Daemon) store(ctx context.Context, name string, data []byte) (stored, sent bool) {
-	for {
-		_, err := d.platform.Put(ctx, platform.KindReport, name, 0, data)
-		var conflict *platform.ConflictError
-		if err == nil || errors.As(err, &conflict) {
-			return true, true
-		}
-		sent = sent || !notSent(err)
-		if !sleep(ctx, storePause) {
-			return false, sent
-		}
+	_, err := d.writes.Put(ctx, platform.KindReport, name, 0, data)
+	var unknown *platformwrite.UnknownError
+	if errors.As(err, &unknown) {
+		return false, true
 	}
-}
-
-// notSent reports whether a call failed before it could reach the platform.
-func notSent(err error) bool {
-	var opErr *net.OpError
-	return errors.As(err, &opErr) && opErr.Op == "dial"
+	var conflict *platform.ConflictError
+	stored = err == nil || errors.As(err, &conflict)
+	return stored, stored
 }
 
 // handleReport answers what became of an accepted request.
@@ -237,15 +225,11 @@
 		w.daemon.log.Error().Str("event", "report.encode").Str("report", name).Err(err).Send()
 		return
 	}
-	for {
-		_, err := w.daemon.platform.Put(ctx, platform.KindReportAnswer, name, 0, data)
-		var conflict *platform.ConflictError
-		if err == nil || errors.As(err, &conflict) {
-			break
-		}
-		if !sleep(ctx, reportPeriod) {
-			return
-		}
+	// A conflict says that another worker has stored an answer.
+	_, err = w.daemon.writes.Put(ctx, platform.KindReportAnswer, name, 0, data)
+	var conflict *platform.ConflictError
+	if err != nil && !errors.As(err, &conflict) {
+		return
 	}
 	w.forget(ctx, name, version)
 }
--- a/transport/platformhttp/client.go
+++ b/transport/platformhttp/client.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -118,7 +119,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return errors.Join(platform.ErrUnavailable, err)
+		return unavailable(err)
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
@@ -128,6 +129,15 @@
 	return decode(resp.StatusCode, answer, ifVersion, into)
 }
 
+// unavailable tells a call that did not reach the platform from others.
+func unavailable(err error) error {
+	var opErr *net.OpError
+	if errors.As(err, &opErr) && opErr.Op == "dial" {
+		return errors.Join(platform.ErrUnavailable, platform.ErrNotSent, err)
+	}
+	return errors.Join(platform.ErrUnavailable, err)
+}
+
 func decode(status int, answer []byte, ifVersion *uint64, into any) error {
 	switch status {
 	case http.StatusOK:
