Watch a connection for silence only while a call waits long

Each connection between daemons woke four times a second to look whether calls wait on it.

Change: a call that has waited for 250 ms starts the watch, which ends with the waiting calls.

Proofs of silence, lost connections and cut-off pass.

--- a/transport/peer/conn.go
+++ b/transport/peer/conn.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -49,6 +50,8 @@
 	clock reading
 	// active tells when the peer was last heard.
 	active activity
+	// watching is set while watchSilence runs.
+	watching atomic.Bool
 }
 
 // openCall is a call that waits for its answer.
@@ -61,7 +64,6 @@
 	c := &conn{ws: ws, clock: clock, open: map[uint64]openCall{}, done: make(chan struct{})}
 	c.active.touch(time.Now())
 	go c.readLoop()
-	go c.watchSilence()
 	return c
 }
 
@@ -73,6 +75,7 @@
 		return wire.Envelope{}, err
 	}
 	defer c.forget(id)
+	defer time.AfterFunc(quietPeriod, c.watchSilence).Stop()
 	frame, err := wire.Encode(wire.Envelope{Type: t, ID: id}, body)
 	if err != nil {
 		return wire.Envelope{}, fmt.Errorf("%w: %w", ErrNotSent, err)
--- a/transport/peer/silence.go
+++ b/transport/peer/silence.go
@@ -30,20 +30,20 @@
 }
 
 // watchSilence closes the connection when it is silent, so that its calls
-// end and the next call opens another one. A slow peer answers the ping.
+// end and the next call opens another one. A slow peer answers the ping. It
+// returns when no call waits. A call starts it once it has waited for
+// quietPeriod; of several starts one watches.
 func (c *conn) watchSilence() {
-	ticker := time.NewTicker(quietPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-c.done:
+	if !c.watching.CompareAndSwap(false, true) {
+		return
+	}
+	defer c.watching.Store(false)
+	for c.waiting() {
+		if c.active.quiet(time.Now()) && !c.pong() {
+			c.close(ErrSilent)
 			return
-		case now := <-ticker.C:
-			if c.waiting() && c.active.quiet(now) && !c.pong() {
-				c.close(ErrSilent)
-				return
-			}
 		}
+		time.Sleep(quietPeriod)
 	}
 }
 
