--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -144,7 +144,7 @@
 func (c *Client) attempt(ctx context.Context, client *http.Client, req *request.Request, w *writing) request.Answer {
 	ctx, end := context.WithCancelCause(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: w.gotConn}))
 	defer end(nil)
-	go c.watchSilence(ctx, end, req, w)
+	defer time.AfterFunc(silentAfter, func() { c.watchSilence(ctx, end, req, w) }).Stop()
 	resp, err := c.send(ctx, client, req)
 	if err != nil {
 		if !w.abort() {
--- a/transport/backendhttp/silence.go
+++ b/transport/backendhttp/silence.go
@@ -34,30 +34,46 @@
 // that the server never got the request, or finished it and its answer did
 // not come. A server that is slow, or does not tell, is waited for.
 func (c *Client) watchSilence(ctx context.Context, end context.CancelCauseFunc, req *request.Request, w *writing) {
-	finished, received := 0, int64(-1)
-	for pause := silentAfter; wait(ctx, pause); pause = min(2*pause, maxProbePause) {
-		// An answer that is on its way is no silence.
-		before := received
-		if received = w.received(); !w.connected() || received != before {
-			continue
-		}
-		switch c.progress(ctx, req.ID) {
-		case backendapi.ProgressFinished:
-			finished++
-			pause = silentAfter / 2
-		case backendapi.ProgressNone:
-			finished = finishedProbes
-		default:
-			finished = 0
-		}
-		if finished >= finishedProbes {
+	var seen sightings
+	for pause := silentAfter; ctx.Err() == nil; pause = min(2*pause, maxProbePause) {
+		if c.silent(ctx, req, w, &seen) {
 			// What silenced one connection is likely to have silenced the idle
 			// ones too. New requests open new ones.
 			c.Close()
 			end(errSilent)
 			return
 		}
+		if seen.finished > 0 {
+			pause = silentAfter / 2
+		}
+		wait(ctx, pause)
+	}
+}
+
+// sightings are what earlier probes of one request have found.
+type sightings struct {
+	// finished counts probes in a row that found the request finished.
+	finished int
+	received int64
+}
+
+// silent reports whether a request's connection carries nothing any more. An
+// answer that is on its way is no silence.
+func (c *Client) silent(ctx context.Context, req *request.Request, w *writing, seen *sightings) bool {
+	before := seen.received
+	seen.received = w.received()
+	if !w.connected() || seen.received != before {
+		return false
+	}
+	switch c.progress(ctx, req.ID) {
+	case backendapi.ProgressNone:
+		return true
+	case backendapi.ProgressFinished:
+		seen.finished++
+	default:
+		seen.finished = 0
 	}
+	return seen.finished >= finishedProbes
 }
 
 // progress asks on a new connection how far a request has got. It returns ""
--- a/transport/backendhttp/writing.go
+++ b/transport/backendhttp/writing.go
@@ -13,6 +13,8 @@
 	mu     sync.Mutex
 	conn   *countedConn
 	before int64
+	// receivedBefore is what had come on the connection before.
+	receivedBefore int64
 }
 
 // gotConn notes the connection that the request gets.
@@ -23,7 +25,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.conn, w.before = conn, conn.count()
+	w.conn, w.before, w.receivedBefore = conn, conn.count(), conn.received.Load()
 }
 
 // connected reports whether the request has got a connection.
@@ -33,14 +35,15 @@
 	return w.conn != nil
 }
 
-// received returns the bytes that have come on the request's connection.
+// received returns the bytes that have come on the request's connection
+// since the request got it.
 func (w *writing) received() int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.conn == nil {
 		return 0
 	}
-	return w.conn.received.Load()
+	return w.conn.received.Load() - w.receivedBefore
 }
 
 // abort ends the connection and reports whether any byte of the request may
