--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -122,6 +122,18 @@
 	if err != nil {
 		return nil, err
 	}
+	d := assemble(settings, log, incarnation)
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	d.join(incarnation)
+	d.registerCalls()
+	d.registerFacts()
+	return d, nil
+}
+
+// assemble returns a daemon with the parts that need no address.
+func assemble(settings Settings, log zerolog.Logger, incarnation string) *Daemon {
 	d := &Daemon{
 		settings:  settings,
 		log:       log.With().Str("host", settings.HostID).Logger(),
@@ -150,16 +162,18 @@
 	d.writes = platformwrite.New(d.platform, writeBudget, writeBackoff)
 	d.peerServe = peer.NewServer(d.auth, d.log)
 	d.holders = newHolders(d.log)
-	if err := d.listen(); err != nil {
-		return nil, err
-	}
+	return d
+}
+
+// join makes the parts that need the addresses listened on.
+func (d *Daemon) join(incarnation string) {
 	d.self = membership.Member{
-		ID:          settings.HostID,
+		ID:          d.settings.HostID,
 		Incarnation: incarnation,
-		DataCentre:  settings.DataCentre,
-		Region:      settings.Region,
-		Peer:        advertised(settings.PeerAdvertise, d.listeners.peer),
-		Caller:      advertised(settings.CallerAdvertise, d.listeners.caller),
+		DataCentre:  d.settings.DataCentre,
+		Region:      d.settings.Region,
+		Peer:        advertised(d.settings.PeerAdvertise, d.listeners.peer),
+		Caller:      advertised(d.settings.CallerAdvertise, d.listeners.caller),
 	}
 	d.peers = peer.NewClient(d.auth, addrOf(d.listeners.peer).Addr())
 	d.control = peer.NewClient(d.auth, addrOf(d.listeners.peer).Addr())
@@ -168,7 +182,10 @@
 	d.view.Store(membership.NewView(d.self, []membership.Member{d.self}))
 	d.limits = newLimits(d)
 	d.links = newLinks(d)
-	d.registerCalls()
+}
+
+// registerFacts names what takes each kind of fact.
+func (d *Daemon) registerFacts() {
 	d.onFact(factCatalogue, d.takeCatalogue)
 	d.onFact(factDraining, d.drains.takeReported)
 	d.onFact(factShares, d.limits.takeShares)
@@ -177,7 +194,6 @@
 	d.onFact(factMember, d.takeMembers)
 	d.onFact(factHost, d.takeHosts)
 	d.onFact(factSuccession, d.takeSuccessions)
-	return d, nil
 }
 
 // CallerAddr is where the daemon takes callers.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -6,23 +6,14 @@
 package fleet
 
 import (
-	"bufio"
-	"bytes"
-	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"os"
 	"os/exec"
 	"slices"
 	"strings"
-	"sync"
-	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -31,11 +22,8 @@
 	"bilberrytiller.example/tiller/cli/tillerctl"
 	"bilberrytiller.example/tiller/cli/tillerd"
 	tiller "bilberrytiller.example/tiller/coordination/platform"
-	"bilberrytiller.example/tiller/protocol/callerapi"
-	"bilberrytiller.example/tiller/protocol/operatorapi"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/state/request"
-	"bilberrytiller.example/tiller/transport/peer"
 
 	"bilberrytiller.example/standin/backend"
 	"bilberrytiller.example/standin/caller"
@@ -113,25 +101,6 @@
 	Hosts          []*Host
 }
 
-// Host is one entry host with the process of its daemon.
-type Host struct {
-	ID         string
-	DataCentre string
-	Region     string
-	IP         netip.Addr
-	Caller     netip.AddrPort
-	Operator   netip.AddrPort
-	relay      *relay.Relay
-	// platform stands between the daemon and the platform.
-	platform *relay.Relay
-	t        T
-	// callerAddr is Caller for senders that go on while the daemon restarts.
-	callerAddr atomic.Pointer[netip.AddrPort]
-	cmd        *exec.Cmd
-	log        *logBuffer
-	exited     chan struct{}
-}
-
 // Service returns a service entry of the given rank with common values.
 func Service(name string, rank request.Rank, idempotent bool) catalogue.Service {
 	s := catalogue.Service{Meta: meta(catalogue.KindService, name)}
@@ -444,138 +413,6 @@
 	return args
 }
 
-func (h *Host) reap(cmd *exec.Cmd, exited chan struct{}) {
-	_ = cmd.Wait()
-	close(exited)
-}
-
-func (h *Host) awaitReady() (map[string]netip.AddrPort, bool) {
-	select {
-	case line := <-h.log.ready:
-		return addresses(line), true
-	case <-h.exited:
-		return nil, false
-	}
-}
-
-func addresses(line string) map[string]netip.AddrPort {
-	out := map[string]netip.AddrPort{}
-	for field := range strings.FieldsSeq(line) {
-		name, value, _ := strings.Cut(field, "=")
-		if addr, err := netip.ParseAddrPort(value); err == nil {
-			out[name] = addr
-		}
-	}
-	return out
-}
-
-// PID is the process of the host's daemon.
-func (h *Host) PID() int { return h.cmd.Process.Pid }
-
-// Running reports whether the host's daemon runs.
-func (h *Host) Running() bool {
-	select {
-	case <-h.exited:
-		return false
-	default:
-		return true
-	}
-}
-
-// Kill ends the daemon at once.
-func (h *Host) Kill() {
-	_ = h.cmd.Process.Kill()
-	<-h.exited
-}
-
-// Pause stops the daemon's process from running until Resume.
-func (h *Host) Pause() { h.signal(syscall.SIGSTOP) }
-
-// Resume lets a paused daemon go on.
-func (h *Host) Resume() { h.signal(syscall.SIGCONT) }
-
-// Leave asks the daemon to stop gracefully. Exited tells when it has.
-func (h *Host) Leave() { h.signal(syscall.SIGTERM) }
-
-// Exited is closed when the daemon's process has ended.
-func (h *Host) Exited() <-chan struct{} { return h.exited }
-
-// ExitCode is the exit code of a daemon that has ended.
-func (h *Host) ExitCode() int { return h.cmd.ProcessState.ExitCode() }
-
-// Log returns what the daemon has logged.
-func (h *Host) Log() string { return h.log.String() }
-
-func (h *Host) signal(s syscall.Signal) {
-	if err := h.cmd.Process.Signal(s); err != nil {
-		h.t.Fatalf("signal %v to %s: %v", s, h.ID, err)
-	}
-}
-
-// Send sends one request to the daemon as it runs now, and returns what its
-// answer says; a request without a whole answer has an unknown outcome.
-func (h *Host) Send(service, body string, timeout time.Duration) (request.Outcome, request.Reason) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	target := "http://" + h.callerAddr.Load().String() + callerapi.PathRun + service + "/"
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader(body))
-	if err != nil {
-		return request.NotRun, request.ReasonBadRequest
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return request.Unknown, request.ReasonConnectionLost
-	}
-	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return request.Unknown, request.ReasonConnectionLost
-	}
-	return request.Outcome(resp.Header.Get(callerapi.HeaderOutcome)), request.Reason(resp.Header.Get(callerapi.HeaderReason))
-}
-
-// Status reads what the daemon knows.
-func (h *Host) Status() (operatorapi.Status, error) {
-	var status operatorapi.Status
-	err := h.Read(operatorapi.PathStatus, &status)
-	return status, err
-}
-
-// Peer is the address at which other daemons reach the daemon.
-func (h *Host) Peer() netip.AddrPort { return h.relay.Addr() }
-
-// Post sends a JSON document to a page of the daemon's operators' listener
-// and returns the status of the answer.
-func (h *Host) Post(path string, body []byte) (int, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
-	resp, err := h.do(ctx, http.MethodPost, path, body)
-	if err != nil {
-		return 0, err
-	}
-	return resp.StatusCode, resp.Body.Close()
-}
-
-// Read gets a page of the daemon's operators' listener.
-func (h *Host) Read(path string, into any) error {
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
-	resp, err := h.do(ctx, http.MethodGet, path, nil)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	return json.NewDecoder(resp.Body).Decode(into)
-}
-
-func (h *Host) do(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.Operator.String()+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	req.Header.Set(peer.HeaderAuth, peer.NewAuth("fleet", []byte(Secret)).Token(time.Now()))
-	return http.DefaultClient.Do(req)
-}
-
 // Eventually waits until a condition holds. It fails the test only when the
 // condition has not held for far longer than anything in a fleet takes.
 func Eventually(t T, what string, holds func() bool) {
@@ -592,30 +429,3 @@
 func meta(kind catalogue.Kind, name string) catalogue.Meta {
 	return catalogue.Meta{Schema: catalogue.SchemaVersion, Kind: kind, Name: name, Owner: "tests"}
 }
-
-// logBuffer keeps a daemon's log and hands out the line that says it is ready.
-type logBuffer struct {
-	mu    sync.Mutex
-	text  strings.Builder
-	ready chan string
-}
-
-// Write takes whole lines, as the logger writes them.
-func (b *logBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.text.Write(p)
-	scanner := bufio.NewScanner(strings.NewReader(string(p)))
-	for scanner.Scan() {
-		if strings.Contains(scanner.Text(), "event=daemon.ready") {
-			b.ready <- scanner.Text()
-		}
-	}
-	return len(p), nil
-}
-
-func (b *logBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.String()
-}
