--- a/standin/cli/cli.go
+++ b/standin/cli/cli.go
@@ -63,11 +63,18 @@
 
 type platformCommand struct {
 	Listen string `long:"listen" default:"127.0.0.1:0" description:"address to listen on"`
+	Faults string `long:"faults" default:"{}" description:"faults from the start, as JSON; see platform.Faults"`
 }
 
 // Execute runs the platform until a signal ends it.
 func (c *platformCommand) Execute([]string) error {
-	return listenAndServe("platform", c.Listen, platform.New())
+	var faults platform.Faults
+	if err := json.Unmarshal([]byte(c.Faults), &faults); err != nil {
+		return fmt.Errorf("faults: %w", err)
+	}
+	server := platform.New()
+	server.SetFaults(faults)
+	return listenAndServe("platform", c.Listen, server)
 }
 
 type backendCommand struct {
@@ -76,12 +83,19 @@
 	Work      time.Duration `long:"work" default:"5ms" description:"time that a request takes"`
 	ColdStart time.Duration `long:"cold-start" description:"time added while cold"`
 	ColdFor   time.Duration `long:"cold-for" description:"how long the server is cold"`
+	Faults    string        `long:"faults" default:"{}" description:"faults from the start, as JSON; see backend.Faults"`
 }
 
 // Execute runs the backend server until a signal ends it.
 func (c *backendCommand) Execute([]string) error {
 	opts := backend.Options{Slots: c.Slots, Work: c.Work, ColdStart: c.ColdStart, ColdFor: c.ColdFor, Crash: func() { os.Exit(1) }}
-	return listenAndServe("backend", c.Listen, backend.New(opts))
+	var faults backend.Faults
+	if err := json.Unmarshal([]byte(c.Faults), &faults); err != nil {
+		return fmt.Errorf("faults: %w", err)
+	}
+	server := backend.New(opts)
+	server.SetFaults(faults)
+	return listenAndServe("backend", c.Listen, server)
 }
 
 type callerCommand struct {
