Wait for a time or a context in one place

Cause: the same wait stood three times, as sleep in the daemon, wait towards backend servers and pause in tillerctl; two proofs of silence held the same two loops and the same check.

Change: internal/sleep is called by all three; the proofs share the loops and the check, with their assertions as they were. Behaviour is as before.

Seen: make lint; tests of the daemon, transports, tillerctl and sessions, and the proofs named Silent, Slow, Answer, Killed, Poison, Stop and Unknown pass. The other proofs were not run on this commit before it was made.

--- a/cli/tillerctl/wait.go
+++ b/cli/tillerctl/wait.go
@@ -11,6 +11,7 @@
 
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/internal/sleep"
 	"bilberrytiller.example/tiller/protocol/operatorapi"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/transport/operatorhttp"
@@ -45,7 +46,7 @@
 			return c.done(want, len(daemons))
 		}
 		line.show(fmt.Sprintf("waiting for %d of %d daemons: %s", len(missing), len(daemons), missing[0]))
-		if !pause(ctx, waitPeriod) {
+		if !sleep.For(ctx, waitPeriod) {
 			line.end()
 			if c.env.ctx.Err() != nil {
 				return c.env.ctx.Err()
--- a/cli/tillerctl/watch.go
+++ b/cli/tillerctl/watch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/internal/sleep"
 )
 
 const (
@@ -52,7 +53,7 @@
 			return fmt.Errorf("watch: %w", err)
 		case err != nil && ctx.Err() == nil:
 			fmt.Fprintln(c.env.stderr, "tillerctl: trying again:", err)
-			pause(ctx, watchRetry)
+			sleep.For(ctx, watchRetry)
 		}
 		if err := c.print(changes.Events, &seen); err != nil {
 			return err
--- a/cli/tillerctl/writer.go
+++ b/cli/tillerctl/writer.go
@@ -9,6 +9,7 @@
 
 	"bilberrytiller.example/tiller/coordination/change"
 	"bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/internal/sleep"
 	"bilberrytiller.example/tiller/protocol/operatorapi"
 )
 
@@ -204,7 +205,7 @@
 			}
 			cause = sendErr
 		}
-		if !pause(ctx, settlePause) {
+		if !sleep.For(ctx, settlePause) {
 			return change.Settlement{}, &UnknownError{Step: step, Err: errors.Join(cause, err)}
 		}
 	}
@@ -258,14 +259,3 @@
 		fmt.Fprintln(w.env.stderr, "tillerctl: written, but no daemon was told; it reaches them through the platform:", last)
 	}
 }
-
-func pause(ctx context.Context, t time.Duration) bool {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/daemon/attempts.go
+++ b/daemon/attempts.go
@@ -9,6 +9,7 @@
 
 	"bilberrytiller.example/tiller/coordination/attempt"
 	"bilberrytiller.example/tiller/coordination/membership"
+	"bilberrytiller.example/tiller/internal/sleep"
 	"bilberrytiller.example/tiller/protocol/wire"
 	"bilberrytiller.example/tiller/state/request"
 	"bilberrytiller.example/tiller/transport/peer"
@@ -49,7 +50,7 @@
 		in.Again = true
 		// A copy that was not sent says nothing of the earlier ones.
 		lost = fmt.Errorf("%w: %v", peer.ErrLost, err)
-		if !sleep(ctx, resendPause) {
+		if !sleep.For(ctx, resendPause) {
 			break
 		}
 	}
@@ -109,7 +110,7 @@
 func (d *Daemon) leaveAttempt(ctx context.Context, run *attempt.Run) {
 	if !errors.Is(context.Cause(ctx), peer.ErrCancelled) {
 		d.attempts.Leave(run)
-		sleep(context.WithoutCancel(ctx), resendGrace)
+		sleep.For(context.WithoutCancel(ctx), resendGrace)
 		if d.attempts.Joined(run) {
 			return
 		}
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -10,6 +10,7 @@
 	"bilberrytiller.example/tiller/coordination/duty"
 	"bilberrytiller.example/tiller/coordination/hold"
 	"bilberrytiller.example/tiller/coordination/membership"
+	"bilberrytiller.example/tiller/internal/sleep"
 	"bilberrytiller.example/tiller/protocol/wire"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/transport/peer"
@@ -31,7 +32,7 @@
 // followHolds takes over the upstreams that this daemon is to hold and lets
 // go of the others.
 func (d *Daemon) followHolds(ctx context.Context) error {
-	for sleep(ctx, holdPeriod) {
+	for sleep.For(ctx, holdPeriod) {
 		if !d.lease.Check(time.Now()) {
 			d.log.Warn().Str("event", "hold.paused").Send()
 			d.holders.closeAll()
@@ -95,7 +96,7 @@
 				return
 			}
 		}
-		if !sleep(ctx, holdPeriod) {
+		if !sleep.For(ctx, holdPeriod) {
 			return
 		}
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -309,15 +309,3 @@
 	}
 	return hex.EncodeToString(b), nil
 }
-
-// sleep waits for a time, or until ctx ends and then returns false.
-func sleep(ctx context.Context, t time.Duration) bool {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -11,6 +11,7 @@
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/placement"
 	"bilberrytiller.example/tiller/coordination/spread"
+	"bilberrytiller.example/tiller/internal/sleep"
 	"bilberrytiller.example/tiller/state/catalogue"
 )
 
@@ -213,7 +214,7 @@
 func (d *Daemon) followLoadReports(ctx context.Context) error {
 	for ctx.Err() == nil {
 		d.readLoadReports(ctx)
-		sleep(ctx, loadReportPeriod)
+		sleep.For(ctx, loadReportPeriod)
 	}
 	return nil
 }
--- a/daemon/feed.go
+++ b/daemon/feed.go
@@ -8,6 +8,7 @@
 
 	"bilberrytiller.example/tiller/coordination/platform"
 	"bilberrytiller.example/tiller/coordination/spread"
+	"bilberrytiller.example/tiller/internal/sleep"
 	"bilberrytiller.example/tiller/state/catalogue"
 )
 
@@ -36,12 +37,12 @@
 // followCatalogue keeps the catalogue in force up to date with the platform
 // whenever this daemon is to read it.
 func (d *Daemon) followCatalogue(ctx context.Context) error {
-	sleep(ctx, joinGrace)
+	sleep.For(ctx, joinGrace)
 	for ctx.Err() == nil {
 		if d.readsPlatform() {
 			d.relayCatalogue(ctx)
 		}
-		sleep(ctx, dutyPeriod)
+		sleep.For(ctx, dutyPeriod)
 	}
 	return nil
 }
@@ -57,13 +58,13 @@
 	for ctx.Err() == nil {
 		if err := d.listAndWatch(ctx); err != nil && ctx.Err() == nil {
 			d.log.Warn().Str("event", "catalogue.platform").Err(err).Send()
-			sleep(ctx, platformRetry)
+			sleep.For(ctx, platformRetry)
 		}
 	}
 }
 
 func (d *Daemon) cancelWhenRelieved(ctx context.Context, cancel context.CancelFunc) {
-	for d.readsPlatform() && sleep(ctx, dutyPeriod) {
+	for d.readsPlatform() && sleep.For(ctx, dutyPeriod) {
 	}
 	cancel()
 }
--- a/daemon/handover.go
+++ b/daemon/handover.go
@@ -9,6 +9,7 @@
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/permit"
 	"bilberrytiller.example/tiller/coordination/spread"
+	"bilberrytiller.example/tiller/internal/sleep"
 	"bilberrytiller.example/tiller/protocol/wire"
 	"bilberrytiller.example/tiller/state/request"
 	"bilberrytiller.example/tiller/transport/peer"
@@ -43,7 +44,7 @@
 			d.handoverDone(transfer)
 			return nil
 		}
-		if !sleep(ctx, handoverPause) {
+		if !sleep.For(ctx, handoverPause) {
 			break
 		}
 	}
--- a/daemon/hosts.go
+++ b/daemon/hosts.go
@@ -10,6 +10,7 @@
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/platform"
 	"bilberrytiller.example/tiller/coordination/spread"
+	"bilberrytiller.example/tiller/internal/sleep"
 )
 
 const (
@@ -47,7 +48,7 @@
 		if d.readsPlatform() {
 			d.readHosts(ctx, absent)
 		}
-		sleep(ctx, hostsPeriod)
+		sleep.For(ctx, hostsPeriod)
 	}
 	return nil
 }
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -8,6 +8,7 @@
 
 	"bilberrytiller.example/tiller/coordination/limit"
 	"bilberrytiller.example/tiller/coordination/spread"
+	"bilberrytiller.example/tiller/internal/sleep"
 	"bilberrytiller.example/tiller/protocol/wire"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/state/request"
@@ -327,7 +328,7 @@
 		for _, a := range l.unbalanced() {
 			l.borrowRound(a)
 		}
-		sleep(ctx, limitsPeriod)
+		sleep.For(ctx, limitsPeriod)
 	}
 	return nil
 }
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/permit"
+	"bilberrytiller.example/tiller/internal/sleep"
 	"bilberrytiller.example/tiller/protocol/wire"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/state/request"
@@ -91,7 +92,7 @@
 			return request.Undecided(request.ReasonOwnerGone, err.Error())
 		}
 		var answered bool
-		if answer, answered = d.forwardTo(ctx, owner, req, hops); answered || !sleep(ctx, forwardPause) {
+		if answer, answered = d.forwardTo(ctx, owner, req, hops); answered || !sleep.For(ctx, forwardPause) {
 			break
 		}
 	}
--- a/daemon/reports.go
+++ b/daemon/reports.go
@@ -13,6 +13,7 @@
 	"bilberrytiller.example/tiller/coordination/platform"
 	"bilberrytiller.example/tiller/coordination/platformwrite"
 	"bilberrytiller.example/tiller/coordination/report"
+	"bilberrytiller.example/tiller/internal/sleep"
 	"bilberrytiller.example/tiller/protocol/callerapi"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/state/request"
@@ -117,7 +118,7 @@
 func (d *Daemon) followReports(ctx context.Context) error {
 	w := &reportWorker{daemon: d, places: make(chan struct{}, reportWorkers), running: newNameSet()}
 	var swept time.Time
-	for sleep(ctx, reportPeriod) {
+	for sleep.For(ctx, reportPeriod) {
 		if !d.runsReports() {
 			continue
 		}
--- a/daemon/roster.go
+++ b/daemon/roster.go
@@ -12,6 +12,7 @@
 
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/spread"
+	"bilberrytiller.example/tiller/internal/sleep"
 	"bilberrytiller.example/tiller/protocol/operatorapi"
 	"bilberrytiller.example/tiller/protocol/wire"
 	"bilberrytiller.example/tiller/transport/peer"
@@ -126,7 +127,7 @@
 	d.withTracker(func(t *membership.Tracker) []membership.Record { return []membership.Record{t.Self()} })
 	for ctx.Err() == nil {
 		d.beat(ctx)
-		sleep(ctx, heartbeatPeriod)
+		sleep.For(ctx, heartbeatPeriod)
 	}
 	return nil
 }
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -9,6 +9,7 @@
 
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/placement"
+	"bilberrytiller.example/tiller/internal/sleep"
 	"bilberrytiller.example/tiller/protocol/wire"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/state/request"
@@ -77,7 +78,7 @@
 		return request.Refuse(request.ReasonLimit, err.Error())
 	}
 	p := placing{req: req, tried: map[string]bool{}, answer: request.Refuse(request.ReasonNoUpstream, req.Service)}
-	for d.offerAll(ctx, &p) && sleep(ctx, placePause) {
+	for d.offerAll(ctx, &p) && sleep.For(ctx, placePause) {
 	}
 	giveBack(p.answer.Outcome)
 	d.shifts.served(set, &p)
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/membership"
+	"bilberrytiller.example/tiller/internal/sleep"
 )
 
 // leaveMargin is the time after which every daemon that can reach this one
@@ -88,7 +89,7 @@
 // awaitLookups serves callers until no look-up that names this daemon is
 // still valid.
 func (d *Daemon) awaitLookups(ctx context.Context) error {
-	if !sleep(ctx, d.settings.LookupTTL+leaveMargin) {
+	if !sleep.For(ctx, d.settings.LookupTTL+leaveMargin) {
 		return context.Cause(ctx)
 	}
 	return nil
--- a/standin/proofs/silence_test.go
+++ b/standin/proofs/silence_test.go
@@ -25,24 +25,14 @@
 		opts.Services[i].Class.Deadline = catalogue.Duration(10 * requestTimeout)
 	}
 	f := fleet.Start(t, opts)
-	for _, h := range f.Hosts {
-		wantDone(t, run(t, f.Client(h), "lookups", "before"), "lookups", "before")
-		wantDone(t, run(t, f.Client(h), "payments", "before-"+h.ID), "payments", "before-"+h.ID)
-	}
+	doneThroughEveryHost(t, f, "before")
 	for _, from := range f.Hosts {
 		for _, to := range f.Hosts {
 			f.Set(from, to, relay.SilentOpen)
 		}
 	}
-	for _, h := range f.Hosts {
-		wantDone(t, run(t, f.Client(h), "lookups", "after"), "lookups", "after")
-		wantDone(t, run(t, f.Client(h), "payments", "after-"+h.ID), "payments", "after-"+h.ID)
-	}
-	for _, b := range f.Backends {
-		if n := b.Stats().DoubleRuns; n != 0 {
-			t.Errorf("%d double runs", n)
-		}
-	}
+	doneThroughEveryHost(t, f, "after")
+	wantNoDoubleRuns(t, f)
 }
 
 // TestSilentBackendConnections silences every connection that backend servers
@@ -53,20 +43,10 @@
 		opts.Services[i].Class.Deadline = catalogue.Duration(10 * requestTimeout)
 	}
 	f := fleet.Start(t, opts)
-	for _, h := range f.Hosts {
-		wantDone(t, run(t, f.Client(h), "lookups", "before"), "lookups", "before")
-		wantDone(t, run(t, f.Client(h), "payments", "before-"+h.ID), "payments", "before-"+h.ID)
-	}
+	doneThroughEveryHost(t, f, "before")
 	setFaults(f, backend.Faults{Silent: true})
-	for _, h := range f.Hosts {
-		wantDone(t, run(t, f.Client(h), "lookups", "after"), "lookups", "after")
-		wantDone(t, run(t, f.Client(h), "payments", "after-"+h.ID), "payments", "after-"+h.ID)
-	}
-	for _, b := range f.Backends {
-		if n := b.Stats().DoubleRuns; n != 0 {
-			t.Errorf("%d double runs", n)
-		}
-	}
+	doneThroughEveryHost(t, f, "after")
+	wantNoDoubleRuns(t, f)
 }
 
 // TestSlowBackendIsNotSilent gives requests work that takes longer than
@@ -94,3 +74,23 @@
 		t.Errorf("2 requests ran %d times", runs)
 	}
 }
+
+// doneThroughEveryHost sends a look-up and a payment through every host and
+// fails the test unless each is done.
+func doneThroughEveryHost(t *testing.T, f *fleet.Fleet, name string) {
+	t.Helper()
+	for _, h := range f.Hosts {
+		wantDone(t, run(t, f.Client(h), "lookups", name), "lookups", name)
+		wantDone(t, run(t, f.Client(h), "payments", name+"-"+h.ID), "payments", name+"-"+h.ID)
+	}
+}
+
+// wantNoDoubleRuns fails the test if a backend server ran a key twice.
+func wantNoDoubleRuns(t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	for _, b := range f.Backends {
+		if n := b.Stats().DoubleRuns; n != 0 {
+			t.Errorf("%d double runs", n)
+		}
+	}
+}
--- a/transport/backendhttp/silence.go
+++ b/transport/backendhttp/silence.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"bilberrytiller.example/tiller/internal/sleep"
 	"bilberrytiller.example/tiller/protocol/backendapi"
 	"bilberrytiller.example/tiller/state/request"
 )
@@ -46,7 +47,7 @@
 		if seen.finished > 0 {
 			pause = silentAfter / 2
 		}
-		wait(ctx, pause)
+		sleep.For(ctx, pause)
 	}
 }
 
@@ -87,15 +88,3 @@
 	}
 	return status.Progress
 }
-
-// wait waits for a time and returns false if ctx ends first.
-func wait(ctx context.Context, t time.Duration) bool {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
