Serve the platform's clients through a gateway, thin

Cause: the product spoke only its own protocols and did not start on the platform. The gateway takes requests, places them by object, and follows the platform's store; platform/ alone knows its names. Ruled out: net/http's client for sends, since it repeats them by itself. Before: does not start.

--- a/cli/tillerd/tillerd.go
+++ b/cli/tillerd/tillerd.go
@@ -57,6 +57,9 @@
 func Main() int { return run(os.Args[1:], os.Stdout, os.Stderr) }
 
 func run(args []string, stdout, stderr io.Writer) int {
+	if len(args) > 0 && args[0] == gatewayCommand {
+		return runGateway(stdout, stderr)
+	}
 	opts, wrong, err := parse(args)
 	var flagErr *flags.Error
 	switch {
--- /dev/null
+++ b/coordination/upstream/set.go
@@ -0,0 +1,181 @@
+// Package upstream decides which backend server a request goes to.
+//
+// The requests of one object go to the same server while it has room, so
+// that it finds the object warm. Servers of the daemon's own zone come first,
+// then those of its region. A part of the objects of each service belongs to
+// other regions; that part moves slowly, by how full the region's own servers
+// are, so that no region's traffic moves at once. Servers that are cold,
+// leaving, evacuated, unreachable, faulty or slow get less or nothing.
+//
+// The package does no I/O and has no clock of its own.
+package upstream
+
+import (
+	"sync"
+	"time"
+
+	"bilberrytiller.example/tiller/state/routing"
+)
+
+// Place is where a daemon stands.
+type Place struct {
+	Zone, Region string
+}
+
+// Set holds the backend servers of all services. It is safe for concurrent
+// use.
+type Set struct {
+	place   Place
+	regions map[string]string
+
+	mu        sync.Mutex
+	servers   map[string]*server
+	services  map[string]*service
+	evacuated map[string]bool
+	// coldStarts is how long a service's servers are cold after a start.
+	coldStarts map[string]time.Duration
+}
+
+// service holds the servers of one service and the part of its objects that
+// belongs to the daemon's own region.
+type service struct {
+	servers []*server
+	local   localShare
+	// usual is the average latency of the servers in seconds.
+	usual   float64
+	usualAt time.Time
+}
+
+// NewSet returns an empty set for a daemon at place. regions gives the region
+// of each zone.
+func NewSet(place Place, regions map[string]string) *Set {
+	return &Set{
+		place:      place,
+		regions:    regions,
+		servers:    map[string]*server{},
+		services:   map[string]*service{},
+		evacuated:  map[string]bool{},
+		coldStarts: map[string]time.Duration{},
+	}
+}
+
+// Configure takes the cold starts of services.
+func (s *Set) Configure(services map[string]routing.Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.coldStarts)
+	for name, svc := range services {
+		s.coldStarts[name] = svc.ColdStart
+	}
+}
+
+// Put takes a server's entry. A new incarnation starts without history.
+func (s *Set) Put(b routing.Backend, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.servers[b.ID]
+	if old == nil || old.Incarnation() != b.Incarnation() || old.Service != b.Service {
+		if old != nil {
+			s.drop(old)
+		}
+		s.add(newServer(b, s.regions[b.Zone], now))
+		return
+	}
+	old.Backend.Draining = b.Draining
+	old.Backend.Zone, old.region = b.Zone, s.regions[b.Zone]
+	if b.Slots > 0 {
+		old.Backend.Slots = b.Slots
+	}
+	if until := now.Add(b.ColdLeft); b.ColdLeft > 0 && until.After(old.coldUntil) {
+		old.coldUntil = until
+	}
+}
+
+// Remove drops a server.
+func (s *Set) Remove(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old := s.servers[id]; old != nil {
+		s.drop(old)
+	}
+}
+
+// Evacuate stops or resumes the use of a zone's servers. They may have become
+// cold meanwhile.
+func (s *Set) Evacuate(zone string, on bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	was := s.evacuated[zone]
+	s.evacuated[zone] = on
+	if on || !was {
+		return
+	}
+	for _, srv := range s.servers {
+		if srv.Zone == zone {
+			srv.coldUntil = later(srv.coldUntil, now.Add(s.coldStarts[srv.Service]))
+		}
+	}
+}
+
+// Evacuated returns the zones that are evacuated.
+func (s *Set) Evacuated() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var zones []string
+	for zone, on := range s.evacuated {
+		if on {
+			zones = append(zones, zone)
+		}
+	}
+	return zones
+}
+
+// IDs returns the names of all servers.
+func (s *Set) IDs() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := make([]string, 0, len(s.servers))
+	for id := range s.servers {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Addresses returns the addresses of all servers.
+func (s *Set) Addresses() map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	in := make(map[string]bool, len(s.servers))
+	for _, srv := range s.servers {
+		in[srv.Address] = true
+	}
+	return in
+}
+
+func (s *Set) add(srv *server) {
+	s.servers[srv.ID] = srv
+	of := s.services[srv.Service]
+	if of == nil {
+		of = &service{}
+		s.services[srv.Service] = of
+	}
+	of.servers = append(of.servers, srv)
+}
+
+func (s *Set) drop(srv *server) {
+	delete(s.servers, srv.ID)
+	of := s.services[srv.Service]
+	for i, other := range of.servers {
+		if other == srv {
+			of.servers = append(of.servers[:i:i], of.servers[i+1:]...)
+			return
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/gateway/run.go
@@ -0,0 +1,229 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"bilberrytiller.example/tiller/coordination/upstream"
+	"bilberrytiller.example/tiller/state/routing"
+	"bilberrytiller.example/tiller/transport/upstreamhttp"
+)
+
+// maxConnects is how many servers that take no connection one request tries.
+const maxConnects = 4
+
+// result is how a request ended: with a server's answer, or with one of the
+// gateway's own.
+type result struct {
+	answer  *upstreamhttp.Answer
+	refused *refused
+}
+
+// run is the sends of one request.
+type run struct {
+	g   *Gateway
+	req *clientRequest
+
+	tried []routing.Incarnation
+	// sends counts the servers that the request may have reached, connects
+	// those that took no connection.
+	sends, connects int
+	pending         int
+	// mayHaveRun says that a server may have run the request.
+	mayHaveRun bool
+	// fallback is a server's failure, delivered if no better answer comes.
+	fallback *upstreamhttp.Answer
+	finished chan finished
+	// last is the choice made last, reason why there is no other.
+	last   *upstream.Choice
+	reason string
+}
+
+// finished is a send that ended.
+type finished struct {
+	choice   *upstream.Choice
+	exchange upstreamhttp.Exchange
+}
+
+// serve sends the request until it has an answer, or none can come any more.
+func (r *run) serve(ctx context.Context) result {
+	ctx, cancel := context.WithDeadline(ctx, r.req.deadline)
+	defer cancel()
+	r.finished = make(chan finished, r.req.route.MaxAttempts+maxConnects)
+	r.g.retries.Request(r.req.service.Name, r.req.arrived)
+	if refusal := r.send(ctx); refusal != nil {
+		return result{refused: refusal}
+	}
+	hedge := time.NewTimer(r.hedgeAfter())
+	defer hedge.Stop()
+	for {
+		select {
+		case f := <-r.finished:
+			r.pending--
+			if answer := r.take(f); answer != nil {
+				return result{answer: answer}
+			}
+			refusal := r.again(ctx)
+			if refusal != nil && r.pending == 0 {
+				return r.end(refusal)
+			}
+		case <-hedge.C:
+			r.hedge(ctx)
+		case <-ctx.Done():
+			return r.end(r.timedOut())
+		}
+	}
+}
+
+// hedgeAfter is when a second server is asked beside the first.
+func (r *run) hedgeAfter() time.Duration {
+	if !r.req.route.Idempotent || r.req.route.Objective <= 0 {
+		return time.Until(r.req.deadline) + time.Second
+	}
+	return r.req.route.Objective
+}
+
+func (r *run) hedge(ctx context.Context) {
+	if refusal := r.again(ctx); refusal != nil {
+		r.reason = refusal.reason
+	}
+}
+
+// again sends the request to another server, if that is allowed.
+func (r *run) again(ctx context.Context) *refused {
+	switch {
+	case r.mayHaveRun && !r.req.route.Idempotent:
+		return r.ended("may_have_run")
+	case r.sends >= r.req.route.MaxAttempts || r.connects >= maxConnects:
+		return r.ended("attempts_used")
+	case ctx.Err() != nil:
+		return r.timedOut()
+	case r.sends > 0 && !r.g.retries.Repeat(r.req.service.Name, r.g.members.count(), time.Now()):
+		return r.ended("retry_budget")
+	}
+	return r.send(ctx)
+}
+
+// send chooses a server and sends the request to it.
+func (r *run) send(ctx context.Context) *refused {
+	now := time.Now()
+	choice, err := r.g.upstreams.Choose(upstream.Request{
+		Service: r.req.service.Name, Key: r.req.key, Route: r.req.route, Tried: r.tried,
+		ObjectiveLeft: r.req.route.Objective - now.Sub(r.req.arrived), TimeLeft: r.req.deadline.Sub(now),
+		ColdRate: r.req.service.ColdRate, Daemons: r.g.members.count(),
+	}, now)
+	var refusal *upstream.Refusal
+	if errors.As(err, &refusal) {
+		r.reason = string(refusal.Reason)
+		return r.refusal(string(refusal.Reason), refusal.RetryAfter)
+	}
+	r.last = choice
+	r.tried = append(r.tried, choice.Backend.Incarnation())
+	r.sends++
+	r.pending++
+	message := r.req.message
+	message.ServerID = choice.Backend.ID
+	go func() {
+		exchange := r.g.client.Run(ctx, choice.Backend.Address, &message)
+		choice.Done(exchange.Report, time.Now())
+		r.finished <- finished{choice, exchange}
+	}()
+	return nil
+}
+
+// take records how a send ended and returns the answer to deliver, if there
+// is one.
+func (r *run) take(f finished) *upstreamhttp.Answer {
+	r.g.metrics.sends.Add(f.exchange.Report.Outcome.String(), 1)
+	if f.exchange.Report.Outcome != upstream.Answered {
+		r.logSend(f)
+	}
+	if !f.exchange.Sent {
+		r.sends--
+		r.connects++
+		return nil
+	}
+	answer := f.exchange.Answer
+	if answer == nil {
+		r.mayHaveRun = true
+		return nil
+	}
+	if answer.NotRun {
+		return nil
+	}
+	r.mayHaveRun = true
+	if answer.Status >= http.StatusInternalServerError && r.req.route.Idempotent {
+		r.fallback = answer
+		return nil
+	}
+	return answer
+}
+
+// end returns the result of a request that no more sends are made for.
+func (r *run) end(why *refused) result {
+	if r.fallback != nil {
+		return result{answer: r.fallback}
+	}
+	return result{refused: why}
+}
+
+// refusal is the answer when no server can be asked. Only a request that has
+// not run is asked back.
+func (r *run) refusal(reason string, after time.Duration) *refused {
+	if r.mayHaveRun || r.pending > 0 {
+		return &refused{status: http.StatusBadGateway, reason: reason}
+	}
+	return &refused{status: http.StatusServiceUnavailable, reason: reason, after: after}
+}
+
+// retryAfterFailure is when a client comes back whose request servers did
+// not run.
+const retryAfterFailure = 100 * time.Millisecond
+
+func (r *run) ended(reason string) *refused {
+	r.reason = reason
+	return r.refusal(reason, retryAfterFailure)
+}
+
+func (r *run) timedOut() *refused {
+	r.reason = "timeout"
+	if r.mayHaveRun || r.pending > 0 {
+		return &refused{status: http.StatusGatewayTimeout, reason: r.reason}
+	}
+	return &refused{status: http.StatusServiceUnavailable, reason: r.reason, after: retryAfterFailure}
+}
+
+// logSend tells of a send that did not bring an answer.
+func (r *run) logSend(f finished) {
+	r.g.log.Info().Str("event", "send.ended").Str("id", r.req.id).Str("backend", f.choice.Backend.ID).
+		Str("address", f.choice.Backend.Address).Stringer("outcome", f.exchange.Report.Outcome).
+		Str("chosen_for", string(f.choice.Reason)).Int("held", f.choice.Held).AnErr("error", f.exchange.Err).Send()
+}
+
+// logResult tells how a request ended.
+func (g *Gateway) logResult(req *clientRequest, r *run, res result) {
+	latency := time.Since(req.arrived)
+	status, outcome := 0, "answered"
+	if res.answer != nil {
+		status = res.answer.Status
+	} else {
+		status, outcome = res.refused.status, res.refused.reason
+	}
+	g.metrics.observe(req.service.Name, outcome, latency)
+	e := g.log.Info().Str("event", "request.done").Str("id", req.id).Str("route", req.route.Name).
+		Str("service", req.service.Name).Uint64("version", uint64(req.version)).Str("key", req.key).
+		Int("status", status).Str("outcome", outcome).Int("sends", r.sends).Int("connects", r.connects).Dur("ms", latency)
+	r.addChoice(e).Send()
+}
+
+func (r *run) addChoice(e *zerolog.Event) *zerolog.Event {
+	if r.last == nil {
+		return e
+	}
+	return e.Str("backend", r.last.Backend.ID).Str("backend_zone", r.last.Backend.Zone).
+		Str("chosen_for", string(r.last.Reason)).Int("held", r.last.Held)
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"time"
+
+	"bilberrytiller.example/tiller/coordination/budget"
+	"bilberrytiller.example/tiller/coordination/upstream"
+	"bilberrytiller.example/tiller/transport/upstreamhttp"
+)
+
+// Settings are what a gateway is started with.
+type Settings struct {
+	// HostID names the host.
+	HostID string
+	Place  upstream.Place
+	// Regions gives the region of each data centre.
+	Regions map[string]string
+	// ClientListen, ReadyListen, DirectoryListen, PeerListen and
+	// MetricsListen are the addresses to listen on.
+	ClientListen, ReadyListen, DirectoryListen, PeerListen, MetricsListen string
+	// StopTimeout is how long a graceful stop may take.
+	StopTimeout time.Duration
+	// MaxAnswerTTL is the longest that clients keep an answer of the directory.
+	MaxAnswerTTL time.Duration
+	// Retries bounds the repeated sends of the fleet.
+	Retries budget.Limits
+}
+
+// Headers are the names of the headers that the gateway reads and writes.
+type Headers struct {
+	upstreamhttp.Names
+	// RetryAfter tells a refused client in seconds when to come back.
+	RetryAfter string
+}
+
+// Member is a daemon as it registered itself.
+type Member struct {
+	ID          string
+	Incarnation string
+	Zone        string
+	Region      string
+	// ClientAddress takes clients' requests, PeerAddress other daemons.
+	ClientAddress string
+	PeerAddress   string
+}
--- /dev/null
+++ b/transport/upstreamhttp/message.go
@@ -0,0 +1,143 @@
+package upstreamhttp
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"bilberrytiller.example/tiller/coordination/upstream"
+)
+
+// Names are the headers that concern the system in requests to and answers
+// from backend servers.
+type Names struct {
+	// AttemptID names one attempt of a client; servers echo it.
+	AttemptID string
+	// DeadlineMs is how many milliseconds are left.
+	DeadlineMs string
+	// Affinity names the object.
+	Affinity string
+	// ExpectID makes any other server refuse the request.
+	ExpectID string
+	// Signature is the server's mark on an answer of its own.
+	Signature string
+	// NotExecuted says that the server did not run the request.
+	NotExecuted string
+	// Load is the server's running and waiting requests and its slots.
+	Load string
+	// ColdMs is how many milliseconds the server stays cold.
+	ColdMs string
+	// InstanceID names the server that answers.
+	InstanceID string
+}
+
+// Request is what is sent to a backend server.
+type Request struct {
+	Method string
+	// Target is the path and query as the client sent them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	ID     string
+	// ServerID is the server that alone may run the request.
+	ServerID string
+	// Deadline ends the request at the server.
+	Deadline time.Time
+}
+
+// Answer is a whole answer of a backend server to the request that was sent.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// NotRun says that the server did not run the request.
+	NotRun bool
+	// Misdirected says that another server has the address.
+	Misdirected bool
+	// Signed says that the answer carries the server's mark.
+	Signed bool
+	// Load is nil if the server did not tell it.
+	Load     *upstream.Load
+	ColdLeft time.Duration
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// StripHop removes the headers that concern only one connection.
+func StripHop(h http.Header) {
+	for _, field := range h["Connection"] {
+		for _, name := range strings.Split(field, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+// skipped reports whether a client's header is not sent on as it is.
+func (n Names) skipped(name string) bool {
+	switch name {
+	case n.DeadlineMs, n.ExpectID, "Content-Length", "Host", "Expect":
+		return true
+	}
+	return false
+}
+
+// appendRequest appends the head and the body of a request.
+func (n Names) appendRequest(b []byte, r *Request, now time.Time) []byte {
+	b = append(append(append(b, r.Method...), ' '), r.Target...)
+	b = appendField(append(b, " HTTP/1.1\r\n"...), "Host", r.Host)
+	for name, values := range r.Header {
+		if n.skipped(name) {
+			continue
+		}
+		for _, v := range values {
+			b = appendField(b, name, v)
+		}
+	}
+	left := max(1, r.Deadline.Sub(now).Milliseconds())
+	b = appendField(b, n.DeadlineMs, strconv.FormatInt(left, 10))
+	b = appendField(b, n.ExpectID, r.ServerID)
+	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		b = appendField(b, "Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	return append(append(b, "\r\n"...), r.Body...)
+}
+
+func appendField(b []byte, name, value string) []byte {
+	b = append(append(b, name...), ": "...)
+	return append(append(b, value...), "\r\n"...)
+}
+
+// parseLoad reads a load header.
+func parseLoad(value string) *upstream.Load {
+	parts := strings.Split(value, ",")
+	if len(parts) != 3 {
+		return nil
+	}
+	var numbers [3]int
+	for i, part := range parts {
+		n, err := strconv.Atoi(strings.TrimSpace(part))
+		if err != nil || n < 0 {
+			return nil
+		}
+		numbers[i] = n
+	}
+	return &upstream.Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}
+}
+
+// parseMs reads a number of milliseconds; anything else is zero.
+func parseMs(value string) time.Duration {
+	ms, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || ms < 0 {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
