Keep each object on few servers and queue at its first one

Cause: spilling to any server of a region made every server hold every object cold; hedges at the objective repeated cold runs.

--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -9,13 +10,19 @@
 )
 
 const (
+	// maxHomes is how many servers the requests of one object go to. More
+	// would find the object cold and push others out of the servers' memory.
+	maxHomes = 3
+	// homeQueue is the requests in parts of its slots that the object's first
+	// server may hold before the next one is used.
+	homeQueue = 1.5
 	// lateQueue is the queue in parts of a server's slots that requests may
 	// join although they will miss their objective.
 	lateQueue = 1.0
 	// firstLatency is the time in seconds that a server's work is thought to
 	// take before any answer told.
 	firstLatency = 0.1
-	// usualPeriod is how often the average latency of a service is worked out.
+	// usualPeriod is how often the averages of a service are worked out.
 	usualPeriod = 200 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound when a refused client is asked
 	// to come back.
@@ -85,15 +92,13 @@
 	if svc == nil {
 		return nil, &Refusal{Reason: ReasonNoServer, RetryAfter: maxRetryAfter}
 	}
-	svc.refresh(now)
+	svc.refresh(s, now)
 	search := s.newSearch(svc, r, now)
-	if search.found == 0 {
+	if len(search.candidates)+len(search.doubtful) == 0 {
 		return nil, &Refusal{Reason: search.emptyReason(), RetryAfter: maxRetryAfter / 4}
 	}
-	for _, tier := range search.order() {
-		if srv := search.withRoom(tier); srv != nil {
-			return s.take(srv, r, ReasonRoom, now), nil
-		}
+	if srv := search.withRoom(); srv != nil {
+		return s.take(srv, r, ReasonRoom, now), nil
 	}
 	if srv := search.withQueue(); srv != nil {
 		return s.take(srv, r, ReasonQueue, now), nil
@@ -117,66 +122,45 @@
 	return &Choice{Backend: srv.Backend, Region: srv.region, Reason: reason, Held: held, set: s, server: srv}
 }
 
-// tier is a part of a service's servers by distance.
-type tier int
-
-const (
-	ownZone tier = iota
-	ownRegion
-	elsewhere
-	tiers
-)
-
 // search is the choice of a server for one request.
 type search struct {
 	request Request
 	object  uint64
-	local   bool
-	usual   float64
-	now     time.Time
-	tiers   [tiers][]*server
+	place   Place
+	// local says that the object belongs to the daemon's own region.
+	local bool
+	spare map[string]int
+	usual float64
+	now   time.Time
+	// candidates are the usable servers, best first.
+	candidates []*server
 	// doubtful are usable servers that are faulty or slow.
 	doubtful []*server
-	found    int
 	// coldLimited counts the servers that have had their requests for now.
 	coldLimited int
 }
 
 func (s *Set) newSearch(svc *service, r Request, now time.Time) *search {
-	f := &search{request: r, usual: svc.usual, now: now, local: true}
+	f := &search{request: r, place: s.place, usual: svc.usual, spare: svc.spare, now: now, local: true}
 	if r.Key != "" {
 		f.object = affinity.Hash(r.Service, r.Key)
 		f.local = affinity.Fraction(f.object) < svc.local.part(s, svc, now)
 	}
 	for _, srv := range svc.servers {
-		if !s.usable(srv, r, now) {
-			continue
-		}
-		if srv.cold(now) && !srv.gate.Ready(r.ColdRate, r.Daemons, now) {
+		switch {
+		case !s.usable(srv, r, now):
+		case srv.cold(now) && !srv.gate.Ready(r.ColdRate, r.Daemons, now):
 			f.coldLimited++
-			continue
+		case !srv.healthy(f.usual, now) && now.Before(srv.nextTrial):
+			f.doubtful = append(f.doubtful, srv)
+		default:
+			f.candidates = append(f.candidates, srv)
 		}
-		f.add(srv, s.place)
 	}
+	f.rank()
 	return f
 }
 
-func (f *search) add(srv *server, place Place) {
-	f.found++
-	if !srv.healthy(f.usual, f.now) && f.now.Before(srv.nextTrial) {
-		f.doubtful = append(f.doubtful, srv)
-		return
-	}
-	switch {
-	case srv.Zone == place.Zone:
-		f.tiers[ownZone] = append(f.tiers[ownZone], srv)
-	case srv.region == place.Region:
-		f.tiers[ownRegion] = append(f.tiers[ownRegion], srv)
-	default:
-		f.tiers[elsewhere] = append(f.tiers[elsewhere], srv)
-	}
-}
-
 // usable reports whether a request may go to a server at all.
 func (s *Set) usable(srv *server, r Request, now time.Time) bool {
 	if srv.Draining || srv.misdirected || s.evacuated[srv.Zone] || now.Before(srv.ejectedUntil) {
@@ -188,42 +172,50 @@
 	return !slices.Contains(r.Tried, srv.Incarnation())
 }
 
-// order returns the tiers to search for room. Objects of other regions go
-// there first; the region's own objects leave it only if it has no server.
-func (f *search) order() []tier {
-	if !f.local && len(f.tiers[elsewhere]) > 0 {
-		return []tier{elsewhere, ownZone, ownRegion}
-	}
-	if len(f.tiers[ownZone])+len(f.tiers[ownRegion]) == 0 {
-		return []tier{elsewhere}
-	}
-	return []tier{ownZone, ownRegion}
+// rank orders the candidates by distance and, within a distance, for the
+// object. Without an object, emptier servers come first.
+func (f *search) rank() {
+	slices.SortFunc(f.candidates, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(f.distance(a), f.distance(b)), f.order(a, b))
+	})
+	f.candidates = f.candidates[:min(len(f.candidates), maxHomes)]
 }
 
-// withRoom returns the server of a tier with the highest rank for the object
-// among those that have a free slot, or nil.
-func (f *search) withRoom(t tier) *server {
-	var best *server
-	var bestScore uint64
-	for _, srv := range f.tiers[t] {
-		held := srv.estimate(f.now)
-		if held >= srv.slots() {
-			continue
-		}
-		score := f.score(srv, held)
-		if best == nil || score > bestScore {
-			best, bestScore = srv, score
-		}
+// distance is the place of a server in the order of zones and regions.
+func (f *search) distance(srv *server) int {
+	switch {
+	case srv.region != f.place.Region && f.local:
+		return 4
+	case srv.region != f.place.Region && f.spare[srv.region] > 0:
+		return 0
+	case srv.region != f.place.Region:
+		return 3
+	case srv.Zone == f.place.Zone:
+		return 1
 	}
-	return best
+	return 2
 }
 
-// score ranks a server for the object, or by free slots without one.
-func (f *search) score(srv *server, held int) uint64 {
+func (f *search) order(a, b *server) int {
 	if f.request.Key == "" {
-		return uint64(1000 * (srv.slots() - held) / srv.slots())
+		return cmp.Compare(f.wait(a), f.wait(b))
 	}
-	return affinity.Score(f.object, srv.hash)
+	return cmp.Compare(affinity.Score(f.object, b.hash), affinity.Score(f.object, a.hash))
+}
+
+// withRoom returns the first server whose queue is short enough that another
+// one, which would find the object cold, is no better.
+func (f *search) withRoom() *server {
+	for i, srv := range f.candidates {
+		limit := 1.0
+		if i == 0 && f.request.Key != "" {
+			limit = homeQueue
+		}
+		if float64(srv.estimate(f.now)) < limit*float64(srv.slots()) {
+			return srv
+		}
+	}
+	return nil
 }
 
 // withQueue returns the server with the shortest expected wait, if a request
@@ -233,8 +225,7 @@
 	if best == nil {
 		return nil
 	}
-	work := f.work(best)
-	done := time.Duration((wait + work) * float64(time.Second))
+	done := time.Duration((wait + f.work(best)) * float64(time.Second))
 	if done <= f.request.ObjectiveLeft {
 		return best
 	}
@@ -247,26 +238,15 @@
 
 // shortest returns the server with the shortest expected wait in seconds.
 func (f *search) shortest() (*server, float64) {
-	var best *server
-	bestWait := 0.0
-	consider := func(srv *server) {
-		wait := f.wait(srv)
-		if best == nil || wait < bestWait {
-			best, bestWait = srv, wait
-		}
-	}
-	for _, t := range f.order() {
-		for _, srv := range f.tiers[t] {
-			consider(srv)
-		}
-	}
-	if best != nil {
-		return best, bestWait
+	from := f.candidates
+	if len(from) == 0 {
+		from = f.doubtful
 	}
-	for _, srv := range f.doubtful {
-		consider(srv)
+	if len(from) == 0 {
+		return nil, 0
 	}
-	return best, bestWait
+	best := slices.MinFunc(from, func(a, b *server) int { return cmp.Compare(f.wait(a), f.wait(b)) })
+	return best, f.wait(best)
 }
 
 func (f *search) wait(srv *server) float64 {
@@ -297,12 +277,14 @@
 	return &Refusal{Reason: ReasonFull, RetryAfter: min(maxRetryAfter, max(minRetryAfter, after))}
 }
 
-// refresh works out the usual latency of the service's servers.
-func (v *service) refresh(now time.Time) {
+// refresh works out the usual latency of the service's servers and what its
+// regions have to spare.
+func (v *service) refresh(s *Set, now time.Time) {
 	if now.Sub(v.usualAt) < usualPeriod {
 		return
 	}
 	v.usualAt = now
+	v.spare = spare(s, v)
 	var latencies []float64
 	for _, srv := range v.servers {
 		if srv.latency > 0 {
--- a/coordination/upstream/share.go
+++ b/coordination/upstream/share.go
@@ -1,15 +1,18 @@
 package upstream
 
-import "time"
+import (
+	"time"
+)
 
 const (
 	// shareRate is how much of a region's objects may change their region in
 	// a second. The users' bound is 0.15 in two seconds.
 	shareRate = 0.05
-	// fullMark and freeMark are the parts of a region's slots in use above
-	// and below which objects are given to other regions or taken back.
+	// fullMark is the part of a region's slots in use above which objects are
+	// given to regions that are less full.
 	fullMark = 0.9
-	freeMark = 0.7
+	// fullerBy is how much fuller than the others the region must be.
+	fullerBy = 0.15
 	// sharePeriod is how often the part is adjusted.
 	sharePeriod = 250 * time.Millisecond
 )
@@ -22,8 +25,8 @@
 }
 
 // part returns the part of the objects that belongs to the own region. It
-// starts where all regions would be equally full if each got the same
-// traffic, and then moves slowly with the use of the region's servers.
+// moves slowly to where all regions would be equally full if each got the
+// same traffic, and on while the region is fuller than the others.
 func (l *localShare) part(s *Set, v *service, now time.Time) float64 {
 	if l.at.IsZero() {
 		l.value, l.at = evenShare(s, v), now
@@ -35,40 +38,71 @@
 	}
 	l.at = now
 	step := shareRate * min(elapsed, time.Second).Seconds()
-	switch use := localUse(s, v, now); {
-	case use > fullMark:
+	own, others := use(s, v, now)
+	target := evenShare(s, v)
+	switch {
+	case own > fullMark && own > others+fullerBy:
 		l.value = max(0, l.value-step)
-	case use < freeMark:
-		l.value = min(1, l.value+step)
+	case l.value < target:
+		l.value = min(target, l.value+step)
+	default:
+		l.value = max(target, l.value-step)
 	}
 	return l.value
 }
 
-// evenShare returns the part that the region's slots can take of its traffic
-// if every region gets the same.
-func evenShare(s *Set, v *service) float64 {
-	byRegion := map[string]int{}
-	total := 0
+// slotsByRegion returns the slots of a service's servers that take requests.
+func slotsByRegion(s *Set, v *service) (byRegion map[string]int, total int) {
+	byRegion = map[string]int{}
 	for _, srv := range v.servers {
+		if srv.Draining || srv.misdirected || s.evacuated[srv.Zone] {
+			continue
+		}
 		byRegion[srv.region] += srv.slots()
 		total += srv.slots()
 	}
+	return byRegion, total
+}
+
+// evenShare returns the part that the region's slots can take of its traffic
+// if every region gets the same.
+func evenShare(s *Set, v *service) float64 {
+	byRegion, total := slotsByRegion(s, v)
 	if total == 0 {
 		return 1
 	}
-	return min(1, float64(byRegion[s.place.Region]*len(byRegion))/float64(total))
+	return min(1, float64(byRegion[s.place.Region]*s.regionCount)/float64(total))
+}
+
+// spare returns for each region the slots beyond those that its own traffic
+// needs if every region gets the same.
+func spare(s *Set, v *service) map[string]int {
+	byRegion, total := slotsByRegion(s, v)
+	for region, slots := range byRegion {
+		byRegion[region] = max(0, slots-total/max(1, s.regionCount))
+	}
+	return byRegion
 }
 
-// localUse returns the part of the region's slots that is in use.
-func localUse(s *Set, v *service, now time.Time) float64 {
-	held, slots := 0, 0
+// use returns the parts of the slots that are in use in the daemon's region
+// and in the others.
+func use(s *Set, v *service, now time.Time) (own, others float64) {
+	var held, slots [2]int
 	for _, srv := range v.servers {
-		if srv.region != s.place.Region || !s.usable(srv, Request{}, now) {
+		if !s.usable(srv, Request{}, now) {
 			continue
 		}
-		held += srv.estimate(now)
-		slots += srv.slots()
+		i := 0
+		if srv.region != s.place.Region {
+			i = 1
+		}
+		held[i] += srv.estimate(now)
+		slots[i] += srv.slots()
 	}
+	return ratio(held[0], slots[0]), ratio(held[1], slots[1])
+}
+
+func ratio(held, slots int) float64 {
 	if slots == 0 {
 		return 1
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -79,12 +79,16 @@
 	}
 }
 
+// hedgeFactor times its latency objective is how long an idempotent request
+// waits before a second server is asked.
+const hedgeFactor = 2.5
+
 // hedgeAfter is when a second server is asked beside the first.
 func (r *run) hedgeAfter() time.Duration {
 	if !r.req.route.Idempotent || r.req.route.Objective <= 0 {
 		return time.Until(r.req.deadline) + time.Second
 	}
-	return r.req.route.Objective
+	return time.Duration(hedgeFactor * float64(r.req.route.Objective))
 }
 
 func (r *run) hedge(ctx context.Context) {
