--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -12,10 +12,10 @@
 const (
 	// maxHomes is how many servers the requests of one object go to. More
 	// would find the object cold and push others out of the servers' memory.
-	maxHomes = 3
+	maxHomes = 1
 	// homeQueue is the requests in parts of its slots that the object's first
 	// server may hold before the next one is used.
-	homeQueue = 1.5
+	homeQueue = 2.0
 	// lateQueue is the queue in parts of a server's slots that requests may
 	// join although they will miss their objective.
 	lateQueue = 1.0
@@ -92,7 +92,8 @@
 	if svc == nil {
 		return nil, &Refusal{Reason: ReasonNoServer, RetryAfter: maxRetryAfter}
 	}
-	svc.refresh(s, now)
+	svc.refresh(now)
+	svc.balance.refresh(s, svc, now)
 	search := s.newSearch(svc, r, now)
 	if len(search.candidates)+len(search.doubtful) == 0 {
 		return nil, &Refusal{Reason: search.emptyReason(), RetryAfter: maxRetryAfter / 4}
@@ -141,10 +142,10 @@
 }
 
 func (s *Set) newSearch(svc *service, r Request, now time.Time) *search {
-	f := &search{request: r, place: s.place, usual: svc.usual, spare: svc.spare, now: now, local: true}
+	f := &search{request: r, place: s.place, usual: svc.usual, spare: svc.balance.spare, now: now, local: true}
 	if r.Key != "" {
 		f.object = affinity.Hash(r.Service, r.Key)
-		f.local = affinity.Fraction(f.object) < svc.local.part(s, svc, now)
+		f.local = affinity.Fraction(f.object) < svc.balance.own
 	}
 	for _, srv := range svc.servers {
 		switch {
@@ -181,19 +182,20 @@
 	f.candidates = f.candidates[:min(len(f.candidates), maxHomes)]
 }
 
-// distance is the place of a server in the order of zones and regions.
+// distance is the place of a server in the order of zones: the object's own,
+// then those with slots to spare, then those nearby.
 func (f *search) distance(srv *server) int {
 	switch {
-	case srv.region != f.place.Region && f.local:
-		return 4
-	case srv.region != f.place.Region && f.spare[srv.region] > 0:
+	case srv.Zone == f.place.Zone && f.local:
 		return 0
-	case srv.region != f.place.Region:
-		return 3
 	case srv.Zone == f.place.Zone:
+		return 3
+	case !f.local && f.spare[srv.Zone] > 0:
 		return 1
+	case srv.region == f.place.Region:
+		return 2
 	}
-	return 2
+	return 4
 }
 
 func (f *search) order(a, b *server) int {
@@ -206,12 +208,8 @@
 // withRoom returns the first server whose queue is short enough that another
 // one, which would find the object cold, is no better.
 func (f *search) withRoom() *server {
-	for i, srv := range f.candidates {
-		limit := 1.0
-		if i == 0 && f.request.Key != "" {
-			limit = homeQueue
-		}
-		if float64(srv.estimate(f.now)) < limit*float64(srv.slots()) {
+	for _, srv := range f.candidates {
+		if float64(srv.estimate(f.now)) < homeQueue*float64(srv.slots()) {
 			return srv
 		}
 	}
@@ -279,12 +277,11 @@
 
 // refresh works out the usual latency of the service's servers and what its
 // regions have to spare.
-func (v *service) refresh(s *Set, now time.Time) {
+func (v *service) refresh(now time.Time) {
 	if now.Sub(v.usualAt) < usualPeriod {
 		return
 	}
 	v.usualAt = now
-	v.spare = spare(s, v)
 	var latencies []float64
 	for _, srv := range v.servers {
 		if srv.latency > 0 {
--- a/coordination/upstream/set.go
+++ b/coordination/upstream/set.go
@@ -27,8 +27,6 @@
 type Set struct {
 	place   Place
 	regions map[string]string
-	// regionCount is the number of regions.
-	regionCount int
 
 	mu        sync.Mutex
 	servers   map[string]*server
@@ -42,9 +40,7 @@
 // belongs to the daemon's own region.
 type service struct {
 	servers []*server
-	local   localShare
-	// spare are the slots of each region beyond its own need.
-	spare map[string]int
+	balance balance
 	// usual is the average latency of the servers in seconds.
 	usual   float64
 	usualAt time.Time
@@ -53,18 +49,13 @@
 // NewSet returns an empty set for a daemon at place. regions gives the region
 // of each zone.
 func NewSet(place Place, regions map[string]string) *Set {
-	distinct := map[string]bool{}
-	for _, region := range regions {
-		distinct[region] = true
-	}
 	return &Set{
-		place:       place,
-		regions:     regions,
-		regionCount: len(distinct),
-		servers:     map[string]*server{},
-		services:    map[string]*service{},
-		evacuated:   map[string]bool{},
-		coldStarts:  map[string]time.Duration{},
+		place:      place,
+		regions:    regions,
+		servers:    map[string]*server{},
+		services:   map[string]*service{},
+		evacuated:  map[string]bool{},
+		coldStarts: map[string]time.Duration{},
 	}
 }
 
--- a/coordination/upstream/share.go
+++ b/coordination/upstream/share.go
@@ -5,87 +5,76 @@
 )
 
 const (
-	// shareRate is how much of a region's objects may change their region in
-	// a second. The users' bound is 0.15 in two seconds.
+	// shareRate is how much of a zone's objects may change their zone in a
+	// second. The users' bound for a region is 0.15 in two seconds.
 	shareRate = 0.05
-	// fullMark is the part of a region's slots in use above which objects are
-	// given to regions that are less full.
-	fullMark = 0.9
-	// fullerBy is how much fuller than the others the region must be.
-	fullerBy = 0.15
+	// fullMark is the part of a zone's slots in use above which objects are
+	// given to zones that are less full.
+	fullMark = 0.75
+	// fullerBy is how much fuller than the others the zone must be.
+	fullerBy = 0.1
 	// sharePeriod is how often the part is adjusted.
 	sharePeriod = 250 * time.Millisecond
 )
 
-// localShare is the part of a service's objects that belongs to the daemon's
-// own region.
-type localShare struct {
-	value float64
-	at    time.Time
+// balance is how the objects of a service are spread over zones.
+type balance struct {
+	// own is the part of the daemon's objects that belongs to its own zone.
+	own float64
+	// even is what own would be if each zone got the same traffic and all
+	// servers were equally full.
+	even float64
+	// spare are the slots of each zone beyond those that its own traffic
+	// needs then.
+	spare map[string]int
+	// pressed is what own has been lowered by because the zone is full.
+	pressed float64
+	at      time.Time
 }
 
-// part returns the part of the objects that belongs to the own region. It
-// moves slowly to where all regions would be equally full if each got the
-// same traffic, and on while the region is fuller than the others.
-func (l *localShare) part(s *Set, v *service, now time.Time) float64 {
-	if l.at.IsZero() {
-		l.value, l.at = evenShare(s, v), now
-		return l.value
-	}
-	elapsed := now.Sub(l.at)
+// refresh works out the balance. It follows changes of the servers at once,
+// and those of the traffic slowly.
+func (b *balance) refresh(s *Set, v *service, now time.Time) {
+	elapsed := now.Sub(b.at)
 	if elapsed < sharePeriod {
-		return l.value
+		return
 	}
-	l.at = now
+	b.at = now
+	b.spread(s, v)
 	step := shareRate * min(elapsed, time.Second).Seconds()
 	own, others := use(s, v, now)
-	target := evenShare(s, v)
-	switch {
-	case own > fullMark && own > others+fullerBy:
-		l.value = max(0, l.value-step)
-	case l.value < target:
-		l.value = min(target, l.value+step)
-	default:
-		l.value = max(target, l.value-step)
+	if own > fullMark && own > others+fullerBy {
+		b.pressed = min(b.even, b.pressed+step)
+	} else if own < fullMark {
+		b.pressed = max(0, b.pressed-step)
 	}
-	return l.value
+	b.own = max(0, b.even-b.pressed)
 }
 
-// slotsByRegion returns the slots of a service's servers that take requests.
-func slotsByRegion(s *Set, v *service) (byRegion map[string]int, total int) {
-	byRegion = map[string]int{}
+// spread works out the even part and what the zones have to spare.
+func (b *balance) spread(s *Set, v *service) {
+	byZone := map[string]int{}
+	total := 0
 	for _, srv := range v.servers {
 		if srv.Draining || srv.misdirected || s.evacuated[srv.Zone] {
 			continue
 		}
-		byRegion[srv.region] += srv.slots()
+		byZone[srv.Zone] += srv.slots()
 		total += srv.slots()
 	}
-	return byRegion, total
-}
-
-// evenShare returns the part that the region's slots can take of its traffic
-// if every region gets the same.
-func evenShare(s *Set, v *service) float64 {
-	byRegion, total := slotsByRegion(s, v)
-	if total == 0 {
-		return 1
+	zones := max(1, len(s.regions))
+	b.even = 1
+	if total > 0 {
+		b.even = min(1, float64(byZone[s.place.Zone]*zones)/float64(total))
 	}
-	return min(1, float64(byRegion[s.place.Region]*s.regionCount)/float64(total))
-}
-
-// spare returns for each region the slots beyond those that its own traffic
-// needs if every region gets the same.
-func spare(s *Set, v *service) map[string]int {
-	byRegion, total := slotsByRegion(s, v)
-	for region, slots := range byRegion {
-		byRegion[region] = max(0, slots-total/max(1, s.regionCount))
+	for zone, slots := range byZone {
+		byZone[zone] = max(0, slots-total/zones)
 	}
-	return byRegion
+	b.spare = byZone
 }
 
-// use returns the parts of the slots that are in use in the daemon's region
-// and in the others.
+// use returns the parts of the slots that are in use in the daemon's zone and
+// in the others.
 func use(s *Set, v *service, now time.Time) (own, others float64) {
 	var held, slots [2]int
 	for _, srv := range v.servers {
@@ -93,7 +82,7 @@
 			continue
 		}
 		i := 0
-		if srv.region != s.place.Region {
+		if srv.Zone != s.place.Zone {
 			i = 1
 		}
 		held[i] += srv.estimate(now)
