Place each object on one server of the fleet

Cause: servers forget an object within about as many requests as warm_keeps says, so each server must see few objects. A share of the own zone or region doubles the objects a server sees and leaves a region alone with its peaks.

--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -93,7 +93,6 @@
 		return nil, &Refusal{Reason: ReasonNoServer, RetryAfter: maxRetryAfter}
 	}
 	svc.refresh(now)
-	svc.balance.refresh(s, svc, now)
 	search := s.newSearch(svc, r, now)
 	if len(search.candidates)+len(search.doubtful) == 0 {
 		return nil, &Refusal{Reason: search.emptyReason(), RetryAfter: maxRetryAfter / 4}
@@ -128,11 +127,8 @@
 	request Request
 	object  uint64
 	place   Place
-	// local says that the object belongs to the daemon's own region.
-	local bool
-	spare map[string]int
-	usual float64
-	now   time.Time
+	usual   float64
+	now     time.Time
 	// candidates are the usable servers, best first.
 	candidates []*server
 	// doubtful are usable servers that are faulty or slow.
@@ -142,10 +138,9 @@
 }
 
 func (s *Set) newSearch(svc *service, r Request, now time.Time) *search {
-	f := &search{request: r, place: s.place, usual: svc.usual, spare: svc.balance.spare, now: now, local: true}
+	f := &search{request: r, place: s.place, usual: svc.usual, now: now}
 	if r.Key != "" {
 		f.object = affinity.Hash(r.Service, r.Key)
-		f.local = affinity.Fraction(f.object) < svc.balance.own
 	}
 	for _, srv := range svc.servers {
 		switch {
@@ -173,34 +168,27 @@
 	return !slices.Contains(r.Tried, srv.Incarnation())
 }
 
-// rank orders the candidates by distance and, within a distance, for the
-// object. Without an object, emptier servers come first.
+// rank orders the candidates for the object, the same at every daemon.
+// Without an object, nearer servers come first, and then emptier ones.
 func (f *search) rank() {
-	slices.SortFunc(f.candidates, func(a, b *server) int {
-		return cmp.Or(cmp.Compare(f.distance(a), f.distance(b)), f.order(a, b))
-	})
+	slices.SortFunc(f.candidates, f.order)
 	f.candidates = f.candidates[:min(len(f.candidates), maxHomes)]
 }
 
-// distance is the place of a server in the order of zones: the object's own,
-// then those with slots to spare, then those nearby.
+// distance is 0 for the daemon's own zone, 1 for its region and 2 elsewhere.
 func (f *search) distance(srv *server) int {
 	switch {
-	case srv.Zone == f.place.Zone && f.local:
-		return 0
 	case srv.Zone == f.place.Zone:
-		return 3
-	case !f.local && f.spare[srv.Zone] > 0:
-		return 1
+		return 0
 	case srv.region == f.place.Region:
-		return 2
+		return 1
 	}
-	return 4
+	return 2
 }
 
 func (f *search) order(a, b *server) int {
 	if f.request.Key == "" {
-		return cmp.Compare(f.wait(a), f.wait(b))
+		return cmp.Or(cmp.Compare(f.wait(a), f.wait(b)), cmp.Compare(f.distance(a), f.distance(b)), cmp.Compare(a.estimate(f.now), b.estimate(f.now)))
 	}
 	return cmp.Compare(affinity.Score(f.object, b.hash), affinity.Score(f.object, a.hash))
 }
--- a/coordination/upstream/set.go
+++ b/coordination/upstream/set.go
@@ -1,10 +1,8 @@
 // Package upstream decides which backend server a request goes to.
 //
-// The requests of one object go to the same server while it has room, so
-// that it finds the object warm. Servers of the daemon's own zone come first,
-// then those of its region. A part of the objects of each service belongs to
-// other regions; that part moves slowly, by how full the region's own servers
-// are, so that no region's traffic moves at once. Servers that are cold,
+// The requests of one object go to the same server, whichever daemon takes
+// them, so that the server finds the object warm and all servers are equally
+// full. No region's traffic moves with the load. Servers that are cold,
 // leaving, evacuated, unreachable, faulty or slow get less or nothing.
 //
 // The package does no I/O and has no clock of its own.
@@ -25,9 +23,8 @@
 // Set holds the backend servers of all services. It is safe for concurrent
 // use.
 type Set struct {
-	place   Place
-	regions map[string]string
-
+	place     Place
+	regions   map[string]string
 	mu        sync.Mutex
 	servers   map[string]*server
 	services  map[string]*service
@@ -36,11 +33,9 @@
 	coldStarts map[string]time.Duration
 }
 
-// service holds the servers of one service and the part of its objects that
-// belongs to the daemon's own region.
+// service holds the servers of one service.
 type service struct {
 	servers []*server
-	balance balance
 	// usual is the average latency of the servers in seconds.
 	usual   float64
 	usualAt time.Time
