--- a/cli/tillerd/gateway.go
+++ b/cli/tillerd/gateway.go
@@ -57,11 +57,12 @@
 			log.Info().Str("event", "gateway.reload").Send()
 		}
 	}()
+	adapter := platform.NewAdapter(settings, g, log)
 	following, stopFollowing := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		platform.Run(following, platform.NewStore(settings.StoreAddress), g, log)
+		adapter.Run(following)
 	}()
 	err = g.Run(ctx, platform.Handlers(g))
 	stopFollowing()
--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -142,8 +142,10 @@
 	if r.Key != "" {
 		f.object = affinity.Hash(r.Service, r.Key)
 	}
+	avoidMissing := !svc.mostlyMissing()
 	for _, srv := range svc.servers {
 		switch {
+		case srv.missing && avoidMissing:
 		case !s.usable(srv, r, now):
 		case srv.cold(now) && !srv.gate.Ready(r.ColdRate, r.Daemons, now):
 			f.coldLimited++
@@ -263,6 +265,18 @@
 	return &Refusal{Reason: ReasonFull, RetryAfter: min(maxRetryAfter, max(minRetryAfter, after))}
 }
 
+// mostlyMissing reports whether so many entries are gone that the store has
+// rather lost them than their servers left.
+func (v *service) mostlyMissing() bool {
+	missing := 0
+	for _, srv := range v.servers {
+		if srv.missing {
+			missing++
+		}
+	}
+	return missing*2 > len(v.servers)
+}
+
 // refresh works out the usual latency of the service's servers and what its
 // regions have to spare.
 func (v *service) refresh(now time.Time) {
--- a/coordination/upstream/server.go
+++ b/coordination/upstream/server.go
@@ -67,6 +67,8 @@
 	gate      coldrate.Gate
 	// misdirected says that another server was found at the address.
 	misdirected bool
+	// missing says that the server's entry is gone and may come back.
+	missing bool
 }
 
 func newServer(b routing.Backend, region string, now time.Time) *server {
--- a/coordination/upstream/set.go
+++ b/coordination/upstream/set.go
@@ -76,6 +76,7 @@
 		s.add(newServer(b, s.regions[b.Zone], now))
 		return
 	}
+	old.missing = false
 	old.Backend.Draining = b.Draining
 	old.Backend.Zone, old.region = b.Zone, s.regions[b.Zone]
 	if b.Slots > 0 {
@@ -86,6 +87,16 @@
 	}
 }
 
+// Missing records that a server's entry is gone and may come back. The server
+// is used only while as many others of its service are missing too.
+func (s *Set) Missing(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old := s.servers[id]; old != nil {
+		old.missing = true
+	}
+}
+
 // Remove drops a server.
 func (s *Set) Remove(id string) {
 	s.mu.Lock()
--- /dev/null
+++ b/gateway/feed/follow.go
@@ -0,0 +1,121 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"bilberrytiller.example/tiller/coordination/objects"
+	"bilberrytiller.example/tiller/internal/sleep"
+)
+
+const (
+	// firstPause and maxPause bound the time between calls to a store that
+	// does not answer.
+	firstPause = 50 * time.Millisecond
+	maxPause   = 250 * time.Millisecond
+	// watchPause is the time between two watches, so that changes that come
+	// together cost one call.
+	watchPause = 50 * time.Millisecond
+	// relayCheck is how often a daemon that another one serves looks whether
+	// it still does.
+	relayCheck = 100 * time.Millisecond
+)
+
+// follower follows one kind at the store.
+type follower struct {
+	feed *Feed
+	kind Kind
+	// listed is false while the kind must be listed.
+	listed   bool
+	answered bool
+	pauses   *backoff.ExponentialBackOff
+}
+
+// follow follows a kind at the store until ctx ends, except while another
+// daemon brings it.
+func (f *Feed) follow(ctx context.Context, k Kind) {
+	w := &follower{feed: f, kind: k, answered: true, pauses: &backoff.ExponentialBackOff{
+		InitialInterval: firstPause, RandomizationFactor: 0.5, Multiplier: 2, MaxInterval: maxPause,
+	}}
+	w.pauses.Reset()
+	f.awaitRelay(ctx)
+	for ctx.Err() == nil {
+		if f.isRelayed(time.Now()) {
+			w.listed = true
+			w.tell(nil)
+			sleep.For(ctx, relayCheck)
+			continue
+		}
+		sleep.For(ctx, w.step(ctx))
+	}
+}
+
+// step calls the store once and returns the time until the next call.
+func (w *follower) step(ctx context.Context) time.Duration {
+	err := w.call(ctx)
+	if errors.Is(err, objects.ErrHistoryGone) {
+		w.listed = false
+		w.feed.log.Info().Str("event", "store.history_gone").Str("kind", w.kind.Name).Send()
+		return 0
+	}
+	if ctx.Err() != nil {
+		return 0
+	}
+	w.tell(err)
+	if err != nil {
+		return w.pauses.NextBackOff()
+	}
+	w.pauses.Reset()
+	return watchPause
+}
+
+// call lists or watches once.
+func (w *follower) call(ctx context.Context) error {
+	from, known := w.feed.cache.Revision(w.kind.Name)
+	if !known || !w.listed {
+		return w.list(ctx, from)
+	}
+	events, to, err := w.feed.store.Watch(ctx, w.kind.Name, from, w.kind.Wait)
+	if err != nil {
+		return err
+	}
+	w.feed.take(w.kind, false, nil, events, from, to, time.Now())
+	return nil
+}
+
+func (w *follower) list(ctx context.Context, known int64) error {
+	sent := time.Now()
+	all, revision, err := w.feed.store.List(ctx, w.kind.Name)
+	if err != nil {
+		return err
+	}
+	if revision < known {
+		return fmt.Errorf("%w: list at revision %d, known %d", objects.ErrUnavailable, revision, known)
+	}
+	w.feed.take(w.kind, true, all, nil, 0, revision, sent)
+	w.listed = true
+	return nil
+}
+
+// tell logs and passes on that the store stopped or began to answer.
+func (w *follower) tell(err error) {
+	up := err == nil
+	if up == w.answered {
+		return
+	}
+	w.answered = up
+	hook := w.kind.Lost
+	if up {
+		hook = w.kind.Regained
+		w.feed.log.Info().Str("event", "store.regained").Str("kind", w.kind.Name).Send()
+	} else {
+		w.feed.log.Warn().Str("event", "store.lost").Str("kind", w.kind.Name).Err(err).Send()
+	}
+	if hook != nil {
+		hook()
+	}
+}
--- /dev/null
+++ b/gateway/feed/relay.go
@@ -0,0 +1,222 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"bilberrytiller.example/tiller/coordination/objects"
+	"bilberrytiller.example/tiller/coordination/relay"
+	"bilberrytiller.example/tiller/internal/sleep"
+	"bilberrytiller.example/tiller/protocol/wire"
+	"bilberrytiller.example/tiller/transport/peer"
+)
+
+const (
+	// relayWait is how long a relay waits for something new.
+	relayWait = 500 * time.Millisecond
+	// relaySlack is how much longer its answer may take.
+	relaySlack = 300 * time.Millisecond
+	// relayPause is how long a relay that failed is not asked.
+	relayPause = 3 * time.Second
+	// ageSlack is how much older than a watch's wait what a relay knows of a
+	// kind may be. It covers the store's answer and the way of the relay's.
+	ageSlack = time.Second
+	// startWait is how long a starting daemon leaves the store to its relay.
+	startWait = time.Second
+	// maxRelayWait bounds what an asking daemon may have this one wait.
+	maxRelayWait = 5 * time.Second
+)
+
+// ErrStale says that a relay knows only what is old.
+var ErrStale = errors.New("relay is behind the store")
+
+// Serve answers other daemons' calls with the copy.
+func (f *Feed) Serve(s *peer.Server) { peer.Handle(s, wire.TypeObjects, f.answer) }
+
+// answer tells another daemon what is new to it.
+func (f *Feed) answer(ctx context.Context, _ string, call *wire.ObjectsCall) (*wire.ObjectsAnswer, error) {
+	timer := time.NewTimer(min(call.Wait, maxRelayWait))
+	defer timer.Stop()
+	for {
+		changed := f.cache.Changed()
+		answer, news := f.whatIsNew(call)
+		if news {
+			return answer, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return answer, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (f *Feed) whatIsNew(call *wire.ObjectsCall) (*wire.ObjectsAnswer, bool) {
+	answer, news := &wire.ObjectsAnswer{}, false
+	for _, k := range call.Kinds {
+		a := f.kindAnswer(k)
+		news = news || a.Full || len(a.Events) > 0
+		answer.Kinds = append(answer.Kinds, a)
+	}
+	return answer, news
+}
+
+func (f *Feed) kindAnswer(k wire.KindCall) wire.KindAnswer {
+	a := wire.KindAnswer{Kind: k.Kind}
+	age, known := f.cache.Age(k.Kind, time.Now())
+	if !known {
+		a.Unknown = true
+		return a
+	}
+	a.Age = age
+	var err error
+	if k.Known {
+		a.Events, a.Revision, err = f.cache.Since(k.Kind, k.Revision)
+	}
+	if !k.Known || err != nil {
+		a.Full = true
+		a.Objects, a.Revision, err = f.cache.List(k.Kind)
+	}
+	a.Unknown = err != nil
+	return a
+}
+
+// isRelayed reports whether another daemon brings what is fresh.
+func (f *Feed) isRelayed(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Before(f.relayed)
+}
+
+func (f *Feed) setRelayed(until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.relayed = until
+}
+
+// awaitRelay gives the relay of a starting daemon time to answer, so that a
+// data centre that starts at once does not ask the store from every daemon.
+func (f *Feed) awaitRelay(ctx context.Context) {
+	for ctx.Err() == nil && f.isStarting() {
+		if f.isRelayed(time.Now()) || f.isFirst() {
+			return
+		}
+		sleep.For(ctx, relayCheck)
+	}
+}
+
+// isStarting reports whether the daemon leaves the store to its relay.
+func (f *Feed) isStarting() bool { return time.Since(f.started) < startWait }
+
+// isFirst reports whether the daemon is known to have no relay.
+func (f *Feed) isFirst() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, ok := f.choice.Pick(f.members, time.Now())
+	return len(f.members) > 0 && !ok
+}
+
+// followRelays asks relays for what is new until ctx ends.
+func (f *Feed) followRelays(ctx context.Context) {
+	for ctx.Err() == nil {
+		from, ok := f.pick()
+		if !ok {
+			if !f.isStarting() && !f.knowsAll() {
+				f.askSeeds(ctx)
+			}
+			sleep.For(ctx, relayCheck)
+			continue
+		}
+		err := f.ask(ctx, from.Address, true)
+		if err == nil {
+			f.setRelayed(time.Now().Add(relayWait + relaySlack))
+			continue
+		}
+		if errors.Is(err, objects.ErrUnknown) && f.isStarting() {
+			sleep.For(ctx, relayCheck)
+			continue
+		}
+		if ctx.Err() == nil {
+			f.fail(from, err)
+		}
+	}
+}
+
+func (f *Feed) pick() (relay.Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.choice.Pick(f.members, time.Now())
+}
+
+func (f *Feed) fail(from relay.Member, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.choice.Failed(from.ID, time.Now())
+	f.relayed = time.Time{}
+	f.log.Info().Str("event", "relay.lost").Str("relay", from.ID).Err(err).Send()
+}
+
+// askSeeds asks daemons that the settings name while nothing is known: the
+// store may be down at the start.
+func (f *Feed) askSeeds(ctx context.Context) {
+	for _, seed := range f.settings.Seeds {
+		if ctx.Err() != nil || f.knowsAll() {
+			return
+		}
+		if err := f.ask(ctx, seed.String(), false); err != nil {
+			f.log.Info().Str("event", "seed.unanswered").Stringer("seed", seed).Err(err).Send()
+		}
+	}
+}
+
+func (f *Feed) knowsAll() bool {
+	for _, k := range f.kinds {
+		if _, known := f.cache.Revision(k.Name); !known {
+			return false
+		}
+	}
+	return true
+}
+
+// ask asks a daemon once for what is new. What is old is refused if fresh is
+// wanted.
+func (f *Feed) ask(ctx context.Context, address string, fresh bool) error {
+	addr, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return fmt.Errorf("relay address: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayWait+relaySlack)
+	defer cancel()
+	call := &wire.ObjectsCall{Wait: relayWait}
+	for _, k := range f.kinds {
+		revision, known := f.cache.Revision(k.Name)
+		call.Kinds = append(call.Kinds, wire.KindCall{Kind: k.Name, Revision: revision, Known: known})
+	}
+	answer, err := peer.Call[wire.ObjectsAnswer](ctx, f.peers, addr, wire.TypeObjects, call)
+	if err != nil {
+		return err
+	}
+	return f.takeAnswer(call, answer, fresh)
+}
+
+func (f *Feed) takeAnswer(call *wire.ObjectsCall, answer *wire.ObjectsAnswer, fresh bool) error {
+	if len(answer.Kinds) != len(f.kinds) {
+		return fmt.Errorf("%w: %d kinds", objects.ErrUnknown, len(answer.Kinds))
+	}
+	for i, a := range answer.Kinds {
+		if a.Unknown {
+			return fmt.Errorf("%w: %s", objects.ErrUnknown, a.Kind)
+		}
+		if fresh && a.Age > f.kinds[i].Wait+ageSlack {
+			return fmt.Errorf("%w: %s by %s", ErrStale, a.Kind, a.Age)
+		}
+		from := call.Kinds[i].Revision
+		f.take(f.kinds[i], a.Full, a.Objects, a.Events, from, a.Revision, time.Now().Add(-a.Age))
+	}
+	return nil
+}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -106,6 +106,7 @@
 	defer b.mu.Unlock()
 	if b.down || now.Before(b.graceUntil) {
 		b.leaving[id] = now.Add(returnPeriod)
+		b.set.Missing(id)
 		b.log.Info().Str("event", "backend.missing").Str("backend", id).Send()
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,7 @@
 	"bilberrytiller.example/tiller/internal/inflight"
 	"bilberrytiller.example/tiller/internal/sleep"
 	"bilberrytiller.example/tiller/state/routing"
+	"bilberrytiller.example/tiller/transport/peer"
 	"bilberrytiller.example/tiller/transport/upstreamhttp"
 )
 
@@ -43,6 +45,8 @@
 	client        *upstreamhttp.Client
 	retries       *budget.Budget
 	members       *members
+	peers         *peer.Client
+	peerServer    *peer.Server
 
 	requests inflight.Counter
 	leaving  atomic.Bool
@@ -68,6 +72,10 @@
 		retries:   budget.New(settings.Retries),
 		members:   newMembers(self),
 	}
+	// The platform gives daemons no common secret; see docs/QUESTIONS.md.
+	auth := peer.NewAuth(settings.HostID, nil)
+	g.peers = peer.NewClient(auth, netip.IPv4Unspecified())
+	g.peerServer = peer.NewServer(auth, g.log)
 	g.backends = newBackends(g.upstreams, g.log)
 	g.metrics = newMetrics(g)
 	return g, nil
@@ -76,10 +84,12 @@
 // Self returns how the gateway registers itself.
 func (g *Gateway) Self() Member { return g.self }
 
-// Directory answers where clients of a place connect.
-type Directory interface {
-	Resolve(zone, region string) (addresses []string, ttl time.Duration)
-}
+// Peers returns what calls other daemons.
+func (g *Gateway) Peers() *peer.Client { return g.peers }
+
+// PeerServer returns what takes other daemons' calls. Handlers must be
+// registered before Run.
+func (g *Gateway) PeerServer() *peer.Server { return g.peerServer }
 
 // Handlers serve the calls whose form the platform gives.
 type Handlers struct {
@@ -105,6 +115,7 @@
 	<-ctx.Done()
 	g.stop(servers)
 	stopBackground()
+	g.peers.Close()
 	return group.Wait()
 }
 
@@ -121,6 +132,7 @@
 		{g.settings.ClientListen, http.HandlerFunc(g.serveClient)},
 		{g.settings.ReadyListen, h.Ready},
 		{g.settings.DirectoryListen, h.Directory},
+		{g.settings.PeerListen, g.peerServer},
 		{g.settings.MetricsListen, g.metrics.handler()},
 	}
 	var servers []listening
