Test the new decisions and the connection to backend servers

Found by the tests: a slow server's trial was not counted when it came at the very end of the pause, so that several followed.

--- /dev/null
+++ b/coordination/budget/budget_test.go
@@ -0,0 +1,66 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var limits = Limits{Window: 10 * time.Second, Ratio: 0.2, Slack: 58}
+
+// TestFleetStaysWithinItsBudget plays requests and repeats at daemons that do
+// not talk to each other and checks every span of one window, as the users
+// count it.
+func TestFleetStaysWithinItsBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		daemons := rapid.IntRange(1, 12).Draw(t, "daemons")
+		fleet := make([]*Budget, daemons)
+		for i := range fleet {
+			fleet[i] = New(limits)
+		}
+		start := time.Unix(1000, 0)
+		var requests, repeats []time.Duration
+		at := time.Duration(0)
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			at += time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond
+			b := fleet[rapid.IntRange(0, daemons-1).Draw(t, "daemon")]
+			if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
+				b.Request("s", start.Add(at))
+				requests = append(requests, at)
+			} else if b.Repeat("s", daemons, start.Add(at)) {
+				repeats = append(repeats, at)
+			}
+		}
+		for _, end := range repeats {
+			allowed := limits.Ratio*float64(within(requests, end)) + limits.Slack
+			if got := within(repeats, end); float64(got) > allowed {
+				t.Fatalf("%d repeats in the window that ends at %s, allowed %.1f", got, end, allowed)
+			}
+		}
+	})
+}
+
+func within(times []time.Duration, end time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at <= end && at > end-limits.Window {
+			n++
+		}
+	}
+	return n
+}
+
+func TestBudgetOfOneServiceLeavesOthersTheirs(t *testing.T) {
+	b := New(limits)
+	now := time.Unix(1000, 0)
+	for b.Repeat("a", 1, now) {
+		continue
+	}
+	if !b.Repeat("b", 1, now) {
+		t.Error("a service without repeats has no budget left")
+	}
+	if !b.Repeat("a", 1, now.Add(2*limits.Window)) {
+		t.Error("an old window still counts")
+	}
+}
--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -111,7 +111,7 @@
 	if srv.cold(now) {
 		srv.gate.Admit(r.ColdRate, r.Daemons, now)
 	}
-	if now.After(srv.nextTrial) {
+	if !now.Before(srv.nextTrial) {
 		srv.nextTrial = now.Add(trialPause)
 	}
 	if srv.ejections > 0 && !now.Before(srv.ejectedUntil) {
--- /dev/null
+++ b/coordination/upstream/upstream_test.go
@@ -0,0 +1,199 @@
+package upstream
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"bilberrytiller.example/tiller/state/routing"
+)
+
+var (
+	regions = map[string]string{"n1": "north", "n2": "north", "s1": "south"}
+	start   = time.Unix(1000, 0)
+)
+
+func backend(id, zone string) routing.Backend {
+	return routing.Backend{ID: id, Born: 1, Service: "stock", Address: "10.0.0.1:" + id[2:], Zone: zone, Slots: 4}
+}
+
+func fleet(zone string) *Set {
+	s := NewSet(Place{Zone: zone, Region: regions[zone]}, regions)
+	s.Configure(map[string]routing.Service{"stock": {ColdStart: 3 * time.Second, ColdRate: 22}})
+	for i, z := range []string{"n1", "n1", "n2", "n2", "s1", "s1"} {
+		s.Put(backend(fmt.Sprintf("i-%d", 8001+i), z), start)
+	}
+	return s
+}
+
+func ask(key string) Request {
+	return Request{
+		Service: "stock", Key: key, Route: &routing.Route{}, ObjectiveLeft: 200 * time.Millisecond,
+		TimeLeft: time.Second, ColdRate: 22, Daemons: 9,
+	}
+}
+
+func mustChoose(t *testing.T, s *Set, r Request, now time.Time) *Choice {
+	t.Helper()
+	c, err := s.Choose(r, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestEveryDaemonSendsAnObjectToTheSameServer(t *testing.T) {
+	one, other := fleet("n1"), fleet("s1")
+	for i := range 100 {
+		r := ask(fmt.Sprint(i))
+		a, b := mustChoose(t, one, r, start), mustChoose(t, other, r, start)
+		if a.Backend.ID != b.Backend.ID {
+			t.Fatalf("object %d: %s and %s", i, a.Backend.ID, b.Backend.ID)
+		}
+		a.Done(Report{Outcome: Answered}, start)
+		b.Done(Report{Outcome: Answered}, start)
+	}
+}
+
+// TestUnfitServersGetNothing names each state that keeps requests away.
+func TestUnfitServersGetNothing(t *testing.T) {
+	key := "7"
+	home := mustChoose(t, fleet("n1"), ask(key), start).Backend
+	cases := map[string]func(s *Set) Request{
+		"draining": func(s *Set) Request { b := home; b.Draining = true; s.Put(b, start); return ask(key) },
+		"gone":     func(s *Set) Request { s.Remove(home.ID); return ask(key) },
+		"evacuated": func(s *Set) Request {
+			s.Evacuate(home.Zone, true, start)
+			return ask(key)
+		},
+		"missing": func(s *Set) Request { s.Missing(home.ID); return ask(key) },
+		"unreachable": func(s *Set) Request {
+			mustChoose(t, s, ask(key), start).Done(Report{Outcome: Unreachable}, start)
+			return ask(key)
+		},
+		"misdirected": func(s *Set) Request {
+			mustChoose(t, s, ask(key), start).Done(Report{Outcome: Misdirected}, start)
+			return ask(key)
+		},
+		"faulty": func(s *Set) Request {
+			for range 3 {
+				mustChoose(t, s, ask(key), start).Done(Report{Outcome: Failed}, start)
+			}
+			return ask(key)
+		},
+		"tried": func(*Set) Request { r := ask(key); r.Tried = []routing.Incarnation{home.Incarnation()}; return r },
+		"outside its route's regions": func(*Set) Request {
+			r := ask(key)
+			r.Route = &routing.Route{Regions: []string{other(regions[home.Zone])}}
+			return r
+		},
+	}
+	for name, spoil := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := fleet("n1")
+			r := spoil(s)
+			if c := mustChoose(t, s, r, start.Add(time.Millisecond)); c.Backend.ID == home.ID {
+				t.Errorf("%s still gets the request", home.ID)
+			}
+		})
+	}
+}
+
+func other(region string) string {
+	if region == "north" {
+		return "south"
+	}
+	return "north"
+}
+
+func TestServersWhoseEntriesRanOutTogetherAreUsed(t *testing.T) {
+	s := fleet("n1")
+	for _, id := range s.IDs() {
+		s.Missing(id)
+	}
+	mustChoose(t, s, ask("7"), start)
+}
+
+func TestNewIncarnationStartsWithoutHistory(t *testing.T) {
+	s := fleet("n1")
+	home := mustChoose(t, s, ask("7"), start)
+	home.Done(Report{Outcome: Misdirected}, start)
+	again := home.Backend
+	again.Born = 2
+	s.Put(again, start)
+	if c := mustChoose(t, s, ask("7"), start); c.Backend.ID != again.ID {
+		t.Errorf("got %s, want the new incarnation of %s", c.Backend.ID, again.ID)
+	}
+}
+
+func TestColdServerGetsItsRateOnly(t *testing.T) {
+	s := fleet("n1")
+	home := mustChoose(t, s, ask("7"), start).Backend
+	home.ColdLeft = 3 * time.Second
+	s.Put(home, start)
+	got := 0
+	for at := time.Duration(0); at < time.Second; at += 10 * time.Millisecond {
+		c := mustChoose(t, s, ask("7"), start.Add(at))
+		if c.Backend.ID == home.ID {
+			got++
+		}
+		c.Done(Report{Outcome: Answered}, start.Add(at))
+	}
+	if got < 1 || got > 3 {
+		t.Errorf("%d requests in a second, want this daemon's part of 22, which is 2.4", got)
+	}
+}
+
+func TestServersOfAReturnedZoneAreTakenForCold(t *testing.T) {
+	s := fleet("n1")
+	home := mustChoose(t, s, ask("7"), start).Backend
+	s.Evacuate(home.Zone, true, start)
+	s.Evacuate(home.Zone, false, start)
+	if c := mustChoose(t, s, ask("7"), start); c.Backend.ID == home.ID {
+		t.Error("a server that may be cold gets a request at once")
+	}
+}
+
+func TestFullServersRefuseAndSayWhen(t *testing.T) {
+	s := fleet("n1")
+	var refusal *Refusal
+	for i := 0; ; i++ {
+		if i > 1000 {
+			t.Fatal("the queue has no end")
+		}
+		if _, err := s.Choose(ask("7"), start); errors.As(err, &refusal) {
+			break
+		}
+	}
+	if refusal.Reason != ReasonFull || refusal.RetryAfter < minRetryAfter || refusal.RetryAfter > maxRetryAfter {
+		t.Errorf("refusal %+v", refusal)
+	}
+}
+
+func TestSlowServerIsAvoidedAndTriedAgain(t *testing.T) {
+	s := fleet("n1")
+	load := &Load{Slots: 4}
+	home := mustChoose(t, s, ask("7"), start)
+	home.Done(Report{Outcome: Answered, Load: load, Latency: time.Second}, start)
+	for i := range 50 {
+		c := mustChoose(t, s, ask(fmt.Sprint("o", i)), start)
+		latency := 50 * time.Millisecond
+		if c.Backend.ID == home.Backend.ID {
+			latency = time.Second
+		}
+		c.Done(Report{Outcome: Answered, Load: load, Latency: latency}, start)
+	}
+	later := start.Add(usualPeriod)
+	trials := 0
+	for at := time.Duration(0); at < 2*time.Second; at += 20 * time.Millisecond {
+		c := mustChoose(t, s, ask("7"), later.Add(at))
+		if c.Backend.ID == home.Backend.ID {
+			trials++
+		}
+		c.Done(Report{Outcome: Abandoned}, later.Add(at))
+	}
+	if trials < 2 || trials > 5 {
+		t.Errorf("%d requests to a slow server in 2 s, want a trial each %s", trials, trialPause)
+	}
+}
--- /dev/null
+++ b/state/routing/routing_test.go
@@ -0,0 +1,51 @@
+package routing
+
+import (
+	"math"
+	"testing"
+)
+
+func table() *Configuration {
+	return New(7, []Route{
+		{Name: "all", Host: "shop.example", Prefix: "/", Split: []Share{{"a", 1}}},
+		{Name: "stock", Host: "shop.example", Prefix: "/stock/", Split: []Share{{"b", 9}, {"c", 1}}},
+		{Name: "deep", Host: "shop.example", Prefix: "/stock/deep/", Split: []Share{{"d", 1}}, Regions: []string{"north"}},
+	}, nil, ClientLimits{})
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	for path, want := range map[string]string{
+		"/": "all", "/stock": "all", "/stock/": "stock", "/stock/7": "stock", "/stock/deep/x": "deep",
+	} {
+		route, ok := table().Match("Shop.Example", path)
+		if !ok || route.Name != want {
+			t.Errorf("%s: got %v, want %s", path, route, want)
+		}
+	}
+	if _, ok := table().Match("other.example", "/"); ok {
+		t.Error("a route of another host matched")
+	}
+}
+
+func TestSplitFollowsWeights(t *testing.T) {
+	route, _ := table().Match("shop.example", "/stock/")
+	counts := map[string]float64{}
+	const draws = 1000
+	for i := range draws {
+		counts[route.Pick((float64(i)+0.5)/draws)]++
+	}
+	if math.Abs(counts["b"]/draws-0.9) > 0.001 || math.Abs(counts["c"]/draws-0.1) > 0.001 {
+		t.Errorf("shares %v, want 0.9 and 0.1", counts)
+	}
+}
+
+func TestRegionsBindARoute(t *testing.T) {
+	deep, _ := table().Match("shop.example", "/stock/deep/")
+	if deep.AllowsRegion("south") || !deep.AllowsRegion("north") {
+		t.Error("a route with regions is served elsewhere")
+	}
+	all, _ := table().Match("shop.example", "/")
+	if !all.AllowsRegion("south") {
+		t.Error("a route without regions is refused in one")
+	}
+}
