--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -56,6 +56,7 @@
 	log      zerolog.Logger
 	cache    *objects.Cache
 	started  time.Time
+	probe    probe
 	peers    *peer.Client
 
 	mu      sync.Mutex
--- a/gateway/feed/follow.go
+++ b/gateway/feed/follow.go
@@ -6,17 +6,11 @@
 	"fmt"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-
 	"bilberrytiller.example/tiller/coordination/objects"
 	"bilberrytiller.example/tiller/internal/sleep"
 )
 
 const (
-	// firstPause and maxPause bound the time between calls to a store that
-	// does not answer.
-	firstPause = 50 * time.Millisecond
-	maxPause   = 250 * time.Millisecond
 	// watchPause is the time between two watches, so that changes that come
 	// together cost one call.
 	watchPause = 50 * time.Millisecond
@@ -32,16 +26,12 @@
 	// listed is false while the kind must be listed.
 	listed   bool
 	answered bool
-	pauses   *backoff.ExponentialBackOff
 }
 
 // follow follows a kind at the store until ctx ends, except while another
 // daemon brings it.
 func (f *Feed) follow(ctx context.Context, k Kind) {
-	w := &follower{feed: f, kind: k, answered: true, pauses: &backoff.ExponentialBackOff{
-		InitialInterval: firstPause, RandomizationFactor: 0.5, Multiplier: 2, MaxInterval: maxPause,
-	}}
-	w.pauses.Reset()
+	w := &follower{feed: f, kind: k, answered: true}
 	f.awaitRelay(ctx)
 	for ctx.Err() == nil {
 		if f.isRelayed(time.Now()) {
@@ -56,6 +46,10 @@
 
 // step calls the store once and returns the time until the next call.
 func (w *follower) step(ctx context.Context) time.Duration {
+	pause := w.feed.probePause()
+	if !w.feed.probe.allow(time.Now(), pause) {
+		return relayCheck
+	}
 	err := w.call(ctx)
 	if errors.Is(err, objects.ErrHistoryGone) {
 		w.listed = false
@@ -66,13 +60,18 @@
 		return 0
 	}
 	w.tell(err)
-	if err != nil {
-		return w.pauses.NextBackOff()
-	}
-	w.pauses.Reset()
+	w.feed.probe.record(err == nil, time.Now(), pause)
 	return watchPause
 }
 
+// probePause is the time between calls to a store that does not answer.
+func (f *Feed) probePause() time.Duration {
+	if f.isFirst() {
+		return probePause
+	}
+	return relayedProbePause
+}
+
 // call lists or watches once.
 func (w *follower) call(ctx context.Context) error {
 	from, known := w.feed.cache.Revision(w.kind.Name)
--- a/gateway/feed/relay.go
+++ b/gateway/feed/relay.go
@@ -117,8 +117,7 @@
 func (f *Feed) isFirst() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, ok := f.choice.Pick(f.members, time.Now())
-	return len(f.members) > 0 && !ok
+	return len(f.members) > 0 && f.choice.First(f.members)
 }
 
 // followRelays asks relays for what is new until ctx ends.
