Never send a payment again while its answer is pending

Ruled out: a lost answer that was taken for a refusal; the first run had ended with 200 before the second was sent. Test: TestPendingPaymentIsNeverSentAgain failed before.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -58,8 +58,8 @@
 	if refusal := r.send(ctx); refusal != nil {
 		return result{refused: refusal}
 	}
-	hedge := time.NewTimer(r.hedgeAfter())
-	defer hedge.Stop()
+	hedge, stopHedge := r.hedgeTimer()
+	defer stopHedge()
 	for {
 		select {
 		case f := <-r.finished:
@@ -71,7 +71,7 @@
 			if refusal != nil && r.pending == 0 {
 				return r.end(refusal)
 			}
-		case <-hedge.C:
+		case <-hedge:
 			r.hedge(ctx)
 		case <-ctx.Done():
 			return r.end(r.timedOut())
@@ -83,12 +83,14 @@
 // waits before a second server is asked.
 const hedgeFactor = 2.5
 
-// hedgeAfter is when a second server is asked beside the first.
-func (r *run) hedgeAfter() time.Duration {
+// hedgeTimer fires when a second server is to be asked beside the first. It
+// never does for a request that must run once.
+func (r *run) hedgeTimer() (fires <-chan time.Time, stop func()) {
 	if !r.req.route.Idempotent || r.req.route.Objective <= 0 {
-		return time.Until(r.req.deadline) + time.Second
+		return nil, func() {}
 	}
-	return time.Duration(hedgeFactor * float64(r.req.route.Objective))
+	timer := time.NewTimer(time.Duration(hedgeFactor * float64(r.req.route.Objective)))
+	return timer.C, func() { timer.Stop() }
 }
 
 func (r *run) hedge(ctx context.Context) {
@@ -100,7 +102,7 @@
 // again sends the request to another server, if that is allowed.
 func (r *run) again(ctx context.Context) *refused {
 	switch {
-	case r.mayHaveRun && !r.req.route.Idempotent:
+	case (r.mayHaveRun || r.pending > 0) && !r.req.route.Idempotent:
 		return r.ended("may_have_run")
 	case r.sends >= r.req.route.MaxAttempts || r.connects >= maxConnects:
 		return r.ended("attempts_used")
@@ -115,6 +117,9 @@
 // send chooses a server and sends the request to it.
 func (r *run) send(ctx context.Context) *refused {
 	now := time.Now()
+	if !now.Before(r.req.deadline) {
+		return r.timedOut()
+	}
 	choice, err := r.g.upstreams.Choose(upstream.Request{
 		Service: r.req.service.Name, Key: r.req.key, Route: r.req.route, Tried: r.tried,
 		ObjectiveLeft: r.req.route.Objective - now.Sub(r.req.arrived), TimeLeft: r.req.deadline.Sub(now),
