--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -15,7 +15,6 @@
 
 	"bilberrytiller.example/tiller/coordination/objects"
 	"bilberrytiller.example/tiller/coordination/relay"
-	"bilberrytiller.example/tiller/transport/peer"
 )
 
 // Store is the store that the objects come from.
@@ -57,7 +56,7 @@
 	cache    *objects.Cache
 	started  time.Time
 	probe    probe
-	peers    *peer.Client
+	asks     Ask
 
 	mu      sync.Mutex
 	members []relay.Member
@@ -68,10 +67,10 @@
 	apply sync.Mutex
 }
 
-// New returns a feed of kinds that asks other daemons with peers.
-func New(settings Settings, store Store, kinds []Kind, peers *peer.Client, log zerolog.Logger) *Feed {
+// New returns a feed of kinds that sends its calls to other daemons with asks.
+func New(settings Settings, store Store, kinds []Kind, asks Ask, log zerolog.Logger) *Feed {
 	return &Feed{
-		settings: settings, store: store, kinds: kinds, peers: peers, log: log,
+		settings: settings, store: store, kinds: kinds, asks: asks, log: log,
 		cache: objects.NewCache(), started: time.Now(), choice: relay.NewChoice(settings.Self, relayPause),
 	}
 }
--- a/gateway/feed/follow.go
+++ b/gateway/feed/follow.go
@@ -53,6 +53,7 @@
 	err := w.call(ctx)
 	if errors.Is(err, objects.ErrHistoryGone) {
 		w.listed = false
+		w.feed.probe.record(true, time.Now(), pause)
 		w.feed.log.Info().Str("event", "store.history_gone").Str("kind", w.kind.Name).Send()
 		return 0
 	}
--- a/gateway/feed/relay.go
+++ b/gateway/feed/relay.go
@@ -19,8 +19,9 @@
 	relayWait = 500 * time.Millisecond
 	// relaySlack is how much longer its answer may take.
 	relaySlack = 300 * time.Millisecond
-	// relayPause is how long a relay that failed is not asked.
-	relayPause = 3 * time.Second
+	// relayPause is how long a relay that failed is not asked. It is short,
+	// since the relay may see the store's return first.
+	relayPause = 700 * time.Millisecond
 	// ageSlack is how much older than a watch's wait what a relay knows of a
 	// kind may be. It covers the store's answer and the way of the relay's.
 	ageSlack = time.Second
@@ -33,6 +34,16 @@
 // ErrStale says that a relay knows only what is old.
 var ErrStale = errors.New("relay is behind the store")
 
+// Ask sends a call to another daemon.
+type Ask func(ctx context.Context, addr netip.AddrPort, call *wire.ObjectsCall) (*wire.ObjectsAnswer, error)
+
+// AskPeers returns what sends calls with peers.
+func AskPeers(peers *peer.Client) Ask {
+	return func(ctx context.Context, addr netip.AddrPort, call *wire.ObjectsCall) (*wire.ObjectsAnswer, error) {
+		return peer.Call[wire.ObjectsAnswer](ctx, peers, addr, wire.TypeObjects, call)
+	}
+}
+
 // Serve answers other daemons' calls with the copy.
 func (f *Feed) Serve(s *peer.Server) { peer.Handle(s, wire.TypeObjects, f.answer) }
 
@@ -196,7 +207,7 @@
 		revision, known := f.cache.Revision(k.Name)
 		call.Kinds = append(call.Kinds, wire.KindCall{Kind: k.Name, Revision: revision, Known: known})
 	}
-	answer, err := peer.Call[wire.ObjectsAnswer](ctx, f.peers, addr, wire.TypeObjects, call)
+	answer, err := f.asks(ctx, addr, call)
 	if err != nil {
 		return err
 	}
