Keep clients within the configuration's limits, reload settings, bound the log, remove lapsed daemons

Each was missing: limits of heads and idle connections were fixed, SIGHUP only logged, a stuck reader of the log blocked requests, and the entry of a daemon that is gone stayed for good.

--- a/cli/tillerd/gateway.go
+++ b/cli/tillerd/gateway.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -21,6 +21,10 @@
 // platform.
 const gatewayCommand = "gateway"
 
+// settingsPeriod is how often the settings file is looked at: it may change
+// without a signal.
+const settingsPeriod = 5 * time.Second
+
 // runGateway serves clients with the settings of the platform's file.
 func runGateway(stdout, stderr io.Writer) int {
 	path := os.Getenv(platform.SettingsEnv)
@@ -29,34 +33,30 @@
 		fmt.Fprintln(stderr, "tillerd:", err)
 		return exitSettings
 	}
-	lines := logline.NewWriter(stdout)
+	bounded := logline.NewBounded(stdout)
+	defer bounded.Close()
+	lines := logline.NewWriter(bounded)
 	defer lines.Close()
 	log, err := daemon.NewLogger(lines, "info")
 	if err != nil {
 		fmt.Fprintln(stderr, "tillerd:", err)
 		return exitSettings
 	}
-	if err := serveGateway(settings, log); err != nil {
+	if err := serveGateway(path, settings, log); err != nil {
 		log.Error().Str("event", "gateway.failed").Err(err).Send()
 		return exitFailed
 	}
 	return exitOK
 }
 
-func serveGateway(settings platform.Settings, log zerolog.Logger) error {
+func serveGateway(path string, settings platform.Settings, log zerolog.Logger) error {
 	g, err := gateway.New(settings.Gateway, platform.Headers(), log)
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	go func() {
-		for range reloads {
-			log.Info().Str("event", "gateway.reload").Send()
-		}
-	}()
+	go followSettings(ctx, path, g, log)
 	adapter := platform.NewAdapter(settings, g, log)
 	following, stopFollowing := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -67,8 +67,44 @@
 	err = g.Run(ctx, platform.Handlers(g))
 	stopFollowing()
 	<-done
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
+	adapter.Leave()
 	return err
 }
+
+// followSettings reads the settings file again at SIGHUP and when it changed.
+// A file that cannot be used leaves the settings as they are.
+func followSettings(ctx context.Context, path string, g *gateway.Gateway, log zerolog.Logger) {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	ticker := time.NewTicker(settingsPeriod)
+	defer ticker.Stop()
+	changed := modified(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reloads:
+		case <-ticker.C:
+			if modified(path).Equal(changed) {
+				continue
+			}
+		}
+		changed = modified(path)
+		settings, err := platform.ReadSettings(path)
+		if err != nil {
+			log.Error().Str("event", "settings.invalid").Err(err).Send()
+			continue
+		}
+		g.Reload(settings.Gateway)
+	}
+}
+
+// modified returns when a file was last written, or no time if that cannot
+// be told; reading the file then says why.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/coordination/budget/budget.go
+++ b/coordination/budget/budget.go
@@ -31,9 +31,8 @@
 // Budget counts the requests and repeats of each service. It is safe for
 // concurrent use.
 type Budget struct {
-	limits Limits
-
 	mu       sync.Mutex
+	limits   Limits
 	services map[string]*window
 }
 
@@ -47,6 +46,16 @@
 	return &Budget{limits: limits, services: map[string]*window{}}
 }
 
+// SetLimits replaces the limits. Another window begins empty.
+func (b *Budget) SetLimits(limits Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if limits.Window != b.limits.Window {
+		clear(b.services)
+	}
+	b.limits = limits
+}
+
 // Request counts a client's request for a service.
 func (b *Budget) Request(service string, now time.Time) {
 	b.mu.Lock()
--- a/gateway/feed/follow.go
+++ b/gateway/feed/follow.go
@@ -67,7 +67,7 @@
 
 // probePause is the time between calls to a store that does not answer.
 func (f *Feed) probePause() time.Duration {
-	if f.isFirst() {
+	if f.IsFirst() {
 		return probePause
 	}
 	return relayedProbePause
--- a/gateway/feed/relay.go
+++ b/gateway/feed/relay.go
@@ -114,7 +114,7 @@
 // data centre that starts at once does not ask the store from every daemon.
 func (f *Feed) awaitRelay(ctx context.Context) {
 	for ctx.Err() == nil && f.isStarting() {
-		if f.isRelayed(time.Now()) || f.isFirst() {
+		if f.isRelayed(time.Now()) || f.IsFirst() {
 			return
 		}
 		sleep.For(ctx, relayCheck)
@@ -124,8 +124,8 @@
 // isStarting reports whether the daemon leaves the store to its relay.
 func (f *Feed) isStarting() bool { return time.Since(f.started) < startWait }
 
-// isFirst reports whether the daemon is known to have no relay.
-func (f *Feed) isFirst() bool {
+// IsFirst reports whether the daemon is known to have no relay.
+func (f *Feed) IsFirst() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return len(f.members) > 0 && f.choice.First(f.members)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -24,6 +24,7 @@
 		}
 	}
 	g.upstreams.Configure(c.Services)
+	g.clients.setLimits(c.Limits)
 	g.log.Info().Str("event", "configuration.in_force").Uint64("version", uint64(c.Version)).Int("services", len(c.Services)).Send()
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,18 +26,20 @@
 
 const (
 	incarnationBytes = 8
-	// headerTimeout and headerBytes hold until a configuration gives others.
-	headerTimeout = 10 * time.Second
-	headerBytes   = 32 << 10
+	// ownHeaderTimeout and ownHeaderBytes bound the calls of the platform and
+	// of other daemons.
+	ownHeaderTimeout = 10 * time.Second
+	ownHeaderBytes   = 16 << 10
 )
 
 // Gateway serves clients on one host.
 type Gateway struct {
-	settings Settings
-	headers  Headers
-	log      zerolog.Logger
-	self     Member
-	metrics  *metrics
+	settings  atomic.Pointer[Settings]
+	headers   Headers
+	log       zerolog.Logger
+	self      Member
+	metrics   *metrics
+	decisions *decisions
 
 	configuration atomic.Pointer[routing.Configuration]
 	backends      *backends
@@ -48,6 +50,7 @@
 	peers         *peer.Client
 	peerServer    *peer.Server
 
+	clients  *clients
 	requests inflight.Counter
 	leaving  atomic.Bool
 }
@@ -63,7 +66,6 @@
 		ClientAddress: settings.ClientListen, PeerAddress: settings.PeerListen,
 	}
 	g := &Gateway{
-		settings:  settings,
 		headers:   headers,
 		log:       log.With().Str("host", settings.HostID).Logger(),
 		self:      self,
@@ -72,12 +74,15 @@
 		retries:   budget.New(settings.Retries),
 		members:   newMembers(self),
 	}
+	g.settings.Store(&settings)
 	// The platform gives daemons no common secret; see docs/QUESTIONS.md.
 	auth := peer.NewAuth(settings.HostID, nil)
 	g.peers = peer.NewClient(auth, netip.IPv4Unspecified())
 	g.peerServer = peer.NewServer(auth, g.log)
 	g.backends = newBackends(g.upstreams, g.log)
 	g.metrics = newMetrics(g)
+	g.decisions = newDecisions(g.log, func() { g.metrics.all.Add("log_lines_left_out", 1) })
+	g.clients = newClients(http.HandlerFunc(g.serveClient))
 	return g, nil
 }
 
@@ -98,25 +103,31 @@
 
 // Run serves until ctx ends, then stops gracefully.
 func (g *Gateway) Run(ctx context.Context, h Handlers) error {
-	servers, err := g.listen(h)
+	clientListener, servers, err := g.listen(h)
 	if err != nil {
 		return err
 	}
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	var group errgroup.Group
+	group.Go(func() error { return g.clients.serve(clientListener) })
 	for _, s := range servers {
 		group.Go(func() error { return serve(s) })
 	}
 	group.Go(func() error { g.client.Sweep(background, g.upstreams.Addresses); return nil })
 	group.Go(func() error { g.backends.expire(background); return nil })
 	g.log.Info().Str("event", "gateway.start").Str("incarnation", g.self.Incarnation).
-		Str("client", g.settings.ClientListen).Str("zone", g.self.Zone).Send()
+		Str("client", g.self.ClientAddress).Str("zone", g.self.Zone).Send()
 	<-ctx.Done()
-	g.stop(servers)
+	g.stop(clientListener)
+	for _, s := range servers {
+		_ = s.server.Close()
+	}
 	stopBackground()
 	g.peers.Close()
-	return group.Wait()
+	err = group.Wait()
+	g.log.Info().Str("event", "gateway.stopped").Send()
+	return err
 }
 
 type listening struct {
@@ -124,30 +135,33 @@
 	listener net.Listener
 }
 
-func (g *Gateway) listen(h Handlers) ([]listening, error) {
+func (g *Gateway) listen(h Handlers) (clients net.Listener, own []listening, err error) {
+	s := g.settings.Load()
+	clients, err = net.Listen("tcp", s.ClientListen)
+	if err != nil {
+		return nil, nil, fmt.Errorf("listen on %s: %w", s.ClientListen, err)
+	}
 	wanted := []struct {
 		address string
 		handler http.Handler
 	}{
-		{g.settings.ClientListen, http.HandlerFunc(g.serveClient)},
-		{g.settings.ReadyListen, h.Ready},
-		{g.settings.DirectoryListen, h.Directory},
-		{g.settings.PeerListen, g.peerServer},
-		{g.settings.MetricsListen, g.metrics.handler()},
+		{s.ReadyListen, h.Ready},
+		{s.DirectoryListen, h.Directory},
+		{s.PeerListen, g.peerServer},
+		{s.MetricsListen, g.metrics.handler()},
 	}
-	var servers []listening
 	for _, w := range wanted {
 		l, err := net.Listen("tcp", w.address)
 		if err != nil {
-			return nil, fmt.Errorf("listen on %s: %w", w.address, err)
+			return nil, nil, fmt.Errorf("listen on %s: %w", w.address, err)
 		}
-		servers = append(servers, listening{newServer(w.handler), l})
+		own = append(own, listening{newServer(w.handler), l})
 	}
-	return servers, nil
+	return clients, own, nil
 }
 
 func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes}
+	return &http.Server{Handler: h, ReadHeaderTimeout: ownHeaderTimeout, MaxHeaderBytes: ownHeaderBytes}
 }
 
 func serve(s listening) error {
@@ -157,6 +171,15 @@
 	return nil
 }
 
+// Reload puts settings in force that may change while the gateway runs: the
+// bounds. The addresses and the place stay those of the start.
+func (g *Gateway) Reload(settings Settings) {
+	g.settings.Store(&settings)
+	g.retries.SetLimits(settings.Retries)
+	g.log.Info().Str("event", "gateway.reload").Dur("stop_timeout", settings.StopTimeout).
+		Dur("max_ttl", settings.MaxAnswerTTL).Float64("retry_ratio", settings.Retries.Ratio).Send()
+}
+
 // Ready reports whether clients may be sent here.
 func (g *Gateway) Ready() bool {
 	return !g.leaving.Load() && g.configuration.Load() != nil && g.backends.known()
@@ -167,23 +190,24 @@
 	// may still open connections.
 	lookupsRunOut = 2500 * time.Millisecond
 	// stopMargin is kept from the stop timeout for the end of the process.
-	stopMargin = 400 * time.Millisecond
+	stopMargin = 800 * time.Millisecond
 )
 
 // stop leaves the directory, serves the clients that still come, and waits
 // for the requests in flight.
-func (g *Gateway) stop(servers []listening) {
+func (g *Gateway) stop(clientListener net.Listener) {
 	g.leaving.Store(true)
-	end := time.Now().Add(g.settings.StopTimeout - stopMargin)
+	timeout := g.settings.Load().StopTimeout
 	g.log.Info().Str("event", "gateway.stopping").Int("requests", g.requests.Count()).Send()
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout-stopMargin)
 	defer cancel()
-	sleep.For(ctx, min(lookupsRunOut, g.settings.StopTimeout/2))
-	if err := servers[0].server.Shutdown(ctx); err != nil {
-		g.log.Warn().Str("event", "gateway.cut").Int("requests", g.requests.Count()).Err(err).Send()
+	sleep.For(ctx, min(lookupsRunOut, timeout/2))
+	_ = clientListener.Close()
+	var group errgroup.Group
+	for _, s := range g.clients.stop() {
+		group.Go(func() error { return s.Shutdown(ctx) })
 	}
-	for _, s := range servers {
-		_ = s.server.Close()
+	if err := group.Wait(); err != nil {
+		g.log.Warn().Str("event", "gateway.cut").Int("requests", g.requests.Count()).Err(err).Send()
 	}
-	g.log.Info().Str("event", "gateway.stopped").Send()
 }
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -38,7 +38,7 @@
 
 // Resolve returns where clients connect, and how long they may keep that.
 func (g *Gateway) Resolve(_, _ string) ([]string, time.Duration) {
-	ttl := min(answerTTL, g.settings.MaxAnswerTTL)
+	ttl := min(answerTTL, g.settings.Load().MaxAnswerTTL)
 	if !g.Ready() {
 		return nil, ttl
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -208,7 +208,7 @@
 
 // logSend tells of a send that did not bring an answer.
 func (r *run) logSend(f finished) {
-	r.g.log.Info().Str("event", "send.ended").Str("id", r.req.id).Str("backend", f.choice.Backend.ID).
+	r.g.decisions.line("send.ended", true).Str("id", r.req.id).Str("backend", f.choice.Backend.ID).
 		Str("address", f.choice.Backend.Address).Stringer("outcome", f.exchange.Report.Outcome).
 		Str("chosen_for", string(f.choice.Reason)).Int("held", f.choice.Held).AnErr("error", f.exchange.Err).Send()
 }
@@ -223,7 +223,7 @@
 		status, outcome = res.refused.status, res.refused.reason
 	}
 	g.metrics.observe(req.service.Name, outcome, latency)
-	e := g.log.Info().Str("event", "request.done").Str("id", req.id).Str("route", req.route.Name).
+	e := g.decisions.line("request.done", res.answer == nil).Str("id", req.id).Str("route", req.route.Name).
 		Str("service", req.service.Name).Uint64("version", uint64(req.version)).Str("key", req.key).
 		Int("status", status).Str("outcome", outcome).Int("sends", r.sends).Int("connects", r.connects).Dur("ms", latency)
 	r.addChoice(e).Send()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -67,7 +69,8 @@
 	if !ok {
 		return nil, &refused{status: http.StatusNotFound, reason: "no_route"}
 	}
-	body, err := readBody(w, r, c.Limits.BodyBytes)
+	deadline := g.deadlineOf(r, route, arrived)
+	body, err := readBody(w, r, c.Limits.BodyBytes, deadline)
 	if err != nil {
 		return nil, bodyRefusal(err)
 	}
@@ -75,7 +78,7 @@
 	service := route.Pick(affinity.Fraction(affinity.Hash("split", id)))
 	req := &clientRequest{
 		id: id, route: route, service: c.Services[service], version: c.Version, arrived: arrived,
-		deadline: g.deadlineOf(r, route, arrived),
+		deadline: deadline,
 	}
 	req.service.Name = service
 	if route.Affinity {
@@ -99,14 +102,24 @@
 	return arrived.Add(left)
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+// readBody reads a request's body, which must be whole before the deadline.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(deadline); err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	// The connection is read on, to see the client leave.
+	return body, control.SetReadDeadline(time.Time{})
 }
 
 func bodyRefusal(err error) *refused {
@@ -114,6 +127,9 @@
 	if errors.As(err, &tooLarge) {
 		return &refused{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &refused{status: http.StatusRequestTimeout, reason: "body_late"}
+	}
 	return &refused{status: http.StatusBadRequest, reason: "body_unread"}
 }
 
@@ -160,6 +176,6 @@
 
 func (g *Gateway) logRefused(r *http.Request, why *refused) {
 	g.metrics.observe("", why.reason, 0)
-	g.log.Info().Str("event", "request.refused").Str("id", r.Header.Get(g.headers.AttemptID)).Str("http_host", r.Host).
+	g.decisions.line("request.refused", true).Str("id", r.Header.Get(g.headers.AttemptID)).Str("http_host", r.Host).
 		Str("target", r.RequestURI).Int("status", why.status).Str("reason", why.reason).Send()
 }
