--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -3,9 +3,12 @@
 import (
 	"cmp"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bilberrytiller.example/tiller/state/routing"
@@ -30,19 +33,23 @@
 	mu      sync.Mutex
 	limits  routing.ClientLimits
 	current *handoff
-	servers []*http.Server
+	// servers are the current one and those that have connections left.
+	servers map[*http.Server]*handoff
 	stopped bool
 }
 
 // handoff is a listener that is given the connections of another one.
 type handoff struct {
-	address net.Addr
-	conns   chan net.Conn
-	closed  chan struct{}
-	once    sync.Once
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+	// open counts the connections that were handed over and are not closed.
+	open atomic.Int64
 }
 
-func newClients(handler http.Handler) *clients { return &clients{handler: handler} }
+func newClients(handler http.Handler) *clients {
+	return &clients{handler: handler, servers: map[*http.Server]*handoff{}}
+}
 
 // setLimits puts limits in force for connections to come.
 func (c *clients) setLimits(limits routing.ClientLimits) {
@@ -60,19 +67,33 @@
 	if c.current != nil {
 		c.current.stop()
 	}
-	address := net.Addr(&net.TCPAddr{})
-	h := &handoff{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+	h := &handoff{conns: make(chan net.Conn), closed: make(chan struct{})}
 	s := &http.Server{
 		Handler:           c.handler,
 		ReadHeaderTimeout: cmp.Or(c.limits.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       cmp.Or(c.limits.IdleTimeout, defaultIdleTimeout) + idleGrace,
 		MaxHeaderBytes:    cmp.Or(c.limits.HeaderBytes, defaultHeaderBytes),
 	}
+	s.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateClosed && h.open.Add(-1) == 0 {
+			c.forget(s)
+		}
+	}
 	c.current = h
-	c.servers = append(c.servers, s)
+	c.servers[s] = h
+	// Serve ends when the hand-off stops, which is no failure.
 	go func() { _ = s.Serve(h) }()
 }
 
+// forget drops a server that is no longer current and has no connection left.
+func (c *clients) forget(s *http.Server) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h := c.servers[s]; h != nil && h != c.current && h.open.Load() == 0 {
+		delete(c.servers, s)
+	}
+}
+
 // serve gives the connections of l to the server with the limits in force
 // until l is closed.
 func (c *clients) serve(l net.Listener) error {
@@ -101,10 +122,12 @@
 		if stopped {
 			return false
 		}
+		h.open.Add(1)
 		select {
 		case h.conns <- conn:
 			return true
 		case <-h.closed:
+			h.open.Add(-1)
 		}
 	}
 }
@@ -114,7 +137,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopped = true
-	return c.servers
+	return slices.Collect(maps.Keys(c.servers))
 }
 
 // Accept returns the next connection that was handed over.
@@ -134,6 +157,6 @@
 }
 
 // Addr is not known to a listener that is given its connections.
-func (h *handoff) Addr() net.Addr { return h.address }
+func (h *handoff) Addr() net.Addr { return &net.TCPAddr{} }
 
 func (h *handoff) stop() { h.once.Do(func() { close(h.closed) }) }
