--- /dev/null
+++ b/standin/originserver/server.go
@@ -0,0 +1,183 @@
+// Package originserver emulates a backend server of the operators' platform:
+// slots and a queue that sheds, objects that are warm after their first
+// request, an identity and a signature on each answer, lost and spoilt
+// answers, and a record of what ran.
+package originserver
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Headers of the platform's requests and answers.
+const (
+	attemptHeader   = "X-Bilberrytiller-Attempt-Id"
+	affinityHeader  = "X-Bilberrytiller-Affinity-Key"
+	expectHeader    = "X-Bilberrytiller-Expect-Instance"
+	signatureHeader = "X-Bilberrytiller-Server-Signature"
+	notRunHeader    = "X-Bilberrytiller-Not-Executed"
+	loadHeader      = "X-Bilberrytiller-Server-Load"
+	instanceHeader  = "X-Bilberrytiller-Instance-Id"
+)
+
+// warmFactor is how many times faster a warm object's request is.
+const warmFactor = 3
+
+// Options say how a server behaves.
+type Options struct {
+	ID    string
+	Slots int
+	// Work is the time of a request for an object that is not warm.
+	Work time.Duration
+	// Lose and Spoil are the parts of the answers that are lost after the run,
+	// and that are broken off.
+	Lose, Spoil float64
+	// Seed makes the choice of those repeatable.
+	Seed uint64
+}
+
+// Runs records which requests ran, and on which server. It is safe for
+// concurrent use.
+type Runs struct {
+	mu   sync.Mutex
+	byID map[string][]string
+}
+
+// NewRuns returns an empty record.
+func NewRuns() *Runs { return &Runs{byID: map[string][]string{}} }
+
+func (r *Runs) add(id, server string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byID[id] = append(r.byID[id], server)
+}
+
+// Of returns the servers that ran a request.
+func (r *Runs) Of(id string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.byID[id]...)
+}
+
+// Server is one emulated server.
+type Server struct {
+	options Options
+	runs    *Runs
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	running int
+	waiting int
+	warm    map[string]bool
+	free    chan struct{}
+}
+
+// New returns a server that records what it runs.
+func New(o Options, runs *Runs) *Server {
+	s := &Server{options: o, runs: runs, random: rand.New(rand.NewPCG(o.Seed, 1)), warm: map[string]bool{}, free: make(chan struct{}, o.Slots)}
+	for range o.Slots {
+		s.free <- struct{}{}
+	}
+	return s
+}
+
+// ServeHTTP runs a request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(instanceHeader, s.options.ID)
+	if expected := r.Header.Get(expectHeader); expected != "" && expected != s.options.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if !s.enter(r) {
+		w.Header().Set(notRunHeader, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer s.leave()
+	id := r.Header.Get(attemptHeader)
+	s.runs.add(id, s.options.ID)
+	if !s.work(r) {
+		return
+	}
+	s.answer(w, id, body)
+}
+
+// enter waits for a slot. It returns false if the queue is full or the client
+// has gone.
+func (s *Server) enter(r *http.Request) bool {
+	s.mu.Lock()
+	if s.waiting >= 3*s.options.Slots {
+		s.mu.Unlock()
+		return false
+	}
+	s.waiting++
+	s.mu.Unlock()
+	defer func() { s.mu.Lock(); s.waiting--; s.mu.Unlock() }()
+	select {
+	case <-s.free:
+	case <-r.Context().Done():
+		return false
+	}
+	s.mu.Lock()
+	s.running++
+	s.mu.Unlock()
+	return true
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	s.running--
+	s.mu.Unlock()
+	s.free <- struct{}{}
+}
+
+// work takes the time of a request. It returns false if the client has gone.
+func (s *Server) work(r *http.Request) bool {
+	key := r.Header.Get(affinityHeader)
+	s.mu.Lock()
+	work := s.options.Work
+	if key != "" && s.warm[key] {
+		work /= warmFactor
+	}
+	s.mu.Unlock()
+	select {
+	case <-time.After(work):
+	case <-r.Context().Done():
+		return false
+	}
+	s.mu.Lock()
+	s.warm[key] = true
+	s.mu.Unlock()
+	return true
+}
+
+func (s *Server) answer(w http.ResponseWriter, id string, body []byte) {
+	s.mu.Lock()
+	draw := s.random.Float64()
+	load := fmt.Sprintf("%d,%d,%d", s.running, s.waiting, s.options.Slots)
+	s.mu.Unlock()
+	if draw < s.options.Lose {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(attemptHeader, id)
+	w.Header().Set(signatureHeader, s.options.ID+"."+id)
+	w.Header().Set(loadHeader, load)
+	text := Body(id, body)
+	if draw < s.options.Lose+s.options.Spoil {
+		w.Header().Set("Content-Length", fmt.Sprint(2*len(text)))
+		_, _ = io.WriteString(w, text)
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, text)
+}
+
+// Body is the answer to a request.
+func Body(id string, body []byte) string { return fmt.Sprintf("answer to %s: %s", id, body) }
--- /dev/null
+++ b/standin/soak/field.go
@@ -0,0 +1,189 @@
+// Package soak runs real gateways, each a process of its own, against the
+// emulated platform under seeded faults, and checks what clients and backend
+// servers see.
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"bilberrytiller.example/standin/objectstore"
+	"bilberrytiller.example/standin/originserver"
+)
+
+// Field is a store, backend servers and gateways on one machine.
+type Field struct {
+	Store *objectstore.Store
+	Runs  *originserver.Runs
+
+	program string
+	dir     string
+	address string
+	servers []*http.Server
+
+	mu       sync.Mutex
+	gateways []*gateway
+}
+
+// gateway is one process and its addresses.
+type gateway struct {
+	name  string
+	ports [6]int
+	file  string
+	cmd   *exec.Cmd
+	ended chan error
+}
+
+// NewField starts a store. program is the path of tillerd; dir keeps settings
+// and logs.
+func NewField(program, dir string) (*Field, error) {
+	f := &Field{Store: objectstore.New(), Runs: originserver.NewRuns(), program: program, dir: dir}
+	address, err := f.listen(f.Store)
+	f.address = address
+	return f, err
+}
+
+func (f *Field) listen(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{Handler: h}
+	f.servers = append(f.servers, s)
+	go func() { _ = s.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+// AddServer starts a backend server of a service and registers it.
+func (f *Field) AddServer(service string, o originserver.Options) error {
+	address, err := f.listen(originserver.New(o, f.Runs))
+	if err != nil {
+		return err
+	}
+	return f.Store.Put("servers", o.ID, map[string]any{
+		"service_name": service, "address": address, "zone": "z1", "config_version": "v1", "slots": o.Slots,
+		"state": "ready", "cold_left": "0ms", "sequence": 1, "born": time.Now().UnixMilli(),
+	})
+}
+
+// Configure puts a version of the configuration in the store: look-ups and
+// payments, each to a service of its own.
+func (f *Field) Configure(version int) error {
+	route := func(prefix, kind, service string) map[string]any {
+		return map[string]any{
+			"hostname": "field.example", "path_prefix": prefix, "route_type": kind, "timeout": "2000ms", "target_latency": "300ms",
+			"priority": 0, "service_name": service, "max_attempts": 2, "session_affinity": true, "allowed_regions": []string{},
+		}
+	}
+	service := map[string]any{"health_path": "/health", "max_conns": 330, "cold_start": "3s", "cold_per_s": 22.0}
+	return f.Store.Put("config", "main", map[string]any{
+		"config_version": fmt.Sprint("r", version),
+		"routes":         map[string]any{"a": route("/look/", "idempotent", "look"), "b": route("/pay/", "non_idempotent", "pay")},
+		"services":       map[string]any{"look": service, "pay": service},
+		"limits":         map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
+	})
+}
+
+// AddGateway starts a gateway and returns its number.
+func (f *Field) AddGateway() (int, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := len(f.gateways)
+	g := &gateway{name: fmt.Sprint("edge-", n+1)}
+	for i := range g.ports {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return 0, err
+		}
+		g.ports[i] = l.Addr().(*net.TCPAddr).Port
+		defer l.Close()
+	}
+	g.file = filepath.Join(f.dir, g.name+".toml")
+	f.gateways = append(f.gateways, g)
+	seed := f.gateways[0].ports[3]
+	return n, os.WriteFile(g.file, []byte(fmt.Sprintf(`node_name = %q
+zone = "z1"
+region = "r1"
+ip = "127.0.0.1"
+internal_ports = [%d, %d]
+seeds = ["127.0.0.1:%d"]
+[zones]
+z1 = "r1"
+[listen]
+frontend = "127.0.0.1:%d"
+readiness = "127.0.0.1:%d"
+directory = "127.0.0.1:%d"
+control = "127.0.0.1:%d"
+[bounds]
+grace = "6s"
+retry_window = "10s"
+retry_budget_ratio = 0.2
+retry_slack = 58
+ttl_max = "5s"
+[platform_settings]
+address = %q
+`, g.name, g.ports[4], g.ports[5], seed, g.ports[0], g.ports[1], g.ports[2], g.ports[3], f.address)), 0o600)
+}
+
+// Start starts the process of a gateway that does not run.
+func (f *Field) Start(n int) error {
+	g := f.gateways[n]
+	log, err := os.OpenFile(filepath.Join(f.dir, g.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	g.cmd = exec.Command(f.program, "gateway")
+	g.cmd.Env = append(os.Environ(), "BILBERRYTILLER_NODE_FILE="+g.file)
+	g.cmd.Stdout, g.cmd.Stderr = log, log
+	if err := g.cmd.Start(); err != nil {
+		return err
+	}
+	g.ended = make(chan error, 1)
+	go func() { g.ended <- g.cmd.Wait() }()
+	return nil
+}
+
+// Signal sends a signal to a gateway's process.
+func (f *Field) Signal(n int, s syscall.Signal) error { return f.gateways[n].cmd.Process.Signal(s) }
+
+// Ended waits until a gateway's process has ended and returns how.
+func (f *Field) Ended(n int) error { return <-f.gateways[n].ended }
+
+// ClientURL is where a gateway takes clients.
+func (f *Field) ClientURL(n int) string {
+	return fmt.Sprintf("http://127.0.0.1:%d", f.gateways[n].ports[0])
+}
+
+// Ready reports whether a gateway says that clients may come.
+func (f *Field) Ready(n int) bool {
+	resp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/v1/ready", f.gateways[n].ports[1]))
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Close ends what the field started.
+func (f *Field) Close() {
+	for n, g := range f.gateways {
+		if g.cmd == nil {
+			continue
+		}
+		_ = f.Signal(n, syscall.SIGCONT)
+		_ = f.Signal(n, syscall.SIGKILL)
+		<-g.ended
+		g.ended <- nil
+	}
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+}
