Demonstrate gateways on the emulated platform; name three seeds there

Found by the demonstration: a gateway whose only seed was itself did not start while the store was silent. The platform names three; so does the field now.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -98,4 +98,7 @@
 standin caller --entry "$(field north caller)" --service payments --body after-the-stop
 standin get --url "http://$(field payments address)/admin/stats"
 
+say "gateways on the operators' platform"
+standin field --program bin/tillerd
+
 say "the demo has passed"
--- a/standin/cli/cli.go
+++ b/standin/cli/cli.go
@@ -38,6 +38,7 @@
 	add(parser, "put", "send a JSON body to a stand-in", &putCommand{})
 	add(parser, "get", "print what a stand-in answers", &getCommand{})
 	add(parser, "request", "send one raw request", &requestCommand{})
+	add(parser, "field", "demonstrate gateways on an emulated platform", &fieldCommand{})
 	if _, err := parser.Parse(); err != nil {
 		return exitCode(err)
 	}
--- a/standin/soak/field.go
+++ b/standin/soak/field.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -107,13 +108,35 @@
 	}
 	g.file = filepath.Join(f.dir, g.name+".toml")
 	f.gateways = append(f.gateways, g)
-	seed := f.gateways[0].ports[3]
-	return n, os.WriteFile(g.file, []byte(fmt.Sprintf(`node_name = %q
+	return n, f.writeSettings()
+}
+
+// maxSeeds is how many gateways the settings name.
+const maxSeeds = 3
+
+// writeSettings writes the settings file of each gateway.
+func (f *Field) writeSettings() error {
+	var seeds []string
+	for _, g := range f.gateways[:min(maxSeeds, len(f.gateways))] {
+		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprint("127.0.0.1:", g.ports[3])))
+	}
+	for _, g := range f.gateways {
+		text := fmt.Sprintf(settings, g.name, g.ports[4], g.ports[5], strings.Join(seeds, ", "),
+			g.ports[0], g.ports[1], g.ports[2], g.ports[3], f.address)
+		if err := os.WriteFile(g.file, []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// settings is the settings file of a gateway.
+const settings = `node_name = %q
 zone = "z1"
 region = "r1"
 ip = "127.0.0.1"
 internal_ports = [%d, %d]
-seeds = ["127.0.0.1:%d"]
+seeds = [%s]
 [zones]
 z1 = "r1"
 [listen]
@@ -129,8 +152,7 @@
 ttl_max = "5s"
 [platform_settings]
 address = %q
-`, g.name, g.ports[4], g.ports[5], seed, g.ports[0], g.ports[1], g.ports[2], g.ports[3], f.address)), 0o600)
-}
+`
 
 // Start starts the process of a gateway that does not run.
 func (f *Field) Start(n int) error {
