--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	go test -count=1 -timeout 20m work
 
 lint:
-	test -z "$$(gofmt -l cmd cli coordination daemon internal protocol standin state transport | tee /dev/stderr)"
+	test -z "$$(gofmt -l cmd cli coordination daemon gateway internal platform protocol standin state transport | tee /dev/stderr)"
 	go vet work
 	go tool staticcheck ./... ./standin/...
 
--- a/cli/tillerctl/tillerctl.go
+++ b/cli/tillerctl/tillerctl.go
@@ -177,6 +177,7 @@
 		{"wait", "wait until a version is in force", "Waits until every daemon given has the platform's entries in force, or with a VERSION at least that one. Progress is shown on a terminal.", "tillerctl --daemon 10.0.0.1:7402 wait --timeout 30s", &waitCommand{env: e}},
 		{"drain", "take an upstream, host or data centre out of use", "Sets drain in one entry. A host without an entry gets one.", "tillerctl drain upstream.stock-1", &drainCommand{env: e, drain: true}},
 		{"undrain", "put an upstream, host or data centre back in use", "Unsets drain in one entry.", "tillerctl undrain upstream.stock-1", &drainCommand{env: e}},
+		{"trace", "explain a request from logs", "Prints the lines of logs that are about one request, what the daemon last learnt of the backend servers that it was sent to, and the cause of its end. Reads the standard input if no file is named.", "tillerctl trace 9c41d07be2a35f68 /var/log/tillerd.log", &traceCommand{env: e}},
 		{"metrics", "print the metrics of daemons", "Prints the metrics of each daemon given, by name.", "tillerctl --daemon 10.0.0.1:7402 metrics", &metricsCommand{env: e}},
 	}
 }
--- /dev/null
+++ b/cli/tillerctl/trace_test.go
@@ -0,0 +1,33 @@
+package tillerctl
+
+import (
+	"strings"
+	"testing"
+)
+
+const sampleLog = `time=1 level=info event=backend.entry host=edge-1 backend=i-2 service=pay draining=false
+time=2 level=info event=backend.entry host=edge-1 backend=i-7 service=pay draining=true
+time=3 level=info event=request.done host=edge-1 id=other outcome=answered backend=i-7
+time=4 level=info event=send.ended host=edge-1 id=a1 backend=i-2 outcome=lost error="read answer: EOF"
+time=5 level=info event=request.done host=edge-1 id=a1 status=502 outcome=may_have_run backend=i-2
+time=6 level=info event=request.refused host=edge-1 id=a2 status=404 reason=no_route`
+
+func TestTraceGoesFromARequestToItsCause(t *testing.T) {
+	lines := strings.Split(sampleLog, "\n")
+	found := trace(lines, "a1")
+	if len(found) != 3 || !strings.HasPrefix(found[0], "time=1 ") || !strings.HasPrefix(found[2], "time=5 ") {
+		t.Errorf("found\n%s", strings.Join(found, "\n"))
+	}
+	if cause := causeOf(found); !strings.Contains(cause, "must not run again") {
+		t.Errorf("cause %q", cause)
+	}
+	if cause := causeOf(trace(lines, "a2")); !strings.Contains(cause, "no route") {
+		t.Errorf("cause %q", cause)
+	}
+	if found := trace(lines, "nobody"); found != nil {
+		t.Errorf("found %v", found)
+	}
+	if cause := causeOf(lines[3:4]); !strings.Contains(cause, "no end") {
+		t.Errorf("cause %q", cause)
+	}
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -74,6 +74,9 @@
 		case <-hedge:
 			r.hedge(ctx)
 		case <-ctx.Done():
+			if errors.Is(ctx.Err(), context.Canceled) {
+				return r.end(r.ended("client_gone"))
+			}
 			return r.end(r.timedOut())
 		}
 	}
