--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -67,8 +67,10 @@
 	Backend routing.Backend
 	Region  string
 	Reason  Reason
-	// Held is the number of requests that the server was thought to hold.
-	Held int
+	// Held is the number of requests that the server was thought to hold, by
+	// a report of its load of the age LoadAge, or less than 0 without one.
+	Held    int
+	LoadAge time.Duration
 
 	set    *Set
 	server *server
@@ -78,6 +80,10 @@
 type Refusal struct {
 	Reason     Reason
 	RetryAfter time.Duration
+	// Nearest is the server that came nearest to being chosen, if any, and
+	// Held the number of requests that it was thought to hold.
+	Nearest string
+	Held    int
 }
 
 // Error describes the refusal.
@@ -119,7 +125,7 @@
 	}
 	held := srv.estimate(now)
 	srv.inflight++
-	return &Choice{Backend: srv.Backend, Region: srv.region, Reason: reason, Held: held, set: s, server: srv}
+	return &Choice{Backend: srv.Backend, Region: srv.region, Reason: reason, Held: held, LoadAge: srv.loadAge(now), set: s, server: srv}
 }
 
 // search is the choice of a server for one request.
@@ -260,9 +266,12 @@
 // full returns the refusal of a request that no queue has room for. It asks
 // the client back when the shortest queue is expected to have run off.
 func (f *search) full() *Refusal {
-	_, wait := f.shortest()
+	nearest, wait := f.shortest()
 	after := time.Duration(wait * float64(time.Second))
-	return &Refusal{Reason: ReasonFull, RetryAfter: min(maxRetryAfter, max(minRetryAfter, after))}
+	return &Refusal{
+		Reason: ReasonFull, RetryAfter: min(maxRetryAfter, max(minRetryAfter, after)),
+		Nearest: nearest.ID, Held: nearest.estimate(f.now),
+	}
 }
 
 // mostlyMissing reports whether so many entries are gone that the store has
--- a/coordination/upstream/server.go
+++ b/coordination/upstream/server.go
@@ -85,6 +85,15 @@
 	return max(s.inflight, s.report.total+s.inflight-s.report.inflight)
 }
 
+// loadAge returns the age of the latest load report, or less than 0 if there
+// is none.
+func (s *server) loadAge(now time.Time) time.Duration {
+	if s.report.at.IsZero() {
+		return -1
+	}
+	return now.Sub(s.report.at)
+}
+
 func (s *server) slots() int { return max(1, s.Slots) }
 
 func (s *server) cold(now time.Time) bool { return now.Before(s.coldUntil) }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -298,11 +298,11 @@
 		t.Error("ready without knowing the servers")
 	}
 	f.TakeBackends(nil)
-	if addresses, _ := f.Resolve("n1", "north"); !f.Ready() || len(addresses) != 1 {
+	if addresses, _ := f.Resolve(); !f.Ready() || len(addresses) != 1 {
 		t.Error("not ready with a configuration and the servers")
 	}
 	f.leaving.Store(true)
-	if addresses, _ := f.Resolve("n1", "north"); f.Ready() || len(addresses) != 0 {
+	if addresses, _ := f.Resolve(); f.Ready() || len(addresses) != 0 {
 		t.Error("ready while leaving")
 	}
 }
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -5,12 +5,8 @@
 	"time"
 )
 
-const (
-	// answerTTL is how long clients keep an answer of the directory.
-	answerTTL = 2 * time.Second
-	// maxAddresses is the most addresses that clients take from an answer.
-	maxAddresses = 64
-)
+// answerTTL is how long clients keep an answer of the directory.
+const answerTTL = 2 * time.Second
 
 // members are the daemons of the fleet as the platform lists them.
 type members struct {
@@ -36,8 +32,11 @@
 	return max(1, len(m.all))
 }
 
-// Resolve returns where clients connect, and how long they may keep that.
-func (g *Gateway) Resolve(_, _ string) ([]string, time.Duration) {
+// Resolve returns where clients connect, and how long they may keep that. Each
+// daemon names only itself, of which alone it is sure: clients ask the
+// directories nearest to them, so they are spread and stay near, and no
+// daemon that died is ever named beside one that runs.
+func (g *Gateway) Resolve() ([]string, time.Duration) {
 	ttl := min(answerTTL, g.settings.Load().MaxAnswerTTL)
 	if !g.Ready() {
 		return nil, ttl
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -39,8 +39,9 @@
 	fallback *upstreamhttp.Answer
 	finished chan finished
 	// last is the choice made last, reason why there is no other.
-	last   *upstream.Choice
-	reason string
+	last    *upstream.Choice
+	reason  string
+	refused *upstream.Refusal
 }
 
 // finished is a send that ended.
@@ -130,8 +131,8 @@
 	}, now)
 	var refusal *upstream.Refusal
 	if errors.As(err, &refusal) {
-		r.reason = string(refusal.Reason)
-		return r.refusal(string(refusal.Reason), refusal.RetryAfter)
+		r.reason, r.refused = string(refusal.Reason), refusal
+		return r.refuse(string(refusal.Reason), refusal.RetryAfter)
 	}
 	r.last = choice
 	r.tried = append(r.tried, choice.Backend.Incarnation())
@@ -183,9 +184,9 @@
 	return result{refused: why}
 }
 
-// refusal is the answer when no server can be asked. Only a request that has
+// refuse returns the answer when no server can be asked. Only a request that has
 // not run is asked back.
-func (r *run) refusal(reason string, after time.Duration) *refused {
+func (r *run) refuse(reason string, after time.Duration) *refused {
 	if r.mayHaveRun || r.pending > 0 {
 		return &refused{status: http.StatusBadGateway, reason: reason}
 	}
@@ -198,7 +199,7 @@
 
 func (r *run) ended(reason string) *refused {
 	r.reason = reason
-	return r.refusal(reason, retryAfterFailure)
+	return r.refuse(reason, retryAfterFailure)
 }
 
 func (r *run) timedOut() *refused {
@@ -232,10 +233,14 @@
 	r.addChoice(e).Send()
 }
 
+// addChoice adds what the last choice of a server went by.
 func (r *run) addChoice(e *zerolog.Event) *zerolog.Event {
+	if r.refused != nil {
+		e = e.Str("nearest", r.refused.Nearest).Int("nearest_held", r.refused.Held).Dur("retry_after_ms", r.refused.RetryAfter)
+	}
 	if r.last == nil {
 		return e
 	}
 	return e.Str("backend", r.last.Backend.ID).Str("backend_zone", r.last.Backend.Zone).
-		Str("chosen_for", string(r.last.Reason)).Int("held", r.last.Held)
+		Str("chosen_for", string(r.last.Reason)).Int("held", r.last.Held).Dur("load_age_ms", r.last.LoadAge)
 }
--- a/transport/upstreamhttp/client.go
+++ b/transport/upstreamhttp/client.go
@@ -104,7 +104,6 @@
 		}
 		if time.Since(cn.idleSince) < cn.idleLimit && cn.alive() {
 			c.Reuses.Add(1)
-			cn.reused = true
 			return cn, nil
 		}
 		_ = cn.Close()
--- a/transport/upstreamhttp/conn.go
+++ b/transport/upstreamhttp/conn.go
@@ -48,7 +48,6 @@
 	// idleSince and idleLimit say how long the connection may be kept.
 	idleSince time.Time
 	idleLimit time.Duration
-	reused    bool
 	// writing is done when the request is written whole.
 	writing chan error
 }
--- a/transport/upstreamhttp/message.go
+++ b/transport/upstreamhttp/message.go
@@ -28,8 +28,6 @@
 	Load string
 	// ColdMs is how many milliseconds the server stays cold.
 	ColdMs string
-	// InstanceID names the server that answers.
-	InstanceID string
 }
 
 // Request is what is sent to a backend server.
