--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,6 +81,7 @@
 	g.peerServer = peer.NewServer(auth, g.log)
 	g.backends = newBackends(g.upstreams, g.log)
 	g.metrics = newMetrics(g)
+	g.metrics.all.Add("log_lines_left_out", 0)
 	g.decisions = newDecisions(g.log, func() { g.metrics.all.Add("log_lines_left_out", 1) })
 	g.clients = newClients(http.HandlerFunc(g.serveClient))
 	return g, nil
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,7 +40,7 @@
 	servers  int
 }
 
-func newFixture(t *testing.T, routes ...routing.Route) *fixture {
+func newTestGateway(t testing.TB) *Gateway {
 	t.Helper()
 	g, err := New(Settings{
 		HostID: "host-1", Place: upstream.Place{Zone: "n1", Region: "north"}, Regions: map[string]string{"n1": "north"},
@@ -48,6 +50,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return g
+}
+
+func newFixture(t *testing.T, routes ...routing.Route) *fixture {
+	t.Helper()
+	g := newTestGateway(t)
 	f := &fixture{Gateway: g}
 	server := httptest.NewServer(http.HandlerFunc(g.serveClient))
 	t.Cleanup(server.Close)
@@ -323,3 +331,15 @@
 		t.Errorf("after the time to return: %d", resp.StatusCode)
 	}
 }
+
+func TestEveryMetricOfAGatewayIsDocumented(t *testing.T) {
+	page, err := os.ReadFile("../docs/operations/gateway.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	newTestGateway(t).metrics.all.Do(func(v expvar.KeyValue) {
+		if !strings.Contains(string(page), "| `"+v.Key+"` |") {
+			t.Errorf("docs/operations/gateway.md has no row for metric %s", v.Key)
+		}
+	})
+}
