--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Commands for developers. CI runs lint, test and demo.
 
-.PHONY: build test lint demo measure
+.PHONY: build test lint demo measure soak fuzz
 
 build:
 	mkdir -p bin
@@ -19,3 +19,11 @@
 
 measure: build
 	bash scripts/measure.sh
+
+# Fifty seeds of the fault soak, about seven minutes.
+soak:
+	cd standin && go test -count=1 -timeout 30m ./soak -run TestSoak -seeds 50
+
+fuzz:
+	go test ./platform -fuzz FuzzSettings -fuzztime 1m
+	go test ./platform -fuzz FuzzDecode -fuzztime 1m
--- a/cli/tillerctl/trace.go
+++ b/cli/tillerctl/trace.go
@@ -93,7 +93,7 @@
 }
 
 // trace returns the lines about a request, and of each backend server that it
-// was sent to the last line before them.
+// was sent to the last line of the same host before them.
 func trace(lines []string, id string) []string {
 	var about []int
 	servers := map[string]bool{}
@@ -107,10 +107,11 @@
 	if len(about) == 0 {
 		return nil
 	}
-	keep := about
+	keep, host := about, value(lines[about[0]], "host")
 	for i := about[0] - 1; i >= 0 && len(servers) > 0; i-- {
 		server := value(lines[i], "backend")
-		if strings.HasPrefix(value(lines[i], "event"), "backend.") && servers[server] {
+		known := strings.HasPrefix(value(lines[i], "event"), "backend.") && value(lines[i], "host") == host
+		if known && servers[server] {
 			keep = append(keep, i)
 			delete(servers, server)
 		}
--- a/cli/tillerctl/trace_test.go
+++ b/cli/tillerctl/trace_test.go
@@ -6,6 +6,7 @@
 )
 
 const sampleLog = `time=1 level=info event=backend.entry host=edge-1 backend=i-2 service=pay draining=false
+time=1.5 level=info event=backend.gone host=edge-2 backend=i-2
 time=2 level=info event=backend.entry host=edge-1 backend=i-7 service=pay draining=true
 time=3 level=info event=request.done host=edge-1 id=other outcome=answered backend=i-7
 time=4 level=info event=send.ended host=edge-1 id=a1 backend=i-2 outcome=lost error="read answer: EOF"
@@ -27,7 +28,7 @@
 	if found := trace(lines, "nobody"); found != nil {
 		t.Errorf("found %v", found)
 	}
-	if cause := causeOf(lines[3:4]); !strings.Contains(cause, "no end") {
+	if cause := causeOf(lines[4:5]); !strings.Contains(cause, "no end") {
 		t.Errorf("cause %q", cause)
 	}
 }
