--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -133,7 +133,7 @@
 	request Request
 	object  uint64
 	place   Place
-	usual   float64
+	usual   average
 	now     time.Time
 	// candidates are the usable servers, best first.
 	candidates []*server
@@ -253,7 +253,7 @@
 	if srv.latency > 0 {
 		return srv.latency
 	}
-	return max(firstLatency, f.usual)
+	return max(firstLatency, f.usual.latency)
 }
 
 func (f *search) emptyReason() Reason {
@@ -286,22 +286,27 @@
 	return missing*2 > len(v.servers)
 }
 
-// refresh works out the usual latency of the service's servers and what its
-// regions have to spare.
+// refresh works out what is usual among the service's servers.
 func (v *service) refresh(now time.Time) {
 	if now.Sub(v.usualAt) < usualPeriod {
 		return
 	}
 	v.usualAt = now
-	var latencies []float64
+	var latencies, faults []float64
 	for _, srv := range v.servers {
 		if srv.latency > 0 {
 			latencies = append(latencies, srv.latency)
 		}
+		faults = append(faults, srv.faultAverage(now))
 	}
-	if len(latencies) == 0 {
-		return
+	v.usual = average{latency: median(latencies), faults: median(faults)}
+}
+
+// median returns the middle one of numbers, or 0 if there is none.
+func median(numbers []float64) float64 {
+	if len(numbers) == 0 {
+		return 0
 	}
-	slices.Sort(latencies)
-	v.usual = latencies[len(latencies)/2]
+	slices.Sort(numbers)
+	return numbers[len(numbers)/2]
 }
--- a/coordination/upstream/server.go
+++ b/coordination/upstream/server.go
@@ -18,13 +18,13 @@
 	latencyWeight = 0.1
 	// faultWeight and lossWeight are the weights of a failed and of a lost
 	// answer in a server's fault average.
-	faultWeight = 0.2
-	lossWeight  = 0.35
+	faultWeight = 0.1
+	lossWeight  = 0.15
 	// faultHalfLife is how soon a fault average falls to half without new
 	// faults, so that a server that recovered is used again.
 	faultHalfLife = 2 * time.Second
 	// faultLimit is the fault average above which other servers are used.
-	faultLimit = 0.35
+	faultLimit = 0.5
 	// slowFactor is how many times slower than the others of its service a
 	// server is before others are used.
 	slowFactor = 3.0
@@ -135,11 +135,21 @@
 	s.ejectedUntil = now.Add(pause)
 }
 
-// healthy reports whether the server is as good as the others of its
-// service, whose latency is given in seconds.
-func (s *server) healthy(usual float64, now time.Time) bool {
-	if s.faultAverage(now) > faultLimit {
+// average is what is usual among the servers of a service: half of them are
+// better.
+type average struct {
+	// latency is in seconds.
+	latency float64
+	// faults is the part of the answers that failed.
+	faults float64
+}
+
+// healthy reports whether the server is about as good as the others of its
+// service. Where all fail alike, leaving one for another gains nothing and
+// finds objects cold.
+func (s *server) healthy(usual average, now time.Time) bool {
+	if s.faultAverage(now) > faultLimit+usual.faults {
 		return false
 	}
-	return usual <= 0 || s.latency <= slowFactor*usual
+	return usual.latency <= 0 || s.latency <= slowFactor*usual.latency
 }
--- a/coordination/upstream/set.go
+++ b/coordination/upstream/set.go
@@ -36,8 +36,7 @@
 // service holds the servers of one service.
 type service struct {
 	servers []*server
-	// usual is the average latency of the servers in seconds.
-	usual   float64
+	usual   average
 	usualAt time.Time
 }
 
--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -45,6 +45,8 @@
 	Self relay.Member
 	// Seeds are daemons to ask while the store does not answer at the start.
 	Seeds []netip.AddrPort
+	// StartWait is how long a starting daemon leaves the store to its relay.
+	StartWait time.Duration
 }
 
 // Feed is a daemon's copy of the store's objects.
--- a/gateway/feed/relay.go
+++ b/gateway/feed/relay.go
@@ -25,8 +25,6 @@
 	// ageSlack is how much older than a watch's wait what a relay knows of a
 	// kind may be. It covers the store's answer and the way of the relay's.
 	ageSlack = time.Second
-	// startWait is how long a starting daemon leaves the store to its relay.
-	startWait = time.Second
 	// maxRelayWait bounds what an asking daemon may have this one wait.
 	maxRelayWait = 5 * time.Second
 )
@@ -122,7 +120,7 @@
 }
 
 // isStarting reports whether the daemon leaves the store to its relay.
-func (f *Feed) isStarting() bool { return time.Since(f.started) < startWait }
+func (f *Feed) isStarting() bool { return time.Since(f.started) < f.settings.StartWait }
 
 // IsFirst reports whether the daemon is known to have no relay.
 func (f *Feed) IsFirst() bool {
