--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -100,7 +100,7 @@
 	}
 	svc.refresh(now)
 	search := s.newSearch(svc, r, now)
-	if len(search.candidates)+len(search.doubtful) == 0 {
+	if len(search.candidates) == 0 {
 		return nil, &Refusal{Reason: search.emptyReason(), RetryAfter: maxRetryAfter / 4}
 	}
 	if srv := search.withRoom(); srv != nil {
@@ -137,7 +137,8 @@
 	now     time.Time
 	// candidates are the usable servers, best first.
 	candidates []*server
-	// doubtful are usable servers that are faulty or slow.
+	// doubtful are usable servers that are faulty or slow, which are candidates
+	// only if no other is.
 	doubtful []*server
 	// coldLimited counts the servers that have had their requests for now.
 	coldLimited int
@@ -161,6 +162,9 @@
 			f.candidates = append(f.candidates, srv)
 		}
 	}
+	if len(f.candidates) == 0 {
+		f.candidates = f.doubtful
+	}
 	f.rank()
 	return f
 }
@@ -216,9 +220,6 @@
 // that joins its queue is still of use.
 func (f *search) withQueue() *server {
 	best, wait := f.shortest()
-	if best == nil {
-		return nil
-	}
 	done := time.Duration((wait + f.work(best)) * float64(time.Second))
 	if done <= f.request.ObjectiveLeft {
 		return best
@@ -230,16 +231,9 @@
 	return nil
 }
 
-// shortest returns the server with the shortest expected wait in seconds.
+// shortest returns the candidate with the shortest expected wait in seconds.
 func (f *search) shortest() (*server, float64) {
-	from := f.candidates
-	if len(from) == 0 {
-		from = f.doubtful
-	}
-	if len(from) == 0 {
-		return nil, 0
-	}
-	best := slices.MinFunc(from, func(a, b *server) int { return cmp.Compare(f.wait(a), f.wait(b)) })
+	best := slices.MinFunc(f.candidates, func(a, b *server) int { return cmp.Compare(f.wait(a), f.wait(b)) })
 	return best, f.wait(best)
 }
 
--- a/coordination/upstream/upstream_test.go
+++ b/coordination/upstream/upstream_test.go
@@ -111,17 +111,36 @@
 // worth of days on which every server of a service sheds half of its requests.
 func TestServersThatAllFailAlikeKeepTheirObjects(t *testing.T) {
 	s := fleet("n1")
-	home := mustChoose(t, s, ask("7"), start)
-	home.Done(Report{Outcome: Failed}, start)
+	homes := map[string]string{}
+	for i := range 30 {
+		c := mustChoose(t, s, ask(fmt.Sprint(i)), start)
+		homes[fmt.Sprint(i)] = c.Backend.ID
+		c.Done(Report{Outcome: Answered}, start)
+	}
 	for range 40 {
 		for i := range 30 {
 			mustChoose(t, s, ask(fmt.Sprint(i)), start).Done(Report{Outcome: Failed}, start)
 		}
 	}
-	at := start.Add(usualPeriod)
-	mustChoose(t, s, ask("1"), at).Done(Report{Outcome: Abandoned}, at)
-	if c := mustChoose(t, s, ask("7"), at); c.Backend.ID != home.Backend.ID {
-		t.Errorf("object 7 moved from %s to %s", home.Backend.ID, c.Backend.ID)
+	for key, home := range homes {
+		c := mustChoose(t, s, ask(key), start)
+		if c.Backend.ID != home {
+			t.Errorf("object %s moved from %s to %s", key, home, c.Backend.ID)
+		}
+		c.Done(Report{Outcome: Failed}, start)
+	}
+}
+
+func TestFaultsAreJudgedBesideWhatIsUsual(t *testing.T) {
+	srv := newServer(backend("i-8001", "n1"), "north", start)
+	for range 10 {
+		srv.takeFault(faultWeight, 1, start)
+	}
+	if srv.healthy(average{}, start) {
+		t.Errorf("a server of which %.2f of the answers fail is healthy among good ones", srv.faultAverage(start))
+	}
+	if !srv.healthy(average{faults: 0.5}, start) {
+		t.Error("a server that fails as the others do is avoided")
 	}
 }
 
