Name what cannot be read, and drop what nothing reads

Unreadable load and cold headers and seeds were turned to nothing without a line; the reason of a run and the list of members were kept and not used.

--- a/cli/tillerd/gateway.go
+++ b/cli/tillerd/gateway.go
@@ -50,6 +50,9 @@
 }
 
 func serveGateway(path string, settings platform.Settings, log zerolog.Logger) error {
+	if len(settings.UnreadableSeeds) > 0 {
+		log.Warn().Str("event", "settings.seeds_unreadable").Strs("seeds", settings.UnreadableSeeds).Send()
+	}
 	g, err := gateway.New(settings.Gateway, platform.Headers(), log)
 	if err != nil {
 		return err
--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -86,12 +86,8 @@
 	Held    int
 }
 
-// Error describes the refusal.
-func (r *Refusal) Error() string { return "no backend server: " + string(r.Reason) }
-
-// Choose picks a server for a request. It returns a *Refusal if none can take
-// it.
-func (s *Set) Choose(r Request, now time.Time) (*Choice, error) {
+// Choose picks a server for a request, or returns why none can take it.
+func (s *Set) Choose(r Request, now time.Time) (*Choice, *Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	svc := s.services[r.Service]
--- a/coordination/upstream/upstream_test.go
+++ b/coordination/upstream/upstream_test.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -36,9 +35,9 @@
 
 func mustChoose(t *testing.T, s *Set, r Request, now time.Time) *Choice {
 	t.Helper()
-	c, err := s.Choose(r, now)
-	if err != nil {
-		t.Fatal(err)
+	c, refusal := s.Choose(r, now)
+	if refusal != nil {
+		t.Fatalf("refused: %+v", refusal)
 	}
 	return c
 }
@@ -195,13 +194,11 @@
 func TestFullServersRefuseAndSayWhen(t *testing.T) {
 	s := fleet("n1")
 	var refusal *Refusal
-	for i := 0; ; i++ {
+	for i := 0; refusal == nil; i++ {
 		if i > 1000 {
 			t.Fatal("the queue has no end")
 		}
-		if _, err := s.Choose(ask("7"), start); errors.As(err, &refusal) {
-			break
-		}
+		_, refusal = s.Choose(ask("7"), start)
 	}
 	if refusal.Reason != ReasonFull || refusal.RetryAfter < minRetryAfter || refusal.RetryAfter > maxRetryAfter {
 		t.Errorf("refusal %+v", refusal)
--- a/gateway/members.go
+++ b/gateway/directory.go
@@ -1,36 +1,14 @@
 package gateway
 
-import (
-	"sync"
-	"time"
-)
+import "time"
 
 // answerTTL is how long clients keep an answer of the directory.
 const answerTTL = 2 * time.Second
 
-// members are the daemons of the fleet as the platform lists them.
-type members struct {
-	self Member
+// TakeDaemons takes the number of daemons that share the fleet's limits.
+func (g *Gateway) TakeDaemons(n int) { g.daemons.Store(int64(n)) }
 
-	mu  sync.Mutex
-	all []Member
-}
-
-func newMembers(self Member) *members { return &members{self: self, all: []Member{self}} }
-
-// TakeMembers replaces the list of daemons.
-func (g *Gateway) TakeMembers(all []Member) {
-	g.members.mu.Lock()
-	defer g.members.mu.Unlock()
-	g.members.all = all
-}
-
-// count returns the number of daemons that share the fleet's limits.
-func (m *members) count() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return max(1, len(m.all))
-}
+func (g *Gateway) daemonCount() int { return max(1, int(g.daemons.Load())) }
 
 // Resolve returns where clients connect, and how long they may keep that. Each
 // daemon names only itself, of which alone it is sure: clients ask the
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,7 +46,7 @@
 	upstreams     *upstream.Set
 	client        *upstreamhttp.Client
 	retries       *budget.Budget
-	members       *members
+	daemons       atomic.Int64
 	peers         *peer.Client
 	peerServer    *peer.Server
 
@@ -72,7 +72,6 @@
 		upstreams: upstream.NewSet(settings.Place, settings.Regions),
 		client:    upstreamhttp.New(headers.Names),
 		retries:   budget.New(settings.Retries),
-		members:   newMembers(self),
 	}
 	g.settings.Store(&settings)
 	// The platform gives daemons no common secret; see docs/QUESTIONS.md.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -40,7 +40,7 @@
 	m.all.Set("connections_opened", expvar.Func(func() any { return g.client.Dials.Load() }))
 	m.all.Set("connections_reused", expvar.Func(func() any { return g.client.Reuses.Load() }))
 	m.all.Set("latency_ms", expvar.Func(m.quantiles))
-	m.all.Set("daemons", expvar.Func(func() any { return g.members.count() }))
+	m.all.Set("daemons", expvar.Func(func() any { return g.daemonCount() }))
 	return m
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -38,9 +38,8 @@
 	// fallback is a server's failure, delivered if no better answer comes.
 	fallback *upstreamhttp.Answer
 	finished chan finished
-	// last is the choice made last, reason why there is no other.
+	// last is the choice made last, refused why there was no other.
 	last    *upstream.Choice
-	reason  string
 	refused *upstream.Refusal
 }
 
@@ -73,7 +72,8 @@
 				return r.end(refusal)
 			}
 		case <-hedge:
-			r.hedge(ctx)
+			// Without a second server the first one is waited for.
+			_ = r.again(ctx)
 		case <-ctx.Done():
 			if errors.Is(ctx.Err(), context.Canceled) {
 				return r.end(r.ended("client_gone"))
@@ -97,12 +97,6 @@
 	return timer.C, func() { timer.Stop() }
 }
 
-func (r *run) hedge(ctx context.Context) {
-	if refusal := r.again(ctx); refusal != nil {
-		r.reason = refusal.reason
-	}
-}
-
 // again sends the request to another server, if that is allowed.
 func (r *run) again(ctx context.Context) *refused {
 	switch {
@@ -112,7 +106,7 @@
 		return r.ended("attempts_used")
 	case ctx.Err() != nil:
 		return r.timedOut()
-	case r.sends > 0 && !r.g.retries.Repeat(r.req.service.Name, r.g.members.count(), time.Now()):
+	case r.sends > 0 && !r.g.retries.Repeat(r.req.service.Name, r.g.daemonCount(), time.Now()):
 		return r.ended("retry_budget")
 	}
 	return r.send(ctx)
@@ -124,14 +118,13 @@
 	if !now.Before(r.req.deadline) {
 		return r.timedOut()
 	}
-	choice, err := r.g.upstreams.Choose(upstream.Request{
+	choice, refusal := r.g.upstreams.Choose(upstream.Request{
 		Service: r.req.service.Name, Key: r.req.key, Route: r.req.route, Tried: r.tried,
 		ObjectiveLeft: r.req.route.Objective - now.Sub(r.req.arrived), TimeLeft: r.req.deadline.Sub(now),
-		ColdRate: r.req.service.ColdRate, Daemons: r.g.members.count(),
+		ColdRate: r.req.service.ColdRate, Daemons: r.g.daemonCount(),
 	}, now)
-	var refusal *upstream.Refusal
-	if errors.As(err, &refusal) {
-		r.reason, r.refused = string(refusal.Reason), refusal
+	if refusal != nil {
+		r.refused = refusal
 		return r.refuse(string(refusal.Reason), refusal.RetryAfter)
 	}
 	r.last = choice
@@ -165,6 +158,10 @@
 		r.mayHaveRun = true
 		return nil
 	}
+	if len(answer.Unreadable) > 0 {
+		r.g.decisions.line("answer.header_unreadable", true).Str("id", r.req.id).Str("backend", f.choice.Backend.ID).
+			Strs("headers", answer.Unreadable).Send()
+	}
 	if answer.NotRun {
 		return nil
 	}
@@ -198,16 +195,15 @@
 const retryAfterFailure = 100 * time.Millisecond
 
 func (r *run) ended(reason string) *refused {
-	r.reason = reason
 	return r.refuse(reason, retryAfterFailure)
 }
 
 func (r *run) timedOut() *refused {
-	r.reason = "timeout"
+	const reason = "timeout"
 	if r.mayHaveRun || r.pending > 0 {
-		return &refused{status: http.StatusGatewayTimeout, reason: r.reason}
+		return &refused{status: http.StatusGatewayTimeout, reason: reason}
 	}
-	return &refused{status: http.StatusServiceUnavailable, reason: r.reason, after: retryAfterFailure}
+	return &refused{status: http.StatusServiceUnavailable, reason: reason, after: retryAfterFailure}
 }
 
 // logSend tells of a send that did not bring an answer.
--- a/transport/upstreamhttp/client_test.go
+++ b/transport/upstreamhttp/client_test.go
@@ -314,3 +314,14 @@
 		t.Errorf("got %+v", x)
 	}
 }
+
+func TestLoadIsReadOrNamedAsUnreadable(t *testing.T) {
+	for value, readable := range map[string]bool{"3,0,8": true, "3, 0, 8": true, "3,0": false, "3,x,8": false, "-1,0,8": false} {
+		a := &Answer{Header: http.Header{"X-Load": {value}, "X-Cold": {"soon"}}}
+		a.readLoad(names)
+		a.readCold(names)
+		if (a.Load != nil) != readable || (len(a.Unreadable) == 1) != readable {
+			t.Errorf("%q: load %v, unreadable %v", value, a.Load, a.Unreadable)
+		}
+	}
+}
--- a/transport/upstreamhttp/conn.go
+++ b/transport/upstreamhttp/conn.go
@@ -177,9 +177,9 @@
 		Body:        body,
 		Misdirected: resp.StatusCode == http.StatusMisdirectedRequest,
 		Signed:      h.Get(n.Signature) != "",
-		Load:        parseLoad(h.Get(n.Load)),
-		ColdLeft:    parseMs(h.Get(n.ColdMs)),
 	}
+	a.readLoad(n)
+	a.readCold(n)
 	a.NotRun = a.Misdirected || h.Get(n.NotExecuted) != ""
 	if a.Status/100 == 2 && !a.Signed {
 		return nil, ErrUnsigned
--- a/transport/upstreamhttp/message.go
+++ b/transport/upstreamhttp/message.go
@@ -59,6 +59,8 @@
 	// Load is nil if the server did not tell it.
 	Load     *upstream.Load
 	ColdLeft time.Duration
+	// Unreadable names the headers that were there and could not be read.
+	Unreadable []string
 }
 
 // hopHeaders concern one connection only.
@@ -114,28 +116,40 @@
 	return append(append(b, value...), "\r\n"...)
 }
 
-// parseLoad reads a load header.
-func parseLoad(value string) *upstream.Load {
-	parts := strings.Split(value, ",")
-	if len(parts) != 3 {
-		return nil
+// readLoad reads the server's load from an answer's header.
+func (a *Answer) readLoad(n Names) {
+	value := a.Header.Get(n.Load)
+	if value == "" {
+		return
 	}
-	var numbers [3]int
-	for i, part := range parts {
-		n, err := strconv.Atoi(strings.TrimSpace(part))
-		if err != nil || n < 0 {
-			return nil
+	var load upstream.Load
+	fields := strings.Split(value, ",")
+	into := []*int{&load.Running, &load.Waiting, &load.Slots}
+	if len(fields) != len(into) {
+		a.Unreadable = append(a.Unreadable, n.Load)
+		return
+	}
+	for i, field := range fields {
+		number, err := strconv.ParseUint(strings.TrimSpace(field), 10, 31)
+		if err != nil {
+			a.Unreadable = append(a.Unreadable, n.Load)
+			return
 		}
-		numbers[i] = n
+		*into[i] = int(number)
 	}
-	return &upstream.Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}
+	a.Load = &load
 }
 
-// parseMs reads a number of milliseconds; anything else is zero.
-func parseMs(value string) time.Duration {
-	ms, err := strconv.ParseInt(value, 10, 64)
-	if err != nil || ms < 0 {
-		return 0
+// readCold reads how long the server stays cold from an answer's header.
+func (a *Answer) readCold(n Names) {
+	value := a.Header.Get(n.ColdMs)
+	if value == "" {
+		return
+	}
+	ms, err := strconv.ParseUint(value, 10, 31)
+	if err != nil {
+		a.Unreadable = append(a.Unreadable, n.ColdMs)
+		return
 	}
-	return time.Duration(ms) * time.Millisecond
+	a.ColdLeft = time.Duration(ms) * time.Millisecond
 }
