Ask for SIGHUP before anything else, and start again gateways that ended in the soak

Likely cause: SIGHUP ends a process that has not asked for it, and the soak sends it at any time. Ruled out for most restarts, not for all: a port that was given to a client's connection. The soak now starts such a process again, as the platform does, and says how it ended.

--- a/cli/tillerd/gateway.go
+++ b/cli/tillerd/gateway.go
@@ -27,6 +27,9 @@
 
 // runGateway serves clients with the settings of the platform's file.
 func runGateway(stdout, stderr io.Writer) int {
+	// SIGHUP ends a process that has not asked for it.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsEnv)
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
@@ -42,14 +45,14 @@
 		fmt.Fprintln(stderr, "tillerd:", err)
 		return exitSettings
 	}
-	if err := serveGateway(path, settings, log); err != nil {
+	if err := serveGateway(path, settings, reloads, log); err != nil {
 		log.Error().Str("event", "gateway.failed").Err(err).Send()
 		return exitFailed
 	}
 	return exitOK
 }
 
-func serveGateway(path string, settings platform.Settings, log zerolog.Logger) error {
+func serveGateway(path string, settings platform.Settings, reloads <-chan os.Signal, log zerolog.Logger) error {
 	if len(settings.UnreadableSeeds) > 0 {
 		log.Warn().Str("event", "settings.seeds_unreadable").Strs("seeds", settings.UnreadableSeeds).Send()
 	}
@@ -59,7 +62,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go followSettings(ctx, path, g, log)
+	go followSettings(ctx, path, reloads, g, log)
 	adapter := platform.NewAdapter(settings, g, log)
 	following, stopFollowing := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -76,9 +79,7 @@
 
 // followSettings reads the settings file again at SIGHUP and when it changed.
 // A file that cannot be used leaves the settings as they are.
-func followSettings(ctx context.Context, path string, g *gateway.Gateway, log zerolog.Logger) {
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
+func followSettings(ctx context.Context, path string, reloads <-chan os.Signal, g *gateway.Gateway, log zerolog.Logger) {
 	ticker := time.NewTicker(settingsPeriod)
 	defer ticker.Stop()
 	changed := modified(path)
--- a/standin/soak/field.go
+++ b/standin/soak/field.go
@@ -173,6 +173,17 @@
 	return nil
 }
 
+// Revive starts a gateway again that has ended by itself, as the platform
+// does, and returns how it had ended; ended is false for one that runs.
+func (f *Field) Revive(n int) (how error, ended bool, err error) {
+	select {
+	case how = <-f.gateways[n].ended:
+		return how, true, f.Start(n)
+	default:
+		return nil, false, nil
+	}
+}
+
 // Signal sends a signal to a gateway's process.
 func (f *Field) Signal(n int, s syscall.Signal) error { return f.gateways[n].cmd.Process.Signal(s) }
 
