--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// maxHomes is how many servers the requests of one object go to. More
-	// would find the object cold and push others out of the servers' memory.
-	maxHomes = 1
 	// homeQueue is the requests in parts of its slots that the object's first
 	// server may hold before the next one is used.
 	homeQueue = 2.0
@@ -161,7 +158,7 @@
 	if len(f.candidates) == 0 {
 		f.candidates = f.doubtful
 	}
-	f.rank()
+	f.keepHome()
 	return f
 }
 
@@ -176,11 +173,13 @@
 	return !slices.Contains(r.Tried, srv.Incarnation())
 }
 
-// rank orders the candidates for the object, the same at every daemon.
-// Without an object, nearer servers come first, and then emptier ones.
-func (f *search) rank() {
-	slices.SortFunc(f.candidates, f.order)
-	f.candidates = f.candidates[:min(len(f.candidates), maxHomes)]
+// keepHome leaves only the object's server among the candidates, the same at
+// every daemon. Another one would find the object cold and push others out of
+// its memory.
+func (f *search) keepHome() {
+	if len(f.candidates) > 1 {
+		f.candidates = []*server{slices.MinFunc(f.candidates, f.order)}
+	}
 }
 
 // distance is 0 for the daemon's own zone, 1 for its region and 2 elsewhere.
@@ -194,6 +193,8 @@
 	return 2
 }
 
+// order compares servers by their rank for the object. Without an object, the
+// one with the shorter wait comes first, then the nearer, then the emptier.
 func (f *search) order(a, b *server) int {
 	if f.request.Key == "" {
 		return cmp.Or(cmp.Compare(f.wait(a), f.wait(b)), cmp.Compare(f.distance(a), f.distance(b)), cmp.Compare(a.estimate(f.now), b.estimate(f.now)))
