Keep a key that did not run, so that a copy held back cannot run it

A copy that a paused entry host or a cut connection had held back came after the caller was told not-run, found no record and ran. Ruled out: the HTTP library (a body that cannot be read twice is not sent again), the cancel at the backend server (an identity that was cancelled first is refused when it comes), the hand-over.

not-run is now final for its key, and the answer carries a fresh one. A full table answers unknown instead of not-run, since nothing is recorded there.

The stand-in answered a request that it had cancelled with an empty 200; its Cancel answer had been lost to the time-out. It now answers as shed, which docs/BACKEND.md asks for. It also miscounted such requests.

--- a/coordination/permit/table.go
+++ b/coordination/permit/table.go
@@ -125,8 +125,9 @@
 	return run, true, nil
 }
 
-// Finish records the end of a run. A run that is proved not to have happened
-// is forgotten, so that the key may be used again.
+// Finish records the end of a run. One that is proved not to have happened
+// stays recorded as well: a copy of the request that was held back on its way
+// must not run after its caller was told.
 func (t *Table) Finish(key Key, run *Run, answer request.Answer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -137,10 +138,6 @@
 		close(t.quiet)
 	}
 	e := t.entries[key.nonce]
-	if answer.Outcome == request.NotRun {
-		t.remove(e)
-		return
-	}
 	e.settled = true
 	e.run = endedRun(answer)
 	t.keep(e)
--- a/coordination/permit/table_test.go
+++ b/coordination/permit/table_test.go
@@ -59,6 +59,19 @@
 	}
 }
 
+func TestCopyHeldBackDoesNotRunAfterNotRun(t *testing.T) {
+	table := NewTable("n0", Limits{Keys: 1, AnswerBytes: 100})
+	key, run, err := begin(t, newFleet(), table, start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table.Finish(key, run, request.Refuse(request.ReasonCancelled, "caller gone"))
+	late, first, err := table.Begin(key, &request.Request{Body: []byte("one")}, start)
+	if err != nil || first || late.Answer().Outcome != request.NotRun {
+		t.Errorf("late copy: got first %v, error %v, answer %v, want the answer not-run", first, err, late)
+	}
+}
+
 func TestAnswerBeyondBytesIsDoneNotKept(t *testing.T) {
 	table := NewTable("n0", Limits{Keys: 3, AnswerBytes: 10})
 	f := newFleet()
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -52,12 +52,22 @@
 func (d *Daemon) finish(w http.ResponseWriter, req *request.Request, answer request.Answer) {
 	d.metrics.outcomes[answer.Outcome].Add(1)
 	freshKey := ""
-	if answer.Reason == request.ReasonKeyRequired {
+	if needsKey(req, answer) {
 		freshKey = d.ownKey()
 	}
 	writeAnswer(w, d.self.ID, req.ID, freshKey, answer)
 }
 
+// needsKey reports whether the caller must have another key to send the
+// request again: it had none, or its key is spent. A malformed key is an error
+// of the caller's.
+func needsKey(req *request.Request, answer request.Answer) bool {
+	if answer.Reason == request.ReasonKeyRequired {
+		return true
+	}
+	return answer.Outcome == request.NotRun && req.Key != "" && answer.Reason != request.ReasonKeyInvalid
+}
+
 // ownKey returns a key that this daemon owns, or "".
 func (d *Daemon) ownKey() string {
 	if d.withdrawn() {
--- a/daemon/owner.go
+++ b/daemon/owner.go
@@ -181,7 +181,8 @@
 	case errors.Is(err, permit.ErrReused):
 		return request.Refuse(request.ReasonKeyReused, err.Error())
 	case errors.Is(err, permit.ErrFull):
-		return request.Refuse(request.ReasonQueueFull, err.Error())
+		// Nothing is recorded of this copy, and another one may still come.
+		return request.Undecided(request.ReasonQueueFull, err.Error())
 	}
 	return request.Undecided(request.ReasonOwnerGone, err.Error())
 }
--- a/protocol/callerapi/callerapi.go
+++ b/protocol/callerapi/callerapi.go
@@ -66,7 +66,7 @@
 	Reason    request.Reason  `json:"reason"`
 	Detail    string          `json:"detail,omitempty"`
 	RequestID string          `json:"request_id,omitempty"`
-	// Key is a fresh key, given when the request needed one.
+	// Key is a fresh key, given when the request needs another one to run.
 	Key string `json:"key,omitempty"`
 }
 
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -206,19 +206,20 @@
 	cancelled, shed := s.arrive(id)
 	defer s.leave(id)
 	if shed {
-		w.Header().Set(backendapi.HeaderShed, "true")
-		http.Error(w, "shed", http.StatusServiceUnavailable)
+		replyShed(w)
 		return
 	}
 	select {
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
 	case <-cancelled:
+		replyShed(w)
 		return
 	case <-r.Context().Done():
 		return
 	}
 	if !s.start(id) {
+		replyShed(w)
 		return
 	}
 	s.work(w, r, id, string(body))
@@ -252,6 +253,12 @@
 	_, _ = io.WriteString(w, text)
 }
 
+// replyShed says that the request did not run and will not.
+func replyShed(w http.ResponseWriter) {
+	w.Header().Set(backendapi.HeaderShed, "true")
+	http.Error(w, "shed", http.StatusServiceUnavailable)
+}
+
 func (s *Server) workTime() time.Duration {
 	if time.Since(s.started) < s.opts.ColdFor {
 		return s.opts.Work + s.opts.ColdStart
@@ -264,13 +271,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cancelled = make(chan struct{})
+	s.present++
 	if s.progress[id] == progressRefused {
 		close(cancelled)
 		return cancelled, false
 	}
 	s.waiting[id] = cancelled
 	s.progress[id] = backendapi.ProgressWaiting
-	s.present++
 	s.stats.MostInUse = max(s.stats.MostInUse, s.present)
 	s.sampled = max(s.sampled, s.present)
 	if s.present > s.opts.Slots {
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -42,6 +42,8 @@
 	Lost int
 	// Report names an accepted request.
 	Report string
+	// Key is a fresh key to send the request again with, if it did not run.
+	Key string
 }
 
 // Caller sends requests. It is safe for concurrent use.
@@ -87,7 +89,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	result := Result{Outcome: request.NotRun, Reason: request.ReasonNoUpstream}
+	result, key := Result{Outcome: request.NotRun, Reason: request.ReasonNoUpstream}, lookup.Key
 	for try := range maxTries {
 		if try >= len(lookup.Hosts) && !pause(ctx) {
 			break
@@ -97,12 +99,18 @@
 		}
 		host := lookup.Hosts[try%len(lookup.Hosts)]
 		lost := result.Lost
-		result = c.RunAt(ctx, host.Address, service, path, lookup.Key, body, header)
+		result = c.RunAt(ctx, host.Address, service, path, key, body, header)
 		result.Tries = try + 1
 		result.Lost += lost
 		if !again(result) {
 			break
 		}
+		if result.Outcome == request.NotRun && key != "" {
+			// The key is spent.
+			if key = result.Key; key == "" {
+				break
+			}
+		}
 	}
 	return result, nil
 }
@@ -225,6 +233,7 @@
 		Host:     resp.Header.Get(callerapi.HeaderHost),
 		Upstream: resp.Header.Get(callerapi.HeaderUpstream),
 		Report:   resp.Header.Get(callerapi.HeaderReport),
+		Key:      resp.Header.Get(callerapi.HeaderKey),
 	}
 }
 
