Stop requests that crash each server that runs them, in gateways too

Cause: a gateway sent a request whose server crashed to the next one, and again for each copy at each daemon; the users' rules allow three retries after the third crash. Only the product's own interface tracked crashes.

A server that closes the connection of a request and takes none within a second has crashed; that is charged with coordination/poison. A daemon tells its charges in its own entry of the store, which all follow already: no new watch, one call for each crash and daemon that saw it. Ruled out: charging each closed connection.

TestRequestThatCrashesServersIsStoppedByAllDaemons fails without it.

--- a/cli/tillerctl/trace.go
+++ b/cli/tillerctl/trace.go
@@ -19,6 +19,7 @@
 // causes says what an outcome of a request means, by the outcome's name in
 // the log.
 var causes = map[string]string{
+	"crashes_servers":  "backend servers crashed on this request, see the lines request.crashed_server of its digest; nothing ran this time",
 	"answered":         "a backend server answered; its status was given back unchanged",
 	"no_configuration": "the daemon had just started and knew no configuration yet; nothing ran",
 	"no_route":         "no route of the version in force has this host and path",
--- /dev/null
+++ b/coordination/poison/losses.go
@@ -0,0 +1,53 @@
+package poison
+
+import "time"
+
+const (
+	// confirmPeriod is how soon after a server closed connections it must be
+	// found down, so that it counts as crashed. A server that answers again
+	// sooner has closed connections for another reason.
+	confirmPeriod = time.Second
+	// maxLosses bounds the requests that are held for one server.
+	maxLosses = 64
+)
+
+// Losses holds the requests whose connections a server closed before it
+// answered, until it is known whether the server crashed. It is not safe for
+// concurrent use.
+type Losses struct {
+	servers map[string][]loss
+}
+
+type loss struct {
+	digest Digest
+	at     time.Time
+}
+
+// NewLosses returns losses of no request.
+func NewLosses() *Losses { return &Losses{servers: map[string][]loss{}} }
+
+// Lost records that a server closed the connection of a request.
+func (l *Losses) Lost(server string, d Digest, now time.Time) {
+	if of := l.servers[server]; len(of) < maxLosses {
+		l.servers[server] = append(of, loss{d, now})
+	}
+}
+
+// Answered records that a server lives.
+func (l *Losses) Answered(server string) { delete(l.servers, server) }
+
+// Down returns the requests that a server was running when it crashed, given
+// that it takes no connection now. Each one is returned once.
+func (l *Losses) Down(server string, now time.Time) []Digest {
+	var crashed []Digest
+	for _, lost := range l.servers[server] {
+		if now.Sub(lost.at) <= confirmPeriod {
+			crashed = append(crashed, lost.digest)
+		}
+	}
+	delete(l.servers, server)
+	return crashed
+}
+
+// Idle reports whether no loss waits for news of its server.
+func (l *Losses) Idle() bool { return len(l.servers) == 0 }
--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -71,9 +71,10 @@
 	return len(t.charges) == 0
 }
 
-// Charge takes a crash over. A crash that is known already changes nothing.
-func (t *Tracker) Charge(c Crash, now time.Time) {
-	t.put(c, now, false)
+// Charge takes a crash over and reports whether it was new. A crash that is
+// known already changes nothing.
+func (t *Tracker) Charge(c Crash, now time.Time) bool {
+	return t.put(c, now, false)
 }
 
 // Clear takes over that a crash is held against its request no longer.
@@ -81,25 +82,27 @@
 	t.put(c, now, true)
 }
 
-func (t *Tracker) put(c Crash, now time.Time, cleared bool) {
+// put reports whether it changed anything.
+func (t *Tracker) put(c Crash, now time.Time, cleared bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.purge(now)
 	if !now.Before(c.Expires) {
-		return
+		return false
 	}
 	held := t.charges[c.Digest]
 	if held == nil {
 		if len(t.charges) >= maxDigests {
-			return
+			return false
 		}
 		held = map[string]charge{}
 		t.charges[c.Digest] = held
 	}
 	if known, ok := held[c.ID]; ok && (known.cleared || !cleared) {
-		return
+		return false
 	}
 	held[c.ID] = charge{expires: c.Expires, cleared: cleared}
+	return true
 }
 
 // Verdict returns whether a request may run.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,7 @@
 	upstreams     *upstream.Set
 	client        *upstreamhttp.Client
 	retries       *budget.Budget
+	crashes       *crashes
 	daemons       atomic.Int64
 	peers         *peer.Client
 	peerServer    *peer.Server
@@ -78,6 +79,7 @@
 	auth := peer.NewAuth(settings.HostID, nil)
 	g.peers = peer.NewClient(auth, netip.IPv4Unspecified())
 	g.peerServer = peer.NewServer(auth, g.log)
+	g.crashes = newCrashes(g.log)
 	g.backends = newBackends(g.upstreams, g.log)
 	g.metrics = newMetrics(g)
 	g.metrics.all.Add("log_lines_left_out", 0)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -38,6 +38,8 @@
 	// arrivals counts what reached any server.
 	arrivals atomic.Int64
 	servers  int
+	// last is the server that was added last.
+	last *httptest.Server
 }
 
 func newTestGateway(t testing.TB) *Gateway {
@@ -75,6 +77,7 @@
 		h(w, r)
 	}))
 	t.Cleanup(server.Close)
+	f.last = server
 	f.servers++
 	f.TakeBackend(routing.Backend{
 		ID: fmt.Sprint("i-", f.servers), Born: 1, Service: "pay", Address: server.Listener.Addr().String(), Zone: "n1", Slots: 4,
@@ -274,6 +277,47 @@
 	}
 }
 
+// crashOn serves requests until one with the given body comes, which ends the
+// server.
+func (f *fixture) crashOn(t *testing.T, body string) {
+	t.Helper()
+	var server *httptest.Server
+	f.serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if text, err := io.ReadAll(r.Body); err != nil || string(text) == body {
+			server.Listener.Close()
+			drop(w, r)
+		}
+		good(w, r)
+	})
+	server = f.last
+}
+
+func TestRequestThatCrashesServersIsStoppedByAllDaemons(t *testing.T) {
+	f, other := newFixture(t, route(true)), newFixture(t, route(true))
+	for range 3 {
+		f.crashOn(t, "poison")
+	}
+	other.crashOn(t, "poison")
+	if resp, _ := mustCall(t, f, "poison"); resp.StatusCode != http.StatusBadGateway {
+		t.Fatalf("the first time: %d", resp.StatusCode)
+	}
+	// Another request finds both servers down and is answered by the third.
+	if resp, _ := mustCall(t, f, "harmless"); resp.StatusCode != http.StatusOK {
+		t.Fatalf("another request: %d", resp.StatusCode)
+	}
+	other.TakeCrashes(f.Crashes())
+	for _, at := range []*fixture{f, other} {
+		before := at.arrivals.Load()
+		resp, _ := mustCall(t, at, "poison")
+		if resp.StatusCode != http.StatusServiceUnavailable || at.arrivals.Load() != before {
+			t.Errorf("again: got %d after %d sends, want 503 and none", resp.StatusCode, at.arrivals.Load()-before)
+		}
+		if resp, _ := mustCall(t, at, "harmless"); resp.StatusCode != http.StatusOK {
+			t.Errorf("another request: %d", resp.StatusCode)
+		}
+	}
+}
+
 func TestUnknownPathAndLongBodyAreRefused(t *testing.T) {
 	r := route(false)
 	r.Prefix = "/known/"
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -14,6 +14,9 @@
 	"bilberrytiller.example/tiller/transport/upstreamhttp"
 )
 
+// reasonCrashes says that servers crashed on the request.
+const reasonCrashes = "crashes_servers"
+
 // maxConnects is how many servers that take no connection one request tries.
 const maxConnects = 4
 
@@ -122,6 +125,9 @@
 	if !now.Before(r.req.deadline) {
 		return r.timedOut()
 	}
+	if r.g.crashes.blocks(r.req, now) {
+		return r.refuse(reasonCrashes, retryAfterCrashes)
+	}
 	choice, refusal := r.g.upstreams.Choose(upstream.Request{
 		Service: r.req.service.Name, Key: r.req.key, Route: r.req.route, Tried: r.tried,
 		ObjectiveLeft: r.req.route.Objective - now.Sub(r.req.arrived), TimeLeft: r.req.deadline.Sub(now),
@@ -148,6 +154,7 @@
 // take records how a send ended and returns the answer to deliver, if there
 // is one.
 func (r *run) take(f finished) *upstreamhttp.Answer {
+	r.g.crashes.take(r.req, f, time.Now())
 	r.g.metrics.sends.Add(f.exchange.Report.Outcome.String(), 1)
 	if f.exchange.Report.Outcome != upstream.Answered {
 		r.logSend(f)
@@ -210,6 +217,9 @@
 	// retryAfterFailure is when a client comes back whose request servers did
 	// not run.
 	retryAfterFailure = 100 * time.Millisecond
+	// retryAfterCrashes is the same for one that servers crashed on, which is of
+	// no use before the charges expire.
+	retryAfterCrashes = time.Second
 	// retryAfterShed is the same if they had room for it.
 	retryAfterShed = 10 * time.Millisecond
 )
@@ -249,6 +259,9 @@
 	e := g.decisions.line("request.done", res.answer == nil).Str("id", req.id).Str("route", req.route.Name).
 		Str("service", req.service.Name).Uint64("version", uint64(req.version)).Str("key", req.key).
 		Int("status", status).Str("outcome", outcome).Int("sends", r.sends).Int("connects", r.connects).Dur("ms", latency)
+	if outcome == reasonCrashes {
+		e = e.Str("digest", shortDigest(req.digest()))
+	}
 	r.addChoice(e).Send()
 }
 
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/budget"
+	"bilberrytiller.example/tiller/coordination/poison"
 	"bilberrytiller.example/tiller/coordination/upstream"
 	"bilberrytiller.example/tiller/transport/upstreamhttp"
 )
@@ -42,4 +43,7 @@
 	// ClientAddress takes clients' requests, PeerAddress other daemons.
 	ClientAddress string
 	PeerAddress   string
+	// Crashes are the crashes of servers that the daemon saw and the requests
+	// that they are charged to.
+	Crashes []poison.Crash
 }
