Use an object's next server where its own would answer too late

Ruled out: too few slots (servers next to the busy one held half as many).

The next server by the object's order takes a request whose own server would miss the objective, if it has a free slot and work on cold objects, estimated from the slowest answers that did not queue, is within the objective. A queue that outlasts the request is not joined. The choice of one server reads as that now, without the loops over what was one candidate.

The two new tests fail without the change.

--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -10,12 +10,9 @@
 )
 
 const (
-	// homeQueue is the requests in parts of its slots that the object's first
-	// server may hold before the next one is used.
-	homeQueue = 2.0
-	// lateQueue is the queue in parts of a server's slots that requests may
-	// join although they will miss their objective.
-	lateQueue = 1.0
+	// fullQueue is the requests in parts of its slots that a server may hold
+	// before those that would miss their objective are refused.
+	fullQueue = 2.0
 	// firstLatency is the time in seconds that a server's work is thought to
 	// take before any answer told.
 	firstLatency = 0.1
@@ -96,13 +93,14 @@
 	if len(search.candidates) == 0 {
 		return nil, &Refusal{Reason: search.emptyReason(), RetryAfter: maxRetryAfter / 4}
 	}
-	if srv := search.withRoom(); srv != nil {
+	srv := search.home()
+	switch {
+	case search.hasRoom(srv):
 		return s.take(srv, r, ReasonRoom, now), nil
-	}
-	if srv := search.withQueue(); srv != nil {
+	case search.done(srv) <= r.ObjectiveLeft:
 		return s.take(srv, r, ReasonQueue, now), nil
 	}
-	return nil, search.full()
+	return nil, search.full(srv)
 }
 
 // take counts a request in flight at a server.
@@ -127,8 +125,10 @@
 	object  uint64
 	place   Place
 	usual   average
-	now     time.Time
-	// candidates are the usable servers, best first.
+	// cold is the time in seconds that work on a cold object takes, or 0.
+	cold float64
+	now  time.Time
+	// candidates are the usable servers.
 	candidates []*server
 	// doubtful are usable servers that are faulty or slow, which are candidates
 	// only if no other is.
@@ -138,7 +138,7 @@
 }
 
 func (s *Set) newSearch(svc *service, r Request, now time.Time) *search {
-	f := &search{request: r, place: s.place, usual: svc.usual, now: now}
+	f := &search{request: r, place: s.place, usual: svc.usual, cold: svc.cold.seconds, now: now}
 	if r.Key != "" {
 		f.object = affinity.Hash(r.Service, r.Key)
 	}
@@ -158,7 +158,6 @@
 	if len(f.candidates) == 0 {
 		f.candidates = f.doubtful
 	}
-	f.keepHome()
 	return f
 }
 
@@ -173,13 +172,23 @@
 	return !slices.Contains(r.Tried, srv.Incarnation())
 }
 
-// keepHome leaves only the object's server among the candidates, the same at
-// every daemon. Another one would find the object cold and push others out of
-// its memory.
-func (f *search) keepHome() {
-	if len(f.candidates) > 1 {
-		f.candidates = []*server{slices.MinFunc(f.candidates, f.order)}
+// home returns the object's server, the same at every daemon: another one would
+// find the object cold and push others out of its memory. Where the object's
+// server would answer too late, and one that finds it cold would not, that is
+// the next one.
+func (f *search) home() *server {
+	first := slices.MinFunc(f.candidates, f.order)
+	if f.request.Key == "" || first.estimate(f.now) < first.slots() || f.done(first) <= f.request.ObjectiveLeft {
+		return first
+	}
+	if f.cold == 0 || f.cold > f.request.ObjectiveLeft.Seconds() || len(f.candidates) < 2 {
+		return first
 	}
+	rest := slices.DeleteFunc(f.candidates, func(srv *server) bool { return srv == first })
+	if next := slices.MinFunc(rest, f.order); next.estimate(f.now) < next.slots() {
+		return next
+	}
+	return first
 }
 
 // distance is 0 for the daemon's own zone, 1 for its region and 2 elsewhere.
@@ -202,38 +211,22 @@
 	return cmp.Compare(affinity.Score(f.object, b.hash), affinity.Score(f.object, a.hash))
 }
 
-// withRoom returns the first server whose queue is short enough that another
-// one, which would find the object cold, is no better.
-func (f *search) withRoom() *server {
-	for _, srv := range f.candidates {
-		if float64(srv.estimate(f.now)) < homeQueue*float64(srv.slots()) {
-			return srv
-		}
-	}
-	return nil
-}
-
-// withQueue returns the server with the shortest expected wait, if a request
-// that joins its queue is still of use.
-func (f *search) withQueue() *server {
-	best, wait := f.shortest()
-	done := time.Duration((wait + f.work(best)) * float64(time.Second))
-	if done <= f.request.ObjectiveLeft {
-		return best
-	}
-	queued := best.estimate(f.now) - best.slots()
-	if float64(queued) < lateQueue*float64(best.slots()) && done <= f.request.TimeLeft {
-		return best
+// hasRoom reports whether a server has a free slot, or a queue that is short
+// enough to join.
+func (f *search) hasRoom(srv *server) bool {
+	held := srv.estimate(f.now)
+	if held < srv.slots() {
+		return true
 	}
-	return nil
+	return float64(held) < fullQueue*float64(srv.slots()) && f.done(srv) <= f.request.TimeLeft
 }
 
-// shortest returns the candidate with the shortest expected wait in seconds.
-func (f *search) shortest() (*server, float64) {
-	best := slices.MinFunc(f.candidates, func(a, b *server) int { return cmp.Compare(f.wait(a), f.wait(b)) })
-	return best, f.wait(best)
+// done returns how long a server is expected to take for the request.
+func (f *search) done(srv *server) time.Duration {
+	return time.Duration((f.wait(srv) + f.work(srv)) * float64(time.Second))
 }
 
+// wait returns the time in seconds that the request is expected to wait.
 func (f *search) wait(srv *server) float64 {
 	ahead := srv.estimate(f.now) + 1 - srv.slots()
 	return max(0, float64(ahead)) / float64(srv.slots()) * f.work(srv)
@@ -254,14 +247,13 @@
 	return ReasonNoServer
 }
 
-// full returns the refusal of a request that no queue has room for. It asks
-// the client back when the shortest queue is expected to have run off.
-func (f *search) full() *Refusal {
-	nearest, wait := f.shortest()
-	after := time.Duration(wait * float64(time.Second))
+// full returns the refusal of a request whose server's queue is too long. It
+// asks the client back when the queue is expected to have run off.
+func (f *search) full(srv *server) *Refusal {
+	after := time.Duration(f.wait(srv) * float64(time.Second))
 	return &Refusal{
 		Reason: ReasonFull, RetryAfter: min(maxRetryAfter, max(minRetryAfter, after)),
-		Nearest: nearest.ID, Held: nearest.estimate(f.now),
+		Nearest: srv.ID, Held: srv.estimate(f.now),
 	}
 }
 
--- a/coordination/upstream/outcome.go
+++ b/coordination/upstream/outcome.go
@@ -51,6 +51,9 @@
 			latency = 0
 		}
 		srv.takeLoad(*r.Load, latency, now)
+		if of := c.set.services[srv.Service]; of != nil && r.Load.Waiting == 0 {
+			of.cold.take(latency)
+		}
 	}
 	if r.ColdLeft > 0 {
 		srv.coldUntil = later(srv.coldUntil, now.Add(r.ColdLeft))
--- a/coordination/upstream/set.go
+++ b/coordination/upstream/set.go
@@ -38,6 +38,7 @@
 	servers []*server
 	usual   average
 	usualAt time.Time
+	cold    coldWork
 }
 
 // NewSet returns an empty set for a daemon at place. regions gives the region
--- a/coordination/upstream/upstream_test.go
+++ b/coordination/upstream/upstream_test.go
@@ -205,6 +205,42 @@
 	}
 }
 
+// busyHome returns a set in which the server of an object has a queue and takes
+// 150 ms for a request, as do all others for a cold one.
+func busyHome(t *testing.T, queued int) (s *Set, home string) {
+	t.Helper()
+	s = fleet("n1")
+	first := mustChoose(t, s, ask("7"), start)
+	first.Done(Report{Outcome: Answered, Load: &Load{Slots: 4}, Latency: 150 * time.Millisecond}, start)
+	for range 4 + queued {
+		if c := mustChoose(t, s, ask("7"), start); c.Backend.ID != first.Backend.ID {
+			t.Fatalf("sent to %s while %s would do", c.Backend.ID, first.Backend.ID)
+		}
+	}
+	return s, first.Backend.ID
+}
+
+func TestNextServerTakesWhatTheHomeWouldAnswerTooLate(t *testing.T) {
+	s, home := busyHome(t, 1)
+	if c := mustChoose(t, s, ask("7"), start); c.Backend.ID == home {
+		t.Error("a queue that misses the objective was joined")
+	}
+	late := ask("7")
+	late.ObjectiveLeft = 100 * time.Millisecond
+	if c := mustChoose(t, s, late, start); c.Backend.ID != home {
+		t.Error("a cold server was chosen that misses the objective too")
+	}
+}
+
+func TestQueueThatOutlastsTheRequestIsNotJoined(t *testing.T) {
+	s, home := busyHome(t, 1)
+	r := ask("7")
+	r.ObjectiveLeft, r.TimeLeft = 100*time.Millisecond, 200*time.Millisecond
+	if c, refusal := s.Choose(r, start); refusal == nil || refusal.Reason != ReasonFull || refusal.Nearest != home {
+		t.Errorf("got %+v, %+v, want a refusal for want of time", c, refusal)
+	}
+}
+
 func TestSlowServerIsAvoidedAndTriedAgain(t *testing.T) {
 	s := fleet("n1")
 	load := &Load{Slots: 4}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -343,7 +343,7 @@
 	})
 	resp, _ := mustCall(t, f, "order")
 	if resp.StatusCode != http.StatusGatewayTimeout {
-		t.Errorf("got %d", resp.StatusCode)
+		t.Fatalf("got %d", resp.StatusCode)
 	}
 	<-ended
 }
