Relay the store's objects down a tree in each data centre

Cause: all daemons of a data centre asked its first one.

Each daemon now tells six of its data centre at most, the ones that can carry most at the top; 89 daemons are three steps deep. A relay waits 0.3 s instead of 0.5, so that what is known four steps from the store is as fresh as before. Ruled out: one relay for each group with a group's number in settings (nothing gives one), and longer waits (freshness is what tells a relay that was cut off).

Deep data centres are followed to the store without a ring, and learn a change within 1 s after the top and one below it fall silent.

--- a/gateway/feed/feed_test.go
+++ b/gateway/feed/feed_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -124,6 +125,10 @@
 	clients map[string]*client
 	stop    context.CancelFunc
 	done    sync.WaitGroup
+
+	mu sync.Mutex
+	// silent are the addresses that do not answer.
+	silent map[string]bool
 }
 
 func start(t *testing.T, s *store, zones ...string) *daemons {
@@ -148,9 +153,26 @@
 }
 
 func (d *daemons) ask(ctx context.Context, addr netip.AddrPort, call *wire.ObjectsCall) (*wire.ObjectsAnswer, error) {
+	d.mu.Lock()
+	silent := d.silent[addr.String()]
+	d.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	return d.feeds[addr.String()].answer(ctx, "", call)
 }
 
+// silence makes the daemons at addresses answer no more.
+func (d *daemons) silence(addresses ...string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silent = map[string]bool{}
+	for _, address := range addresses {
+		d.silent[address] = true
+	}
+}
+
 func (d *daemons) end() {
 	d.stop()
 	d.done.Wait()
@@ -243,6 +265,29 @@
 	})
 }
 
+// TestDeepDataCentreLearnsThroughDeadRelays has 89 daemons in a data centre, of
+// which the top one and one below it stop answering.
+func TestDeepDataCentreLearnsThroughDeadRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		d := start(t, s, slices.Repeat([]string{"z1"}, 89)...)
+		defer d.end()
+		time.Sleep(5 * time.Second)
+		s.put("a")
+		time.Sleep(100 * time.Millisecond)
+		if behind := d.behind("a"); len(behind) > 0 {
+			t.Errorf("%v do not know a change at once", behind)
+		}
+		d.silence("10.0.0.1:1", "10.0.0.2:1")
+		time.Sleep(1500 * time.Millisecond)
+		s.put("b")
+		time.Sleep(time.Second)
+		if behind := d.behind("b"); len(behind) > 0 {
+			t.Errorf("%v do not know a change of 1 s ago", behind)
+		}
+	})
+}
+
 func TestStoreThatIsDownIsAskedSeldom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
--- a/gateway/feed/relay.go
+++ b/gateway/feed/relay.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// relayWait is how long a relay waits for something new.
-	relayWait = 500 * time.Millisecond
+	// relayWait is how long a relay waits for something new. What is known four
+	// steps from the store is older than its watch by as many of these.
+	relayWait = 300 * time.Millisecond
 	// relaySlack is how much longer its answer may take.
 	relaySlack = 300 * time.Millisecond
 	// relayPause is how long a relay that failed is not asked. It is short,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,7 +64,7 @@
 	}
 	self := Member{
 		ID: settings.HostID, Incarnation: hex.EncodeToString(b), Zone: settings.Place.Zone, Region: settings.Place.Region,
-		ClientAddress: settings.ClientListen, PeerAddress: settings.PeerListen,
+		ClientAddress: settings.ClientListen, PeerAddress: settings.PeerListen, Capacity: settings.Capacity,
 	}
 	g := &Gateway{
 		headers:   headers,
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -19,6 +19,8 @@
 	// ClientListen, ReadyListen, DirectoryListen, PeerListen and
 	// MetricsListen are the addresses to listen on.
 	ClientListen, ReadyListen, DirectoryListen, PeerListen, MetricsListen string
+	// Capacity is what the host can carry, in cores that its link keeps busy.
+	Capacity float64
 	// StopTimeout is how long a graceful stop may take.
 	StopTimeout time.Duration
 	// MaxAnswerTTL is the longest that clients keep an answer of the directory.
@@ -43,6 +45,8 @@
 	// ClientAddress takes clients' requests, PeerAddress other daemons.
 	ClientAddress string
 	PeerAddress   string
+	// Capacity compares what the hosts can carry.
+	Capacity float64
 	// Crashes are the crashes of servers that the daemon saw and the requests
 	// that they are charged to.
 	Crashes []poison.Crash
