Wait for a relay that is starting too, instead of reading the store from everywhere

Ruled out: a longer wait for all (a relay without power does not answer, and waiting for it cost a second before).

A relay that knows nothing yet says so at once; a starting daemon asks it again every 30 ms, for 1.5 s at most.

--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -65,6 +65,8 @@
 	choice  *relay.Choice
 	// relayed is until when another daemon is known to bring what is fresh.
 	relayed time.Time
+	// relayStarts is until when a relay is known to be starting.
+	relayStarts time.Time
 	// apply keeps the order of what the kinds take.
 	apply sync.Mutex
 }
--- a/gateway/feed/feed_test.go
+++ b/gateway/feed/feed_test.go
@@ -28,6 +28,8 @@
 	floor    int64
 	down     bool
 	calls    int
+	// delay is the time that an answer takes.
+	delay time.Duration
 }
 
 func newStore() *store { return &store{revision: 1, objects: map[string]objects.Object{}} }
@@ -61,9 +63,10 @@
 func (c *client) answer(ctx context.Context) error {
 	c.mu.Lock()
 	c.calls++
-	lost := c.down || c.cut
+	lost, delay := c.down || c.cut, c.delay
 	c.mu.Unlock()
 	if !lost {
+		time.Sleep(delay)
 		return nil
 	}
 	select {
@@ -143,7 +146,7 @@
 	for _, m := range members {
 		d.clients[m.ID] = &client{store: s}
 		kind := Kind{Name: "k", Wait: 1500 * time.Millisecond, Reset: func([]objects.Object) {}, Change: func(objects.Event) {}}
-		d.feeds[m.Address] = New(Settings{Self: m, StartWait: time.Second}, d.clients[m.ID], []Kind{kind}, d.ask, zerolog.Nop())
+		d.feeds[m.Address] = New(Settings{Self: m, StartWait: 150 * time.Millisecond}, d.clients[m.ID], []Kind{kind}, d.ask, zerolog.Nop())
 		d.feeds[m.Address].SetMembers(members)
 	}
 	for _, f := range d.feeds {
@@ -288,6 +291,27 @@
 	})
 }
 
+// TestFleetThatComesBackAtOnceReadsTheStoreSeldom has a store whose list takes
+// longer than a daemon waits for a relay that does not answer.
+func TestFleetThatComesBackAtOnceReadsTheStoreSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.delay = 400 * time.Millisecond
+		s.put("a")
+		d := start(t, s, slices.Repeat([]string{"z1"}, 89)...)
+		defer d.end()
+		time.Sleep(time.Second)
+		if behind := d.behind("a"); len(behind) > 0 {
+			t.Errorf("%d daemons know nothing after 1 s", len(behind))
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.calls > 3 {
+			t.Errorf("%d calls of the store by 89 daemons, want those of one", s.calls)
+		}
+	})
+}
+
 func TestStoreThatIsDownIsAskedSeldom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
--- a/gateway/feed/relay.go
+++ b/gateway/feed/relay.go
@@ -26,6 +26,11 @@
 	// ageSlack is how much older than a watch's wait what a relay knows of a
 	// kind may be. It covers the store's answer and the way of the relay's.
 	ageSlack = time.Second
+	// maxStartWait bounds how long a starting daemon waits for a relay that is
+	// starting too.
+	maxStartWait = 1500 * time.Millisecond
+	// startCheck is how often such a relay is asked.
+	startCheck = 30 * time.Millisecond
 	// maxRelayWait bounds what an asking daemon may have this one wait.
 	maxRelayWait = 5 * time.Second
 )
@@ -70,7 +75,7 @@
 	answer, news := &wire.ObjectsAnswer{}, false
 	for _, k := range call.Kinds {
 		a := f.kindAnswer(k)
-		news = news || a.Full || len(a.Events) > 0
+		news = news || a.Full || a.Unknown || len(a.Events) > 0
 		answer.Kinds = append(answer.Kinds, a)
 	}
 	return answer, news
@@ -120,8 +125,22 @@
 	}
 }
 
-// isStarting reports whether the daemon leaves the store to its relay.
-func (f *Feed) isStarting() bool { return time.Since(f.started) < f.settings.StartWait }
+// isStarting reports whether the daemon leaves the store to its relay. It waits
+// longer for one that answers and is starting too: when a whole fleet comes back
+// at once, not all are to read the store.
+func (f *Feed) isStarting() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	passed := now.Sub(f.started)
+	return passed < f.settings.StartWait || passed < maxStartWait && now.Before(f.relayStarts)
+}
+
+func (f *Feed) setRelayStarts(until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.relayStarts = until
+}
 
 // IsFirst reports whether the daemon is known to have no relay.
 func (f *Feed) IsFirst() bool {
@@ -146,9 +165,12 @@
 			f.setRelayed(time.Now().Add(relayWait + relaySlack))
 			continue
 		}
-		if errors.Is(err, objects.ErrUnknown) && f.isStarting() {
-			sleep.For(ctx, relayCheck)
-			continue
+		if errors.Is(err, objects.ErrUnknown) {
+			f.setRelayStarts(time.Now().Add(relayWait + relaySlack))
+			if f.isStarting() {
+				sleep.For(ctx, startCheck)
+				continue
+			}
 		}
 		if ctx.Err() == nil {
 			f.fail(from, err)
