--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Commands for developers. CI runs lint, test and demo.
 
-.PHONY: build test lint demo measure soak fuzz
+.PHONY: build test lint demo measure soak fuzz report
 
 build:
 	mkdir -p bin
@@ -30,3 +30,8 @@
 fuzz:
 	go test ./platform -fuzz FuzzSettings -fuzztime 1m
 	go test ./platform -fuzz FuzzDecode -fuzztime 1m
+
+# One page of the journal of bench runs, with plots.
+report:
+	mkdir -p bin
+	cd standin && go run ./cmd/report --journal ../journal --out ../bin/report.html
