--- a/standin/report/plot.go
+++ b/standin/report/plot.go
@@ -21,8 +21,10 @@
 	// shownPrices is how many kinds of prices have a bar; the rest are too small
 	// to see.
 	shownPrices = 6
-	// legendDays is the room for the legend, in days.
-	legendDays = 1.5
+	// legendPart is the room for the legend, in parts of that for the bars.
+	legendPart = 0.4
+	// labelTurn is the angle of the days' names in radians, so that they fit.
+	labelTurn = 0.4
 )
 
 // moves draws how the worth and the credit of a day moved from run to run.
@@ -70,7 +72,8 @@
 	}
 	p.NominalX(names...)
 	// The legend stands beside the last bars.
-	p.X.Min, p.X.Max = -0.5, float64(len(days))-0.5+legendDays
+	p.X.Min, p.X.Max = -0.5, float64(len(days))*(1+legendPart)-0.5
+	p.X.Tick.Label.Rotation, p.X.Tick.Label.XAlign = labelTurn, vgdraw.XRight
 	return draw(p)
 }
 
