--- a/gateway/feed/feed_test.go
+++ b/gateway/feed/feed_test.go
@@ -51,6 +51,17 @@
 	}
 }
 
+// callsIn returns how many calls come within a time.
+func (s *store) callsIn(d time.Duration) int {
+	s.mu.Lock()
+	before := s.calls
+	s.mu.Unlock()
+	time.Sleep(d)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls - before
+}
+
 // client is the store as one daemon reaches it.
 type client struct {
 	*store
@@ -205,14 +216,7 @@
 		d := start(t, s, fleetZones()...)
 		defer d.end()
 		time.Sleep(3 * time.Second)
-		s.mu.Lock()
-		before := s.calls
-		s.mu.Unlock()
-		time.Sleep(15 * time.Second)
-		s.mu.Lock()
-		calls := s.calls - before
-		s.mu.Unlock()
-		if calls < 8 || calls > 12 {
+		if calls := s.callsIn(15 * time.Second); calls < 8 || calls > 12 {
 			t.Errorf("%d calls of 6 daemons in 15 s, want the ten of one that waits 1.5 s each", calls)
 		}
 		s.put("a")
@@ -320,13 +324,7 @@
 		time.Sleep(5 * time.Second)
 		s.set(true, false)
 		time.Sleep(5 * time.Second)
-		s.mu.Lock()
-		before := s.calls
-		s.mu.Unlock()
-		time.Sleep(10 * time.Second)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if calls := s.calls - before; calls > 80 {
+		if calls := s.callsIn(10 * time.Second); calls > 80 {
 			t.Errorf("%d calls of 6 daemons in 10 s of an outage", calls)
 		}
 	})
--- a/transport/upstreamhttp/client_test.go
+++ b/transport/upstreamhttp/client_test.go
@@ -128,46 +128,43 @@
 	}
 }
 
-func TestAnswerThatEndsWithItsConnectionIsWhole(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
+// answerOnce serves one request with text and then ends the connection, by a
+// reset if asked for. It returns its address.
+func answerOnce(t *testing.T, text string, reset bool) string {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	t.Cleanup(func() { l.Close() })
 	go func() {
 		c, err := l.Accept()
 		if err != nil {
 			return
 		}
 		_, _ = http.ReadRequest(bufio.NewReader(c))
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Signed: s\r\n\r\nall of it")
+		_, _ = io.WriteString(c, text)
+		if reset {
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
 		c.Close()
 	}()
-	x := New(names).Run(ctx, l.Addr().String(), request("a"))
+	return l.Addr().String()
+}
+
+func TestAnswerThatEndsWithItsConnectionIsWhole(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	addr := answerOnce(t, "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Signed: s\r\n\r\nall of it", false)
+	x := New(names).Run(ctx, addr, request("a"))
 	if x.Err != nil || string(x.Answer.Body) != "all of it" {
 		t.Fatalf("got %+v, %v", x.Answer, x.Err)
 	}
 }
 
 func TestAnswerResetBeforeItsEndIsLost(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		_, _ = http.ReadRequest(bufio.NewReader(c))
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Signed: s\r\n\r\npart")
-		_ = c.(*net.TCPConn).SetLinger(0)
-		c.Close()
-	}()
-	if x := New(names).Run(context.Background(), l.Addr().String(), request("a")); x.Answer != nil || x.Report.Outcome != upstream.Lost {
+	addr := answerOnce(t, "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Signed: s\r\n\r\npart", true)
+	if x := New(names).Run(context.Background(), addr, request("a")); x.Answer != nil || x.Report.Outcome != upstream.Lost {
 		t.Fatalf("got %+v", x)
 	}
 }
