Divide a server's connections among the daemons

A payment that is sent on a connection that is reset ends unknown.

Half of max_conns, divided by the daemons, may be idle at each, one at least.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -318,6 +318,14 @@
 	}
 }
 
+func TestDaemonsKeepAServersConnectionsWithinItsBound(t *testing.T) {
+	for _, c := range []struct{ bound, daemons, most int }{{330, 9, 18}, {1560, 77, 10}, {40, 100, 1}, {0, 9, maxIdleConns}} {
+		if got := maxIdle(routing.Service{MaxConnections: c.bound}, c.daemons); got != c.most {
+			t.Errorf("%d connections among %d daemons: %d idle ones each, want %d", c.bound, c.daemons, got, c.most)
+		}
+	}
+}
+
 func TestUnknownPathAndLongBodyAreRefused(t *testing.T) {
 	r := route(false)
 	r.Prefix = "/known/"
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -143,6 +143,7 @@
 	r.pending++
 	message := r.req.message
 	message.ServerID = choice.Backend.ID
+	message.MaxIdle = maxIdle(r.req.service, r.g.daemonCount())
 	go func() {
 		exchange := r.g.client.Run(ctx, choice.Backend.Address, &message)
 		choice.Done(exchange.Report, time.Now())
@@ -151,6 +152,23 @@
 	return nil
 }
 
+const (
+	// maxIdleConns bounds the idle connections to one server.
+	maxIdleConns = 64
+	// idlePart is the part of a server's connections that may be idle, of all
+	// daemons together. The rest is for requests in flight.
+	idlePart = 0.5
+)
+
+// maxIdle returns how many idle connections a daemon keeps to a server. Beyond
+// its bound a server resets connections, and a payment sent on one is unknown.
+func maxIdle(s routing.Service, daemons int) int {
+	if s.MaxConnections <= 0 {
+		return maxIdleConns
+	}
+	return min(maxIdleConns, max(1, int(idlePart*float64(s.MaxConnections))/daemons))
+}
+
 // take records how a send ended and returns the answer to deliver, if there
 // is one.
 func (r *run) take(f finished) *upstreamhttp.Answer {
--- a/transport/upstreamhttp/client.go
+++ b/transport/upstreamhttp/client.go
@@ -26,11 +26,9 @@
 	// defaultIdle is how long a connection is kept if the server does not say.
 	defaultIdle = 4 * time.Second
 	// idleMargin is kept from a server's own limit, for the time on the way.
-	idleMargin = 500 * time.Millisecond
-	minIdle    = 200 * time.Millisecond
-	// maxIdleConns bounds the idle connections to one server.
-	maxIdleConns = 64
-	sweepPeriod  = time.Second
+	idleMargin  = 500 * time.Millisecond
+	minIdle     = 200 * time.Millisecond
+	sweepPeriod = time.Second
 	// userTimeout bounds how long sent bytes may stay unacknowledged.
 	userTimeout = 2 * time.Second
 )
@@ -80,7 +78,7 @@
 	start := time.Now()
 	answer, keep, err := cn.exchange(ctx, c.names, r)
 	if keep {
-		c.put(addr, cn)
+		c.put(addr, cn, r.MaxIdle)
 	} else {
 		_ = cn.Close()
 	}
@@ -129,11 +127,12 @@
 	return cn
 }
 
-func (c *Client) put(addr string, cn *conn) {
+// put keeps a connection, unless as many as limit are idle.
+func (c *Client) put(addr string, cn *conn, limit int) {
 	cn.idleSince = time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[addr]) >= maxIdleConns {
+	if len(c.idle[addr]) >= limit {
 		_ = cn.Close()
 		return
 	}
--- a/transport/upstreamhttp/client_test.go
+++ b/transport/upstreamhttp/client_test.go
@@ -71,7 +71,7 @@
 func request(id string) *Request {
 	return &Request{
 		Method: http.MethodGet, Target: "/x", Host: "h.example", ID: id, ServerID: "i-1",
-		Header: http.Header{"X-Id": {id}}, Deadline: time.Now().Add(5 * time.Second),
+		Header: http.Header{"X-Id": {id}}, Deadline: time.Now().Add(5 * time.Second), MaxIdle: 4,
 	}
 }
 
@@ -274,7 +274,7 @@
 	for range 100 {
 		// The end of the connection may still be on its way.
 		if idle := c.take(l.Addr().String()); idle != nil && idle.alive() {
-			c.put(l.Addr().String(), idle)
+			c.put(l.Addr().String(), idle, 4)
 			time.Sleep(time.Millisecond)
 			continue
 		}
@@ -322,3 +322,15 @@
 		}
 	}
 }
+
+func TestIdleConnectionsAreKeptUpToTheirLimit(t *testing.T) {
+	c := New(names)
+	for range 3 {
+		near, far := net.Pipe()
+		defer far.Close()
+		c.put("10.0.0.1:1", newConn(near), 2)
+	}
+	if n := len(c.idle["10.0.0.1:1"]); n != 2 {
+		t.Errorf("%d idle connections are kept, want 2", n)
+	}
+}
--- a/transport/upstreamhttp/message.go
+++ b/transport/upstreamhttp/message.go
@@ -43,6 +43,8 @@
 	ServerID string
 	// Deadline ends the request at the server.
 	Deadline time.Time
+	// MaxIdle is how many idle connections to the server are kept.
+	MaxIdle int
 }
 
 // Answer is a whole answer of a backend server to the request that was sent.
