--- a/gateway/feed/follow.go
+++ b/gateway/feed/follow.go
@@ -12,8 +12,9 @@
 
 const (
 	// watchPause is the time between two watches, so that changes that come
-	// together cost one call.
-	watchPause = 50 * time.Millisecond
+	// together cost one call. It is a twelfth of the shortest time in which a
+	// change must be in force.
+	watchPause = 200 * time.Millisecond
 	// relayCheck is how often a daemon that another one serves looks whether
 	// it still does.
 	relayCheck = 100 * time.Millisecond
--- a/gateway/feed/probe.go
+++ b/gateway/feed/probe.go
@@ -12,7 +12,7 @@
 	probePause = 250 * time.Millisecond
 	// relayedProbePause is the same for a daemon that has relays: they are
 	// likely to see the store's return first.
-	relayedProbePause = time.Second
+	relayedProbePause = 2 * time.Second
 )
 
 // probe lets one call at a time through to a store that does not answer, for
