Judge servers by what all daemons of a region see of them

Cause: on grown kssa with 47 lying servers 1,414 look-ups ended with a server's own 500 and no second send: three in ten requests needed one, and the budget is two in ten. No daemon noticed the servers: with 77 daemons and 156 servers each sends a server one request in 9 s, and a failure's weight falls to half in 2 s. Ruled out: more weight for a single failure (47 servers times 77 daemons is more requests than came), longer memory (a trial each half second is every request there is).

Calls to relays carry what a daemon and those below it saw of failing servers, answers carry the region's sum. A server that fails over three in ten of at least four answers is left to trials, one in half a second of all daemons together.

The four new tests have no counterpart before.

--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -109,7 +109,7 @@
 		srv.gate.Admit(r.ColdRate, r.Daemons, now)
 	}
 	if !now.Before(srv.nextTrial) {
-		srv.nextTrial = now.Add(trialPause)
+		srv.nextTrial = now.Add(s.trialPause(srv, r, now))
 	}
 	if srv.ejections > 0 && !now.Before(srv.ejectedUntil) {
 		srv.ejectedUntil = now.Add(firstEjection)
@@ -119,6 +119,15 @@
 	return &Choice{Backend: srv.Backend, Region: srv.region, Reason: reason, Held: held, LoadAge: srv.loadAge(now), set: s, server: srv}
 }
 
+// trialPause returns the time until the next request to a server that others are
+// used instead of. Of one that fails all daemons, the region's take turns.
+func (s *Set) trialPause(srv *server, r Request, now time.Time) time.Duration {
+	if srv.failsOthers(s.services[srv.Service].usual, now) {
+		return trialPause * time.Duration(max(1, r.Daemons))
+	}
+	return trialPause
+}
+
 // search is the choice of a server for one request.
 type search struct {
 	request Request
@@ -275,14 +284,15 @@
 		return
 	}
 	v.usualAt = now
-	var latencies, faults []float64
+	var latencies, faults, shared []float64
 	for _, srv := range v.servers {
 		if srv.latency > 0 {
 			latencies = append(latencies, srv.latency)
 		}
 		faults = append(faults, srv.faultAverage(now))
+		shared = append(shared, srv.shared.part(now))
 	}
-	v.usual = average{latency: median(latencies), faults: median(faults)}
+	v.usual = average{latency: median(latencies), faults: median(faults), shared: median(shared)}
 }
 
 // median returns the middle one of numbers, or 0 if there is none.
--- a/coordination/upstream/outcome.go
+++ b/coordination/upstream/outcome.go
@@ -68,14 +68,17 @@
 	case Answered:
 		s.ejections = 0
 		s.takeFault(faultWeight, 0, now)
+		s.answers.count(false, now)
 	case Failed:
 		s.takeFault(faultWeight, 1, now)
+		s.answers.count(true, now)
 	case Shed:
 		if held < s.slots() {
 			s.takeFault(faultWeight, 1, now)
 		}
 	case Lost:
 		s.takeFault(lossWeight, 1, now)
+		s.answers.count(true, now)
 	case Misdirected:
 		s.misdirected = true
 	case Unreachable:
--- a/coordination/upstream/server.go
+++ b/coordination/upstream/server.go
@@ -58,6 +58,10 @@
 	latency float64
 	faults  float64
 	faultAt time.Time
+	// answers counts those to this daemon, shared those to all of the region.
+	answers, shared tally
+	// doubted is whether shared was over its limit when it was last told.
+	doubted bool
 
 	ejections    int
 	ejectedUntil time.Time
@@ -165,15 +169,22 @@
 type average struct {
 	// latency is in seconds.
 	latency float64
-	// faults is the part of the answers that failed.
-	faults float64
+	// faults is the part of the answers that failed, shared that of the answers
+	// to all daemons of the region.
+	faults, shared float64
+}
+
+// failsOthers reports whether the server fails the requests of the region's
+// daemons more than others do.
+func (s *server) failsOthers(usual average, now time.Time) bool {
+	return s.shared.part(now) > sharedLimit+usual.shared
 }
 
 // healthy reports whether the server is about as good as the others of its
 // service. Where all fail alike, leaving one for another gains nothing and
 // finds objects cold.
 func (s *server) healthy(usual average, now time.Time) bool {
-	if s.faultAverage(now) > faultLimit+usual.faults {
+	if s.faultAverage(now) > faultLimit+usual.faults || s.failsOthers(usual, now) {
 		return false
 	}
 	return usual.latency <= 0 || s.latency <= slowFactor*usual.latency
--- a/coordination/upstream/upstream_test.go
+++ b/coordination/upstream/upstream_test.go
@@ -143,6 +143,62 @@
 	}
 }
 
+func TestServerThatFailsOtherDaemonsIsLeftToTrials(t *testing.T) {
+	s := fleet("n1")
+	home := mustChoose(t, s, ask("7"), start)
+	home.Done(Report{Outcome: Answered}, start)
+	s.TakeFaults([]Fault{{ID: home.Backend.ID, Failed: 5, Total: 10}}, start)
+	sent := 0
+	for i := range 10 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		s.TakeFaults([]Fault{{ID: home.Backend.ID, Failed: 5, Total: 10}}, now)
+		c := mustChoose(t, s, ask("7"), now)
+		c.Done(Report{Outcome: Answered}, now)
+		if c.Backend.ID == home.Backend.ID {
+			sent++
+		}
+	}
+	if sent != 1 {
+		t.Errorf("%d of 10 requests in 1 s went to a server that fails half of others', want one trial", sent)
+	}
+	if c := mustChoose(t, s, ask("7"), start.Add(20*time.Second)); c.Backend.ID != home.Backend.ID {
+		t.Error("a server is left though nobody told of failures for 20 s")
+	}
+}
+
+func TestServersThatFailAllDaemonsAlikeKeepTheirObjects(t *testing.T) {
+	s := fleet("n1")
+	home := mustChoose(t, s, ask("7"), start).Backend.ID
+	var all []Fault
+	for i := range 6 {
+		all = append(all, Fault{ID: fmt.Sprint("i-", 8001+i), Failed: 5, Total: 10})
+	}
+	s.TakeFaults(all, start)
+	for i := range 3 {
+		if c := mustChoose(t, s, ask("7"), start.Add(time.Duration(i+1)*200*time.Millisecond)); c.Backend.ID != home {
+			t.Errorf("the object moved to %s", c.Backend.ID)
+		}
+	}
+}
+
+func TestDaemonTellsFailuresAndWhatItSawOfDoubtedServers(t *testing.T) {
+	s := fleet("n1")
+	c := mustChoose(t, s, ask("7"), start)
+	c.Done(Report{Outcome: Answered}, start)
+	if told := s.Faults(start); len(told) != 0 {
+		t.Errorf("tells %+v of a server that nobody doubts", told)
+	}
+	s.TakeFaults([]Fault{{ID: c.Backend.ID, Failed: 2, Total: 3}}, start)
+	if told := s.Faults(start); len(told) != 1 || told[0] != (Fault{c.Backend.ID, 0, 1}) {
+		t.Errorf("tells %+v, want its one good answer", told)
+	}
+	c = mustChoose(t, s, ask("7"), start)
+	c.Done(Report{Outcome: Failed}, start)
+	if told := s.Faults(start); len(told) != 1 || told[0].Failed != 1 {
+		t.Errorf("tells %+v, want one failure", told)
+	}
+}
+
 func TestServersWhoseEntriesRanOutTogetherAreUsed(t *testing.T) {
 	s := fleet("n1")
 	for _, id := range s.IDs() {
--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -58,6 +58,7 @@
 	cache    *objects.Cache
 	started  time.Time
 	probe    probe
+	faults   *regionFaults
 	asks     Ask
 
 	mu      sync.Mutex
@@ -72,8 +73,9 @@
 }
 
 // New returns a feed of kinds that sends its calls to other daemons with asks.
-func New(settings Settings, store Store, kinds []Kind, asks Ask, log zerolog.Logger) *Feed {
+func New(settings Settings, store Store, kinds []Kind, faults Faults, asks Ask, log zerolog.Logger) *Feed {
 	return &Feed{
+		faults:   newRegionFaults(faults),
 		settings: settings, store: store, kinds: kinds, asks: asks, log: log,
 		cache: objects.NewCache(), started: time.Now(), choice: relay.NewChoice(settings.Self, relayPause),
 	}
--- a/gateway/feed/feed_test.go
+++ b/gateway/feed/feed_test.go
@@ -15,6 +15,7 @@
 
 	"bilberrytiller.example/tiller/coordination/objects"
 	"bilberrytiller.example/tiller/coordination/relay"
+	"bilberrytiller.example/tiller/coordination/upstream"
 	"bilberrytiller.example/tiller/protocol/wire"
 )
 
@@ -143,12 +144,14 @@
 	mu sync.Mutex
 	// silent are the addresses that do not answer.
 	silent map[string]bool
+	// failures are what each daemon learnt of the region's.
+	failures map[string][]upstream.Fault
 }
 
 func start(t *testing.T, s *store, zones ...string) *daemons {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &daemons{feeds: map[string]*Feed{}, clients: map[string]*client{}, stop: cancel}
+	d := &daemons{feeds: map[string]*Feed{}, clients: map[string]*client{}, stop: cancel, failures: map[string][]upstream.Fault{}}
 	var members []relay.Member
 	for i, zone := range zones {
 		address := fmt.Sprintf("10.0.0.%d:1", i+1)
@@ -157,7 +160,7 @@
 	for _, m := range members {
 		d.clients[m.ID] = &client{store: s}
 		kind := Kind{Name: "k", Wait: 1500 * time.Millisecond, Reset: func([]objects.Object) {}, Change: func(objects.Event) {}}
-		d.feeds[m.Address] = New(Settings{Self: m, StartWait: 150 * time.Millisecond}, d.clients[m.ID], []Kind{kind}, d.ask, zerolog.Nop())
+		d.feeds[m.Address] = New(Settings{Self: m, StartWait: 150 * time.Millisecond}, d.clients[m.ID], []Kind{kind}, d.faultsOf(m.ID), d.askAs(m.ID), zerolog.Nop())
 		d.feeds[m.Address].SetMembers(members)
 	}
 	for _, f := range d.feeds {
@@ -166,15 +169,31 @@
 	return d
 }
 
-func (d *daemons) ask(ctx context.Context, addr netip.AddrPort, call *wire.ObjectsCall) (*wire.ObjectsAnswer, error) {
-	d.mu.Lock()
-	silent := d.silent[addr.String()]
-	d.mu.Unlock()
-	if silent {
-		<-ctx.Done()
-		return nil, ctx.Err()
+// askAs returns how a daemon asks others.
+func (d *daemons) askAs(id string) Ask {
+	return func(ctx context.Context, addr netip.AddrPort, call *wire.ObjectsCall) (*wire.ObjectsAnswer, error) {
+		d.mu.Lock()
+		silent := d.silent[addr.String()]
+		d.mu.Unlock()
+		if silent {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return d.feeds[addr.String()].answer(ctx, id, call)
+	}
+}
+
+// faultsOf returns what a daemon sees of servers: one failure of two answers of
+// the server i-1.
+func (d *daemons) faultsOf(id string) Faults {
+	return Faults{
+		Own: func() []upstream.Fault { return []upstream.Fault{{ID: "i-1", Failed: 1, Total: 2}} },
+		Take: func(all []upstream.Fault) {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.failures[id] = all
+		},
 	}
-	return d.feeds[addr.String()].answer(ctx, "", call)
 }
 
 // silence makes the daemons at addresses answer no more.
@@ -316,6 +335,23 @@
 	})
 }
 
+func TestFailuresOfAServerAreSummedOverTheRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		zones := slices.Concat(slices.Repeat([]string{"z1"}, 20), slices.Repeat([]string{"z2"}, 20))
+		d := start(t, newStore(), zones...)
+		defer d.end()
+		time.Sleep(5 * time.Second)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		for i := range zones {
+			got := d.failures[fmt.Sprint("d", i)]
+			if len(got) != 1 || got[0] != (upstream.Fault{ID: "i-1", Failed: 40, Total: 80}) {
+				t.Errorf("d%d knows %+v, want 40 failures of 80 answers", i, got)
+			}
+		}
+	})
+}
+
 func TestStoreThatIsDownIsAskedSeldom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
@@ -339,7 +375,7 @@
 		s.set(true, false)
 		kind := Kind{Name: "k", Wait: time.Second, Reset: func([]objects.Object) {}, Change: func(objects.Event) {}}
 		late := New(Settings{Self: relay.Member{ID: "d9", Zone: "z9"}, Seeds: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")}},
-			&client{store: s}, []Kind{kind}, d.ask, zerolog.Nop())
+			&client{store: s}, []Kind{kind}, d.faultsOf("d9"), d.askAs("d9"), zerolog.Nop())
 		ctx, cancel := context.WithCancel(context.Background())
 		d.done.Go(func() { late.Run(ctx) })
 		time.Sleep(5 * time.Second)
--- a/gateway/feed/relay.go
+++ b/gateway/feed/relay.go
@@ -52,7 +52,8 @@
 func (f *Feed) Serve(s *peer.Server) { peer.Handle(s, wire.TypeObjects, f.answer) }
 
 // answer tells another daemon what is new to it.
-func (f *Feed) answer(ctx context.Context, _ string, call *wire.ObjectsCall) (*wire.ObjectsAnswer, error) {
+func (f *Feed) answer(ctx context.Context, from string, call *wire.ObjectsCall) (*wire.ObjectsAnswer, error) {
+	f.faults.reported(from, call.Faults, time.Now())
 	timer := time.NewTimer(min(call.Wait, maxRelayWait))
 	defer timer.Stop()
 	for {
@@ -72,7 +73,7 @@
 }
 
 func (f *Feed) whatIsNew(call *wire.ObjectsCall) (*wire.ObjectsAnswer, bool) {
-	answer, news := &wire.ObjectsAnswer{}, false
+	answer, news := &wire.ObjectsAnswer{Faults: f.faults.forRegion(time.Now())}, false
 	for _, k := range call.Kinds {
 		a := f.kindAnswer(k)
 		news = news || a.Full || a.Unknown || len(a.Events) > 0
@@ -223,7 +224,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayWait+relaySlack)
 	defer cancel()
-	call := &wire.ObjectsCall{Wait: relayWait}
+	call := &wire.ObjectsCall{Wait: relayWait, Faults: f.faults.below(time.Now())}
 	for _, k := range f.kinds {
 		revision, known := f.cache.Revision(k.Name)
 		call.Kinds = append(call.Kinds, wire.KindCall{Kind: k.Name, Revision: revision, Known: known})
@@ -232,6 +233,7 @@
 	if err != nil {
 		return err
 	}
+	f.faults.learned(answer.Faults, time.Now())
 	return f.takeAnswer(call, answer, fresh)
 }
 
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -61,6 +61,20 @@
 // StoreRegained tells that the store answers again.
 func (g *Gateway) StoreRegained() { g.backends.storeRegained(time.Now()) }
 
+// Faults returns the servers that failed this daemon's requests lately.
+func (g *Gateway) Faults() []upstream.Fault { return g.upstreams.Faults(time.Now()) }
+
+// TakeFaults takes the servers that failed the region's requests lately.
+func (g *Gateway) TakeFaults(all []upstream.Fault) {
+	doubted, cleared := g.upstreams.TakeFaults(all, time.Now())
+	for _, id := range doubted {
+		g.log.Info().Str("event", "backend.doubted").Str("backend", id).Int("told", len(all)).Send()
+	}
+	for _, id := range cleared {
+		g.log.Info().Str("event", "backend.cleared").Str("backend", id).Send()
+	}
+}
+
 const (
 	// returnPeriod is how long after an outage of the store a server whose
 	// entry ran out may take to register again.
--- a/protocol/wire/objects.go
+++ b/protocol/wire/objects.go
@@ -14,6 +14,16 @@
 type ObjectsCall struct {
 	Kinds []KindCall    `cbor:"k"`
 	Wait  time.Duration `cbor:"w"`
+	// Faults are what the asking daemon and those that ask it saw of servers.
+	Faults []ServerFault `cbor:"f,omitempty"`
+}
+
+// ServerFault is how many of a backend server's latest answers failed, and of
+// how many.
+type ServerFault struct {
+	ID     string  `cbor:"i"`
+	Failed float64 `cbor:"f"`
+	Total  float64 `cbor:"t"`
 }
 
 // KindCall asks for the changes of a kind after a revision, or for all its
@@ -28,6 +38,8 @@
 // ObjectsAnswer answers an ObjectsCall, kind by kind.
 type ObjectsAnswer struct {
 	Kinds []KindAnswer `cbor:"k"`
+	// Faults are what all daemons of the region saw of servers.
+	Faults []ServerFault `cbor:"f,omitempty"`
 }
 
 // KindAnswer is what is new of a kind.
