Count a request that was given up after a long wait against its server

Cause: a server that hangs gives no answer, so the daemon gives the request up, and a request that was given up said nothing of its server. Its objects were sent there for as long as it hung.

One that waited five times the usual latency counts as lost; a full queue is three times as long. TestServerThatHangsIsLeft fails without.

--- a/coordination/upstream/outcome.go
+++ b/coordination/upstream/outcome.go
@@ -33,7 +33,8 @@
 	Outcome Outcome
 	// Load is the server's load, if it told.
 	Load *Load
-	// Latency is the time from the send to the whole answer.
+	// Latency is the time from the send to the whole answer, or to the end of the
+	// wait for it.
 	Latency time.Duration
 	// ColdLeft is how much longer the server says that it is cold.
 	ColdLeft time.Duration
@@ -58,7 +59,23 @@
 	if r.ColdLeft > 0 {
 		srv.coldUntil = later(srv.coldUntil, now.Add(r.ColdLeft))
 	}
-	srv.judge(r.Outcome, c.Held, now)
+	outcome := r.Outcome
+	if outcome == Abandoned && c.set.hangs(srv, r.Latency) {
+		outcome = Lost
+	}
+	srv.judge(outcome, c.Held, now)
+}
+
+// hangFactor is how many times longer than usual a request is without an answer
+// before its server counts as hanging. The wait in a full queue is three times as
+// long at most.
+const hangFactor = 5
+
+// hangs reports whether a request that was given up had waited too long for its
+// answer to be a matter of load.
+func (s *Set) hangs(srv *server, waited time.Duration) bool {
+	of := s.services[srv.Service]
+	return of != nil && of.usual.latency > 0 && waited.Seconds() > hangFactor*of.usual.latency
 }
 
 // judge records an outcome in the server's averages. held is what the server
--- a/coordination/upstream/upstream_test.go
+++ b/coordination/upstream/upstream_test.go
@@ -166,6 +166,26 @@
 	}
 }
 
+func TestServerThatHangsIsLeft(t *testing.T) {
+	s := fleet("n1")
+	var home string
+	for i := range 40 {
+		key := fmt.Sprint(i)
+		c := mustChoose(t, s, ask(key), start)
+		home = c.Backend.ID
+		c.Done(Report{Outcome: Answered, Load: &Load{Slots: 4}, Latency: 50 * time.Millisecond}, start)
+	}
+	now := start.Add(time.Second)
+	for range 8 {
+		c := mustChoose(t, s, ask("39"), now)
+		if c.Backend.ID != home {
+			return
+		}
+		c.Done(Report{Outcome: Abandoned, Latency: 300 * time.Millisecond}, now)
+	}
+	t.Error("eight requests in a row were left without an answer")
+}
+
 func TestServersThatFailAllDaemonsAlikeKeepTheirObjects(t *testing.T) {
 	s := fleet("n1")
 	home := mustChoose(t, s, ask("7"), start).Backend.ID
--- a/transport/upstreamhttp/client.go
+++ b/transport/upstreamhttp/client.go
@@ -87,7 +87,7 @@
 		if ctx.Err() != nil {
 			outcome = upstream.Abandoned
 		}
-		return Exchange{Sent: true, Report: upstream.Report{Outcome: outcome}, Err: err}
+		return Exchange{Sent: true, Report: upstream.Report{Outcome: outcome, Latency: time.Since(start)}, Err: err}
 	}
 	return Exchange{Sent: true, Answer: answer, Report: upstream.Report{
 		Outcome: answer.outcome(), Load: answer.Load, Latency: time.Since(start), ColdLeft: answer.ColdLeft,
