Spread a large fleet's first requests to a cold server, and its reads after a return

A cold server: each of 77 daemons saves up one request in 20 s, all from the same moment, and a cold period began with what the last one had saved. All would send at once: 77 where 13.9 a second are allowed. A cold period now begins with a part of a request that differs from daemon to daemon, and daemons that each send less than one a second use three quarters of the rate.

Each daemon gave its relays 0.15 s, in which half of them have not started, and read the whole list of servers from the store. It now waits 3 ms for each daemon of the fleet, 0.9 s at 302 and as before at 9.

--- a/coordination/coldrate/coldrate.go
+++ b/coordination/coldrate/coldrate.go
@@ -8,12 +8,24 @@
 // daemon send at all.
 const burst = 1.0
 
+// chancePart is the part of the rate that is used by daemons of which each sends
+// less than one request a second, so that those that come together by chance stay
+// within one and a half times the rate and a few.
+const chancePart = 0.75
+
 // Gate admits requests to one cold backend server. It is not safe for concurrent use.
 type Gate struct {
 	tokens float64
 	last   time.Time
 }
 
+// Begin starts a cold period. saved is the part of a request that is saved up
+// already, evenly spread over the daemons between 0 and 1: they would all send
+// their first one at the same moment otherwise.
+func (g *Gate) Begin(saved float64, now time.Time) {
+	g.tokens, g.last = saved, now
+}
+
 // Ready reports whether the gate would admit a request now.
 func (g *Gate) Ready(rate float64, daemons int, now time.Time) bool {
 	g.refill(rate, daemons, now)
@@ -30,13 +42,23 @@
 	return true
 }
 
+// part returns a daemon's requests per second. Where that is less than one, the
+// daemons' requests come together by chance.
+func part(rate float64, daemons int) float64 {
+	own := rate / float64(max(1, daemons))
+	if own < 1 {
+		own *= chancePart
+	}
+	return own
+}
+
 func (g *Gate) refill(rate float64, daemons int, now time.Time) {
 	if g.last.IsZero() {
 		g.last = now
 		return
 	}
 	if elapsed := now.Sub(g.last); elapsed > 0 {
-		g.tokens = min(burst, g.tokens+elapsed.Seconds()*rate/float64(max(1, daemons)))
+		g.tokens = min(burst, g.tokens+elapsed.Seconds()*part(rate, daemons))
 		g.last = now
 	}
 }
--- a/coordination/upstream/outcome.go
+++ b/coordination/upstream/outcome.go
@@ -56,9 +56,7 @@
 			of.cold.take(latency)
 		}
 	}
-	if r.ColdLeft > 0 {
-		srv.coldUntil = later(srv.coldUntil, now.Add(r.ColdLeft))
-	}
+	srv.cool(now.Add(r.ColdLeft), now, c.set.random())
 	outcome := r.Outcome
 	if outcome == Abandoned && c.set.hangs(srv, r.Latency) {
 		outcome = Lost
--- a/coordination/upstream/server.go
+++ b/coordination/upstream/server.go
@@ -75,9 +75,8 @@
 	missing bool
 }
 
-func newServer(b routing.Backend, region string, now time.Time) *server {
+func newServer(b routing.Backend, region string) *server {
 	s := &server{Backend: b, region: region, hash: xxhash.Sum64String(b.ID)}
-	s.coldUntil = now.Add(b.ColdLeft)
 	return s
 }
 
@@ -100,6 +99,18 @@
 
 func (s *server) slots() int { return max(1, s.Slots) }
 
+// cool records that the server is cold until a time. saved is as in
+// coldrate.Gate.
+func (s *server) cool(until, now time.Time, saved float64) {
+	if !until.After(now) || !until.After(s.coldUntil) {
+		return
+	}
+	if !s.cold(now) {
+		s.gate.Begin(saved, now)
+	}
+	s.coldUntil = until
+}
+
 func (s *server) cold(now time.Time) bool { return now.Before(s.coldUntil) }
 
 // takeLoad records a load report and the latency of the answer it came with.
--- a/coordination/upstream/set.go
+++ b/coordination/upstream/set.go
@@ -9,6 +9,7 @@
 package upstream
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 	evacuated map[string]bool
 	// coldStarts is how long a service's servers are cold after a start.
 	coldStarts map[string]time.Duration
+	// random returns an even number in [0, 1).
+	random func() float64
 }
 
 // NewSet returns an empty set for a daemon at place. regions gives the region
@@ -43,6 +46,7 @@
 		services:   map[string]*service{},
 		evacuated:  map[string]bool{},
 		coldStarts: map[string]time.Duration{},
+		random:     rand.Float64,
 	}
 }
 
@@ -65,7 +69,9 @@
 		if old != nil {
 			s.drop(old)
 		}
-		s.add(newServer(b, s.regions[b.Zone], now))
+		srv := newServer(b, s.regions[b.Zone])
+		srv.cool(now.Add(b.ColdLeft), now, s.random())
+		s.add(srv)
 		return
 	}
 	old.missing = false
@@ -74,9 +80,7 @@
 	if b.Slots > 0 {
 		old.Backend.Slots = b.Slots
 	}
-	if until := now.Add(b.ColdLeft); b.ColdLeft > 0 && until.After(old.coldUntil) {
-		old.coldUntil = until
-	}
+	old.cool(now.Add(b.ColdLeft), now, s.random())
 }
 
 // Missing records that a server's entry is gone and may come back. The server
@@ -110,7 +114,7 @@
 	}
 	for _, srv := range s.servers {
 		if srv.Zone == zone {
-			srv.coldUntil = later(srv.coldUntil, now.Add(s.coldStarts[srv.Service]))
+			srv.cool(now.Add(s.coldStarts[srv.Service]), now, s.random())
 		}
 	}
 }
@@ -170,10 +174,3 @@
 		}
 	}
 }
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
--- a/coordination/upstream/upstream_test.go
+++ b/coordination/upstream/upstream_test.go
@@ -19,6 +19,7 @@
 
 func fleet(zone string) *Set {
 	s := NewSet(Place{Zone: zone, Region: regions[zone]}, regions)
+	s.random = func() float64 { return 0 }
 	s.Configure(map[string]routing.Service{"stock": {ColdStart: 3 * time.Second, ColdRate: 22}})
 	for i, z := range []string{"n1", "n1", "n2", "n2", "s1", "s1"} {
 		s.Put(backend(fmt.Sprintf("i-%d", 8001+i), z), start)
@@ -131,7 +132,7 @@
 }
 
 func TestFaultsAreJudgedBesideWhatIsUsual(t *testing.T) {
-	srv := newServer(backend("i-8001", "n1"), "north", start)
+	srv := newServer(backend("i-8001", "n1"), "north")
 	for range 10 {
 		srv.takeFault(faultWeight, 1, start)
 	}
--- a/gateway/feed/relay.go
+++ b/gateway/feed/relay.go
@@ -29,6 +29,9 @@
 	// maxStartWait bounds how long a starting daemon waits for a relay that is
 	// starting too.
 	maxStartWait = 1500 * time.Millisecond
+	// memberStartWait is how long it waits for each daemon of the fleet, whose
+	// reads of the store it would add to.
+	memberStartWait = 3 * time.Millisecond
 	// startCheck is how often such a relay is asked.
 	startCheck = 30 * time.Millisecond
 	// maxRelayWait bounds what an asking daemon may have this one wait.
@@ -127,14 +130,15 @@
 }
 
 // isStarting reports whether the daemon leaves the store to its relay. It waits
-// longer for one that answers and is starting too: when a whole fleet comes back
-// at once, not all are to read the store.
+// longer for one that answers and is starting too, and in a large fleet: when all
+// come back at once, not all are to read the store.
 func (f *Feed) isStarting() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
 	passed := now.Sub(f.started)
-	return passed < f.settings.StartWait || passed < maxStartWait && now.Before(f.relayStarts)
+	patience := max(f.settings.StartWait, min(maxStartWait, time.Duration(len(f.members))*memberStartWait))
+	return passed < patience || passed < maxStartWait && now.Before(f.relayStarts)
 }
 
 func (f *Feed) setRelayStarts(until time.Time) {
