Tell and take failures without a look at every server

Cause: a relay sums failures some sixty times a second, and each time it looked at all servers: 0.22 ms at 3,000 and 2.4 ms at 19,000, 14% of a core where 2.3% are allowed. Found by BenchmarkFaults.

--- a/coordination/upstream/faults.go
+++ b/coordination/upstream/faults.go
@@ -69,10 +69,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var all []Fault
-	for id, srv := range s.servers {
-		t, doubted := srv.answers.decayed(now), srv.shared.decayed(now).failed >= leastFailed
-		if t.failed >= leastFailed || doubted && t.total > 0 {
-			all = append(all, Fault{id, t.failed, t.total})
+	for id, srv := range s.failing {
+		own, shared := srv.answers.decayed(now), srv.shared.decayed(now)
+		if own.failed < leastFailed && shared.failed < leastFailed && !srv.doubted {
+			delete(s.failing, id)
+			continue
+		}
+		if own.total > 0 {
+			all = append(all, Fault{id, own.failed, own.total})
 		}
 	}
 	return MostFailed(all)
@@ -93,12 +97,10 @@
 	for _, f := range all {
 		if srv := s.servers[f.ID]; srv != nil {
 			srv.shared = tally{f.Failed, f.Total, now}
+			s.failing[f.ID] = srv
 		}
 	}
-	for id, srv := range s.servers {
-		if srv.shared.total == 0 {
-			continue
-		}
+	for id, srv := range s.failing {
 		was := srv.doubted
 		srv.doubted = srv.shared.part(now) > sharedLimit
 		switch {
--- a/coordination/upstream/outcome.go
+++ b/coordination/upstream/outcome.go
@@ -62,6 +62,9 @@
 		outcome = Lost
 	}
 	srv.judge(outcome, c.Held, now)
+	if (outcome == Failed || outcome == Lost) && c.set.servers[srv.ID] == srv {
+		c.set.failing[srv.ID] = srv
+	}
 }
 
 // hangFactor is how many times longer than usual a request is without an answer
--- a/coordination/upstream/set.go
+++ b/coordination/upstream/set.go
@@ -30,6 +30,8 @@
 	servers   map[string]*server
 	services  map[string]*service
 	evacuated map[string]bool
+	// failing are the servers that failed any request lately, here or elsewhere.
+	failing map[string]*server
 	// coldStarts is how long a service's servers are cold after a start.
 	coldStarts map[string]time.Duration
 	// random returns an even number in [0, 1).
@@ -45,6 +47,7 @@
 		servers:    map[string]*server{},
 		services:   map[string]*service{},
 		evacuated:  map[string]bool{},
+		failing:    map[string]*server{},
 		coldStarts: map[string]time.Duration{},
 		random:     rand.Float64,
 	}
@@ -166,6 +169,7 @@
 
 func (s *Set) drop(srv *server) {
 	delete(s.servers, srv.ID)
+	delete(s.failing, srv.ID)
 	of := s.services[srv.Service]
 	for i, other := range of.servers {
 		if other == srv {
