Serve the connections that wait to be accepted when a stop closes the listener

The machine has 0.16 of a core and reads a configuration each 0.2 s at that moment.

Cause, as far as it is shown: the listener was closed 2.5 s after SIGTERM whatever waited in its backlog, and a connection there carries a whole request that nobody reads. Ruled out: the request was cut in flight (it reached no server, and no line gateway.cut would be left out).

A stop now accepts what waits, until none came for 50 ms, and then closes. The new test fails without it (first of 20 connections: reset by peer).

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -3,9 +3,11 @@
 import (
 	"cmp"
 	"errors"
+	"fmt"
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -23,6 +25,9 @@
 	// idleGrace is how much longer than its limit an idle connection is kept,
 	// so that a request that is on its way is not crossed by a close.
 	idleGrace = 5 * time.Second
+	// backlogWait is how long no connection must come before a stop takes none any
+	// more. The ones that wait to be accepted come at once.
+	backlogWait = 50 * time.Millisecond
 )
 
 // clients serves clients' connections within the limits in force. New limits
@@ -36,6 +41,11 @@
 	// servers are the current one and those that have connections left.
 	servers map[*http.Server]*handoff
 	stopped bool
+
+	// draining says that only the connections that wait are still accepted, and
+	// drained is closed when there are no more.
+	draining atomic.Bool
+	drained  chan struct{}
 }
 
 // handoff is a listener that is given the connections of another one.
@@ -48,7 +58,7 @@
 }
 
 func newClients(handler http.Handler) *clients {
-	return &clients{handler: handler, servers: map[*http.Server]*handoff{}}
+	return &clients{handler: handler, servers: map[*http.Server]*handoff{}, drained: make(chan struct{})}
 }
 
 // setLimits puts limits in force for connections to come.
@@ -94,12 +104,39 @@
 	}
 }
 
+// listener is a listener whose wait for connections can be bounded.
+type listener interface {
+	net.Listener
+	SetDeadline(time.Time) error
+}
+
+// drain takes the connections of l that wait to be accepted, and then closes l.
+// A connection that was never accepted would lose the request that it carries.
+func (c *clients) drain(l listener) {
+	c.draining.Store(true)
+	// The deadline ends a wait that has begun.
+	if err := l.SetDeadline(time.Now()); err == nil {
+		<-c.drained
+	}
+	_ = l.Close()
+}
+
 // serve gives the connections of l to the server with the limits in force
-// until l is closed.
-func (c *clients) serve(l net.Listener) error {
+// until l is closed or drained.
+func (c *clients) serve(l listener) error {
+	defer close(c.drained)
 	for {
+		draining := c.draining.Load()
+		if draining {
+			if err := l.SetDeadline(time.Now().Add(backlogWait)); err != nil {
+				return fmt.Errorf("drain: %w", err)
+			}
+		}
 		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, os.ErrDeadlineExceeded) && !draining {
+			continue
+		}
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil
 		}
 		if err != nil {
--- a/gateway/clients_test.go
+++ b/gateway/clients_test.go
@@ -12,13 +12,53 @@
 	"bilberrytiller.example/tiller/state/routing"
 )
 
-// served starts clients on a port of its own.
-func served(t *testing.T, c *clients) string {
+func listen(t *testing.T) *net.TCPListener {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
+	return l
+}
+
+// TestStopServesConnectionsThatWaitToBeAccepted has clients connect and send
+// before the first connection is accepted, and a stop at that moment.
+func TestStopServesConnectionsThatWaitToBeAccepted(t *testing.T) {
+	c := newClients(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	l := listen(t)
+	var waiting []net.Conn
+	for range 20 {
+		conn := dial(t, l.Addr().String())
+		if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		waiting = append(waiting, conn)
+	}
+	done := make(chan error, 1)
+	go func() { done <- c.serve(l) }()
+	c.drain(l)
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	for i, conn := range waiting {
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("connection %d: %v", i, err)
+		}
+		resp.Body.Close()
+	}
+	if _, err := net.Dial("tcp", l.Addr().String()); err == nil {
+		t.Error("a connection is taken after the stop")
+	}
+	for _, s := range c.stop() {
+		s.Close()
+	}
+}
+
+// served starts clients on a port of its own.
+func served(t *testing.T, c *clients) string {
+	t.Helper()
+	l := listen(t)
 	done := make(chan error, 1)
 	go func() { done <- c.serve(l) }()
 	t.Cleanup(func() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -137,9 +137,13 @@
 	listener net.Listener
 }
 
-func (g *Gateway) listen(h Handlers) (clients net.Listener, own []listening, err error) {
+func (g *Gateway) listen(h Handlers) (clients listener, own []listening, err error) {
 	s := g.settings.Load()
-	clients, err = net.Listen("tcp", s.ClientListen)
+	address, err := net.ResolveTCPAddr("tcp", s.ClientListen)
+	if err != nil {
+		return nil, nil, fmt.Errorf("listen on %s: %w", s.ClientListen, err)
+	}
+	clients, err = net.ListenTCP("tcp", address)
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen on %s: %w", s.ClientListen, err)
 	}
@@ -197,14 +201,14 @@
 
 // stop leaves the directory, serves the clients that still come, and waits
 // for the requests in flight.
-func (g *Gateway) stop(clientListener net.Listener) {
+func (g *Gateway) stop(clientListener listener) {
 	g.leaving.Store(true)
 	timeout := g.settings.Load().StopTimeout
 	g.log.Info().Str("event", "gateway.stopping").Int("requests", g.requests.Count()).Send()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout-stopMargin)
 	defer cancel()
 	sleep.For(ctx, min(lookupsRunOut, timeout/2))
-	_ = clientListener.Close()
+	g.clients.drain(clientListener)
 	var group errgroup.Group
 	for _, s := range g.clients.stop() {
 		group.Go(func() error { return s.Shutdown(ctx) })
