Bound the time in which a stop takes waiting connections

Cause: a stop accepted what waited until none came for 50 ms, and clients that go on to connect never let that be.

It ends after 500 ms at the latest; what waits at that moment came within the last accept. TestStopEndsWhileClientsGoOnToConnect runs into its time-out without the bound.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -28,6 +28,9 @@
 	// backlogWait is how long no connection must come before a stop takes none any
 	// more. The ones that wait to be accepted come at once.
 	backlogWait = 50 * time.Millisecond
+	// drainTimeout bounds the same while clients go on to connect. It is a twelfth
+	// of the usual time for a stop.
+	drainTimeout = 500 * time.Millisecond
 )
 
 // clients serves clients' connections within the limits in force. New limits
@@ -125,10 +128,18 @@
 // until l is closed or drained.
 func (c *clients) serve(l listener) error {
 	defer close(c.drained)
+	var end time.Time
 	for {
 		draining := c.draining.Load()
 		if draining {
-			if err := l.SetDeadline(time.Now().Add(backlogWait)); err != nil {
+			now := time.Now()
+			if end.IsZero() {
+				end = now.Add(drainTimeout)
+			}
+			if now.After(end) {
+				return nil
+			}
+			if err := l.SetDeadline(now.Add(backlogWait)); err != nil {
 				return fmt.Errorf("drain: %w", err)
 			}
 		}
--- a/gateway/clients_test.go
+++ b/gateway/clients_test.go
@@ -55,6 +55,31 @@
 	}
 }
 
+// TestStopEndsWhileClientsGoOnToConnect has clients connect again and again, so
+// that the listener is never without one.
+func TestStopEndsWhileClientsGoOnToConnect(t *testing.T) {
+	c := newClients(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	l := listen(t)
+	go func() {
+		for {
+			conn, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				return
+			}
+			conn.Close()
+		}
+	}()
+	done := make(chan error, 1)
+	go func() { done <- c.serve(l) }()
+	c.drain(l)
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range c.stop() {
+		s.Close()
+	}
+}
+
 // served starts clients on a port of its own.
 func served(t *testing.T, c *clients) string {
 	t.Helper()
