Name a request's content in one place, and drop a field that nothing reads

The digest of gateways wrote again the loop of the one that binds keys; both call request.Digest now, with the same bytes hashed in the same order. Choice.Region was set for each choice and never read. No behaviour changes.

--- a/coordination/permit/table.go
+++ b/coordination/permit/table.go
@@ -334,11 +334,5 @@
 
 // Digest returns what binds a key to a request: its service and content.
 func Digest(req *request.Request) [sha256.Size]byte {
-	h := sha256.New()
-	for _, part := range []string{req.Service, req.Method, req.Path} {
-		h.Write([]byte(part))
-		h.Write([]byte{0})
-	}
-	h.Write(req.Body)
-	return [sha256.Size]byte(h.Sum(nil))
+	return request.Digest(req.Body, req.Service, req.Method, req.Path)
 }
--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -57,7 +57,6 @@
 // flight until Done.
 type Choice struct {
 	Backend routing.Backend
-	Region  string
 	Reason  Reason
 	// Held is the number of requests that the server was thought to hold, by
 	// a report of its load of the age LoadAge, or less than 0 without one.
@@ -114,7 +113,7 @@
 	}
 	held := srv.estimate(now)
 	srv.inflight++
-	return &Choice{Backend: srv.Backend, Region: srv.region, Reason: reason, Held: held, LoadAge: srv.loadAge(now), set: s, server: srv}
+	return &Choice{Backend: srv.Backend, Reason: reason, Held: held, LoadAge: srv.loadAge(now), set: s, server: srv}
 }
 
 // trialPause returns the time until the next request to a server that others are
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"crypto/sha256"
 	"encoding/hex"
 	"errors"
 	"fmt"
@@ -14,6 +13,7 @@
 
 	"bilberrytiller.example/tiller/coordination/poison"
 	"bilberrytiller.example/tiller/coordination/upstream"
+	"bilberrytiller.example/tiller/state/request"
 	"bilberrytiller.example/tiller/state/routing"
 )
 
@@ -136,11 +136,6 @@
 
 // digest names a request by its service and content.
 func (r *clientRequest) digest() poison.Digest {
-	h := sha256.New()
-	for _, part := range []string{r.service.Name, r.message.Method, r.message.Host, r.message.Target, r.key} {
-		h.Write([]byte(part))
-		h.Write([]byte{0})
-	}
-	h.Write(r.message.Body)
-	return poison.Digest(h.Sum(nil))
+	m := &r.message
+	return request.Digest(m.Body, r.service.Name, m.Method, m.Host, m.Target, r.key)
 }
