Log calls to the store that the circuit breaker puts off, and a configuration's age in refusals

The log could not tell a daemon that did not call the store from one whose call hung: it named neither the call that was put off nor the age of the copy. New: store.call_deferred with the kind, its age, the kind whose failure opened the circuit and the time until the next probe; request.refused of a missing route has config_age_ms.

--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -99,6 +99,13 @@
 	r.members = members
 }
 
+// Age returns how long ago a kind's copy was known to match the store, or 0 if
+// there is no copy.
+func (r *Replica) Age(kind string) time.Duration {
+	age, _ := r.cache.Age(kind, time.Now())
+	return age
+}
+
 // Run keeps the replica up to date until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/gateway/feed/follow.go
+++ b/gateway/feed/follow.go
@@ -28,6 +28,8 @@
 	// after the store lost its history.
 	listed         bool
 	storeAvailable bool
+	// deferred reports that the current call was put off by the circuit breaker.
+	deferred bool
 }
 
 // followStore follows a kind at the store until ctx ends, except while a relay
@@ -50,12 +52,14 @@
 func (w *watcher) pollStore(ctx context.Context) time.Duration {
 	interval := w.replica.probeInterval()
 	if !w.replica.breaker.allow(time.Now(), interval) {
+		w.logDeferral()
 		return relayCheckInterval
 	}
+	w.deferred = false
 	err := w.fetch(ctx)
 	if errors.Is(err, objects.ErrHistoryGone) {
 		w.listed = false
-		w.replica.breaker.record(true, time.Now(), interval)
+		w.replica.breaker.record(w.sub.Kind, true, time.Now(), interval)
 		w.replica.log.Info().Str("event", "store.history_gone").Str("kind", w.sub.Kind).Send()
 		return 0
 	}
@@ -66,10 +70,23 @@
 		w.replica.setUnconfirmed(w.sub.Kind, true)
 	}
 	w.reportAvailability(err)
-	w.replica.breaker.record(err == nil, time.Now(), interval)
+	w.replica.breaker.record(w.sub.Kind, err == nil, time.Now(), interval)
 	return watchInterval
 }
 
+// logDeferral logs once for each call that the circuit breaker puts off.
+func (w *watcher) logDeferral() {
+	if w.deferred {
+		return
+	}
+	w.deferred = true
+	now := time.Now()
+	age, _ := w.replica.cache.Age(w.sub.Kind, now)
+	openedBy, untilProbe := w.replica.breaker.state(now)
+	w.replica.log.Info().Str("event", "store.call_deferred").Str("kind", w.sub.Kind).Dur("age_ms", age).
+		Str("opened_by", openedBy).Dur("next_probe_ms", untilProbe).Send()
+}
+
 // probeInterval returns the time between calls to a store that does not answer.
 func (r *Replica) probeInterval() time.Duration {
 	if r.IsRelayRoot() {
--- a/gateway/feed/probe.go
+++ b/gateway/feed/probe.go
@@ -21,6 +21,7 @@
 type circuitBreaker struct {
 	mu        sync.Mutex
 	open      bool
+	openedBy  string
 	nextProbe time.Time
 }
 
@@ -39,16 +40,25 @@
 	return true
 }
 
-// record records whether a call was answered.
-func (b *circuitBreaker) record(available bool, now time.Time, interval time.Duration) {
+// record records whether a call for a kind was answered.
+func (b *circuitBreaker) record(kind string, available bool, now time.Time, interval time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !available && !b.open {
 		b.nextProbe = now.Add(jitter(interval))
+		b.openedBy = kind
 	}
 	b.open = !available
 }
 
+// state returns the kind whose failed call opened the circuit and the time until
+// the next probe, for logs.
+func (b *circuitBreaker) state(now time.Time) (openedBy string, untilProbe time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.openedBy, b.nextProbe.Sub(now)
+}
+
 // jitter returns a uniformly random duration between half and one and a half
 // times interval.
 func jitter(interval time.Duration) time.Duration {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -24,6 +24,11 @@
 	g.log.Info().Str("event", "configuration.in_force").Uint64("version", uint64(c.Version)).Int("services", len(c.Services)).Send()
 }
 
+// SetConfigurationAge sets the function that returns how long ago the
+// configuration was known to be current. It is for logs, and must be set before
+// Run.
+func (g *Gateway) SetConfigurationAge(age func() time.Duration) { g.configurationAge = age }
+
 // SetEvacuation starts or ends the evacuation of a zone.
 func (g *Gateway) SetEvacuation(zone string, on bool) {
 	g.balancer.SetEvacuated(zone, on, time.Now())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,15 +41,18 @@
 	metrics    *metrics
 	requestLog *requestLogger
 
-	configuration  atomic.Pointer[routing.Configuration]
-	backends       *backendRegistry
-	balancer       *upstream.Balancer
-	upstreamClient *upstreamhttp.Client
-	retryBudget    *budget.Budget
-	crashes        *crashMonitor
-	daemons        atomic.Int64
-	peerClient     *peer.Client
-	peerServer     *peer.Server
+	configuration atomic.Pointer[routing.Configuration]
+	// configurationAge returns how long ago the configuration was known to be
+	// current.
+	configurationAge func() time.Duration
+	backends         *backendRegistry
+	balancer         *upstream.Balancer
+	upstreamClient   *upstreamhttp.Client
+	retryBudget      *budget.Budget
+	crashes          *crashMonitor
+	daemons          atomic.Int64
+	peerClient       *peer.Client
+	peerServer       *peer.Server
 
 	clients  *clientServer
 	inFlight inflight.Counter
@@ -74,6 +77,7 @@
 		upstreamClient: upstreamhttp.New(headers.HeaderNames),
 		retryBudget:    budget.New(settings.RetryLimits),
 	}
+	g.configurationAge = func() time.Duration { return 0 }
 	g.settings.Store(&settings)
 	// The platform gives daemons no shared secret; see docs/QUESTIONS.md.
 	auth := peer.NewAuth(settings.HostID, nil)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -185,6 +185,10 @@
 
 func (g *Gateway) logRefusal(r *http.Request, resp *localResponse) {
 	g.metrics.observe("", resp.reason, 0)
-	g.requestLog.newEvent("request.refused", true).Str("id", r.Header.Get(g.headers.AttemptID)).Str("http_host", r.Host).
-		Str("target", r.RequestURI).Int("status", resp.status).Str("reason", resp.reason).Uint64("version", uint64(resp.version)).Send()
+	e := g.requestLog.newEvent("request.refused", true).Str("id", r.Header.Get(g.headers.AttemptID)).Str("http_host", r.Host).
+		Str("target", r.RequestURI).Int("status", resp.status).Str("reason", resp.reason).Uint64("version", uint64(resp.version))
+	if resp.version > 0 {
+		e = e.Dur("config_age_ms", g.configurationAge())
+	}
+	e.Send()
 }
