Show that a daemon that reaches the store lacks changes beyond their bound

The first plays an outage after which the relay stays cut off: the breaker that the kinds share lets one call through per interval, and a watch of a kind that does not change holds it for its whole wait.

--- a/gateway/feed/feed_test.go
+++ b/gateway/feed/feed_test.go
@@ -19,6 +19,9 @@
 	"bilberrytiller.example/tiller/protocol/wire"
 )
 
+// changingKind is the kind of all objects of a fakeStore. Other kinds are empty.
+const changingKind = "k"
+
 // fakeStore is an in-memory store that can be unavailable, partitioned from
 // some daemons, slow, or without its history.
 type fakeStore struct {
@@ -95,7 +98,7 @@
 	}
 }
 
-func (c *storeClient) List(ctx context.Context, _ string) ([]objects.Object, int64, error) {
+func (c *storeClient) List(ctx context.Context, kind string) ([]objects.Object, int64, error) {
 	if err := c.respond(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -103,12 +106,14 @@
 	defer c.mu.Unlock()
 	var all []objects.Object
 	for _, o := range c.objects {
-		all = append(all, o)
+		if kind == changingKind {
+			all = append(all, o)
+		}
 	}
 	return all, c.revision, nil
 }
 
-func (c *storeClient) Watch(ctx context.Context, _ string, revision int64, wait time.Duration) ([]objects.Event, int64, error) {
+func (c *storeClient) Watch(ctx context.Context, kind string, revision int64, wait time.Duration) ([]objects.Event, int64, error) {
 	end := time.Now().Add(wait)
 	for {
 		if err := c.respond(ctx); err != nil {
@@ -121,7 +126,7 @@
 			time.Sleep(time.Until(end) + watchSlack)
 			return nil, 0, errUnreachable
 		}
-		events, at, compacted := c.eventsAfter(revision)
+		events, at, compacted := c.eventsAfter(kind, revision)
 		c.mu.Unlock()
 		if compacted {
 			return nil, 0, objects.ErrHistoryGone
@@ -136,9 +141,9 @@
 	}
 }
 
-func (s *fakeStore) eventsAfter(revision int64) (events []objects.Event, at int64, compacted bool) {
+func (s *fakeStore) eventsAfter(kind string, revision int64) (events []objects.Event, at int64, compacted bool) {
 	for _, e := range s.events {
-		if e.Object.Revision > revision {
+		if kind == changingKind && e.Object.Revision > revision {
 			events = append(events, e)
 		}
 	}
@@ -149,9 +154,12 @@
 type testFleet struct {
 	replicas map[string]*Replica
 	clients  map[string]*storeClient
-	cancel   context.CancelFunc
+	kinds    []Subscription
+	members  []relay.Member
+	cancels  map[string]context.CancelFunc
 	done     sync.WaitGroup
 
+	// mu guards the fields below, and replicas once the fleet runs.
 	mu sync.Mutex
 	// unresponsive are the addresses of daemons that do not reply.
 	unresponsive map[string]bool
@@ -159,27 +167,65 @@
 	regionFailures map[string][]upstream.FailureCount
 }
 
+// watchedKind returns a subscription without callbacks.
+func watchedKind(kind string, watchTimeout time.Duration) Subscription {
+	return Subscription{Kind: kind, WatchTimeout: watchTimeout, OnList: func([]objects.Object) {}, OnEvent: func(objects.Event) {}}
+}
+
+// startFleet starts a daemon in each of the given zones, which may repeat.
 func startFleet(t *testing.T, s *fakeStore, zones ...string) *testFleet {
 	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	fleet := &testFleet{replicas: map[string]*Replica{}, clients: map[string]*storeClient{}, cancel: cancel, regionFailures: map[string][]upstream.FailureCount{}}
-	var members []relay.Member
+	return startFleetWithKinds(t, s, []Subscription{watchedKind(changingKind, 1500*time.Millisecond)}, zones...)
+}
+
+func startFleetWithKinds(t *testing.T, s *fakeStore, kinds []Subscription, zones ...string) *testFleet {
+	t.Helper()
+	fleet := &testFleet{
+		replicas: map[string]*Replica{}, clients: map[string]*storeClient{}, kinds: kinds,
+		cancels: map[string]context.CancelFunc{}, regionFailures: map[string][]upstream.FailureCount{},
+	}
 	for i, zone := range zones {
 		address := fmt.Sprintf("10.0.0.%d:1", i+1)
-		members = append(members, relay.Member{ID: fmt.Sprint("d", i), Zone: zone, Region: "r", Address: address})
+		fleet.members = append(fleet.members, relay.Member{ID: fmt.Sprint("d", i), Zone: zone, Region: "r", Address: address})
 	}
-	for _, m := range members {
+	for _, m := range fleet.members {
 		fleet.clients[m.ID] = &storeClient{fakeStore: s}
-		kind := Subscription{Kind: "k", WatchTimeout: 1500 * time.Millisecond, OnList: func([]objects.Object) {}, OnEvent: func(objects.Event) {}}
-		fleet.replicas[m.Address] = New(Settings{Self: m, StartupRelayWait: 150 * time.Millisecond}, fleet.clients[m.ID], []Subscription{kind}, fleet.failureHooks(m.ID), fleet.callFrom(m.ID), zerolog.Nop())
-		fleet.replicas[m.Address].SetMembers(members)
+		fleet.replicas[m.Address] = fleet.newReplica(m)
 	}
-	for _, replica := range fleet.replicas {
-		fleet.done.Go(func() { replica.Run(ctx) })
+	for _, m := range fleet.members {
+		fleet.run(m)
 	}
 	return fleet
 }
 
+func (f *testFleet) newReplica(m relay.Member) *Replica {
+	replica := New(Settings{Self: m, StartupRelayWait: 150 * time.Millisecond}, f.clients[m.ID], f.kinds, f.failureHooks(m.ID), f.callFrom(m.ID), zerolog.Nop())
+	replica.SetMembers(f.members)
+	return replica
+}
+
+func (f *testFleet) run(m relay.Member) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancels[m.ID] = cancel
+	replica := f.replicas[m.Address]
+	f.done.Go(func() { replica.Run(ctx) })
+}
+
+// restart replaces a daemon by one without any objects.
+func (f *testFleet) restart(m relay.Member) {
+	f.cancels[m.ID]()
+	f.mu.Lock()
+	f.replicas[m.Address] = f.newReplica(m)
+	f.mu.Unlock()
+	f.run(m)
+}
+
+func (f *testFleet) replica(address string) *Replica {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replicas[address]
+}
+
 // callFrom returns the function by which a daemon calls others.
 func (f *testFleet) callFrom(id string) CallFunc {
 	return func(ctx context.Context, addr netip.AddrPort, call *wire.ObjectsCall) (*wire.ObjectsReply, error) {
@@ -190,7 +236,7 @@
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
-		return f.replicas[addr.String()].handleCall(ctx, id, call)
+		return f.replica(addr.String()).handleCall(ctx, id, call)
 	}
 }
 
@@ -219,7 +265,9 @@
 }
 
 func (f *testFleet) stop() {
-	f.cancel()
+	for _, cancel := range f.cancels {
+		cancel()
+	}
 	f.done.Wait()
 }
 
@@ -227,7 +275,7 @@
 func (f *testFleet) lagging(name string) []string {
 	var ids []string
 	for _, replica := range f.replicas {
-		all, _, _ := replica.cache.List("k")
+		all, _, _ := replica.cache.List(changingKind)
 		hasObject := false
 		for _, o := range all {
 			hasObject = hasObject || o.Name == name
@@ -416,13 +464,13 @@
 		fleet := startFleet(t, s, "z1")
 		time.Sleep(2 * time.Second)
 		s.setState(true, false)
-		kind := Subscription{Kind: "k", WatchTimeout: time.Second, OnList: func([]objects.Object) {}, OnEvent: func(objects.Event) {}}
+		kind := watchedKind(changingKind, time.Second)
 		replica := New(Settings{Self: relay.Member{ID: "d9", Zone: "z9"}, Seeds: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")}},
 			&storeClient{fakeStore: s}, []Subscription{kind}, fleet.failureHooks("d9"), fleet.callFrom("d9"), zerolog.Nop())
 		ctx, cancel := context.WithCancel(context.Background())
 		fleet.done.Go(func() { replica.Run(ctx) })
 		time.Sleep(5 * time.Second)
-		if _, known := replica.cache.Revision("k"); !known {
+		if _, known := replica.cache.Revision(changingKind); !known {
 			t.Error("a daemon started during an outage got no objects from its seed")
 		}
 		cancel()
