Let each daemon act on the age of its copy, and probe the store with short calls

Callers got 404 for a route that the store had confirmed more than 2.5 s before, from daemons that could reach the store.

The kinds of objects share a circuit breaker that lets one call per interval through while it is open. That call was a watch, which waits up to 10 s for a change before it tells that the store answers; the other kinds waited 1 to 3 s per turn. Besides, a daemon that read the store itself called its copy unconfirmed each time it tried its relay again, so that those below it had no relay either, and its own limit for a relay's data was the watch's wait and 1 s, on top of which came each step down the tree.

Class: a bound kept by several waits that add up, none of which knows the bound; and a health probe whose duration depends on the load.

Ruled out, with the lines of: a call that hung (no call was under way), and changes that were dropped for a gap (versions 26 to 45 arrived at once with the first read).

At MaxAge less 0.5 s a daemon reads the store itself, whatever its relay replies. The wait of a watch follows from MaxAge. - The first call after a loss does not wait for a change, and only such calls open and close the breaker.

TestLongWatchDoesNotDelayOtherKindsAfterOutage failed before each time.

--- a/coordination/objects/cache.go
+++ b/coordination/objects/cache.go
@@ -15,8 +15,9 @@
 type Cache struct {
 	mu    sync.Mutex
 	kinds map[string]*kind
-	// changed is closed and replaced on each change.
-	changed chan struct{}
+	// updated is closed and replaced on each change and on each confirmation that
+	// there was none.
+	updated chan struct{}
 }
 
 // kind is the cached state of one kind.
@@ -40,7 +41,7 @@
 
 // NewCache returns an empty cache.
 func NewCache() *Cache {
-	return &Cache{kinds: map[string]*kind{}, changed: make(chan struct{})}
+	return &Cache{kinds: map[string]*kind{}, updated: make(chan struct{})}
 }
 
 // Revision returns the revision of a kind's cached state, or false if the kind
@@ -76,6 +77,9 @@
 		return false
 	}
 	k := &kind{objects: make(map[string]Object, len(all)), eventsAfter: revision, revision: revision, confirmed: confirmed}
+	if old := c.kinds[name]; old != nil && old.confirmed.After(confirmed) {
+		k.confirmed = old.confirmed
+	}
 	for _, o := range all {
 		k.objects[o.Name] = o
 	}
@@ -93,11 +97,10 @@
 	if k == nil || k.revision != from {
 		return false
 	}
-	k.confirmed = confirmed
-	k.revision = max(k.revision, to)
-	if len(events) == 0 {
-		return true
+	if confirmed.After(k.confirmed) {
+		k.confirmed = confirmed
 	}
+	k.revision = max(k.revision, to)
 	for _, e := range events {
 		k.apply(e, k.revision)
 	}
@@ -119,15 +122,16 @@
 }
 
 func (c *Cache) notify() {
-	close(c.changed)
-	c.changed = make(chan struct{})
+	close(c.updated)
+	c.updated = make(chan struct{})
 }
 
-// Changed returns a channel that is closed at the next change of any kind.
-func (c *Cache) Changed() <-chan struct{} {
+// Updated returns a channel that is closed when any kind next changes or is
+// confirmed to match the store.
+func (c *Cache) Updated() <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.changed
+	return c.updated
 }
 
 // List returns all objects of a kind, sorted by name, and the revision of the
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -47,7 +47,20 @@
 }
 
 // MarkFailed records that a relay did not respond or returned outdated content.
-func (s *Selector) MarkFailed(id string, now time.Time) { s.failedAt[id] = now }
+// It reports whether the relay worked, or was not known, before.
+func (s *Selector) MarkFailed(id string, now time.Time) bool {
+	_, failed := s.failedAt[id]
+	s.failedAt[id] = now
+	return !failed
+}
+
+// MarkWorking records that a relay returned current content. It reports whether
+// the relay had failed before.
+func (s *Selector) MarkWorking(id string) bool {
+	_, failed := s.failedAt[id]
+	delete(s.failedAt, id)
+	return failed
+}
 
 // Pick returns the relay to use, or false if the daemon has to watch the store
 // itself.
--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -30,9 +30,12 @@
 // receive its objects.
 type Subscription struct {
 	Kind string
-	// WatchTimeout is how long a watch waits for a change. A watch may miss a
-	// change that the next watch returns.
-	WatchTimeout time.Duration
+	// MaxAge is how old the copy of a daemon that can reach the store may become:
+	// the time within which it has each change.
+	MaxAge time.Duration
+	// MaxWatchTimeout is the longest time that a watch waits for a change. The wait
+	// is shorter if MaxAge requires it.
+	MaxWatchTimeout time.Duration
 	// OnList receives all objects of the kind.
 	OnList func(all []objects.Object)
 	// OnEvent receives a single change.
@@ -68,11 +71,10 @@
 	mu       sync.Mutex
 	members  []relay.Member
 	selector *relay.Selector
-	// relayedUntil is the time until which a relay is known to supply up-to-date
-	// objects.
-	relayedUntil time.Time
-	// unconfirmed holds the kinds whose source was lost and that no other source
-	// has confirmed since.
+	// relayedUntil is the time until which a relay is known to supply each kind.
+	relayedUntil map[string]time.Time
+	// unconfirmed holds the kinds whose last call to the store failed, and that no
+	// source has confirmed since.
 	unconfirmed map[string]bool
 	// relayStartingUntil is the time until which a relay is known to be starting.
 	relayStartingUntil time.Time
@@ -88,7 +90,7 @@
 		failures: newRegionalFailures(hooks),
 		settings: settings, store: store, subscriptions: subscriptions, call: call, log: log,
 		cache: objects.NewCache(), startedAt: time.Now(), selector: relay.NewSelector(settings.Self, relayRetryDelay),
-		unconfirmed: map[string]bool{},
+		relayedUntil: map[string]time.Time{}, unconfirmed: map[string]bool{},
 	}
 }
 
@@ -124,7 +126,6 @@
 func (r *Replica) apply(sub Subscription, full bool, all []objects.Object, events []objects.Event, from, to int64, confirmed time.Time) {
 	r.applyMu.Lock()
 	defer r.applyMu.Unlock()
-	r.setUnconfirmed(sub.Kind, false)
 	if full {
 		if r.cache.Replace(sub.Kind, all, to, confirmed) {
 			sub.OnList(all)
@@ -139,7 +140,7 @@
 	}
 }
 
-// setUnconfirmed records whether the source of a kind's objects was lost.
+// setUnconfirmed records whether the last call to the store for a kind failed.
 func (r *Replica) setUnconfirmed(kind string, lost bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/gateway/feed/feed_test.go
+++ b/gateway/feed/feed_test.go
@@ -169,7 +169,10 @@
 
 // watchedKind returns a subscription without callbacks.
 func watchedKind(kind string, watchTimeout time.Duration) Subscription {
-	return Subscription{Kind: kind, WatchTimeout: watchTimeout, OnList: func([]objects.Object) {}, OnEvent: func(objects.Event) {}}
+	return Subscription{
+		Kind: kind, MaxAge: watchTimeout + time.Second, MaxWatchTimeout: watchTimeout,
+		OnList: func([]objects.Object) {}, OnEvent: func(objects.Event) {},
+	}
 }
 
 // startFleet starts a daemon in each of the given zones, which may repeat.
--- a/gateway/feed/follow.go
+++ b/gateway/feed/follow.go
@@ -26,7 +26,10 @@
 	sub     Subscription
 	// listed is false until the kind was listed or supplied by a relay, and again
 	// after the store lost its history.
-	listed         bool
+	listed bool
+	// watching reports that the last call to the store succeeded, and that the next
+	// one may wait for a change.
+	watching       bool
 	storeAvailable bool
 	// deferred reports that the current call was put off by the circuit breaker.
 	deferred bool
@@ -36,10 +39,10 @@
 // supplies it.
 func (r *Replica) followStore(ctx context.Context, sub Subscription) {
 	w := &watcher{replica: r, sub: sub, storeAvailable: true}
-	r.awaitRelay(ctx)
+	r.awaitRelay(ctx, sub)
 	for ctx.Err() == nil {
-		if r.isRelayed(time.Now()) {
-			w.listed = true
+		if r.isSupplied(sub, time.Now()) {
+			w.listed, w.watching = true, false
 			w.reportAvailability(nil)
 			sleep.For(ctx, relayCheckInterval)
 			continue
@@ -48,29 +51,33 @@
 	}
 }
 
-// pollStore calls the store once and returns the time until the next call.
+// pollStore calls the store once and returns the time until the next call. The
+// circuit breaker only sees calls that do not wait for a change: a probe must
+// end soon, and a watch that is cut off does not mean that the store is down.
 func (w *watcher) pollStore(ctx context.Context) time.Duration {
 	interval := w.replica.probeInterval()
-	if !w.replica.breaker.allow(time.Now(), interval) {
+	if !w.watching && !w.replica.breaker.allow(time.Now(), interval) {
 		w.logDeferral()
 		return relayCheckInterval
 	}
 	w.deferred = false
 	err := w.fetch(ctx)
-	if errors.Is(err, objects.ErrHistoryGone) {
-		w.listed = false
-		w.replica.breaker.record(w.sub.Kind, true, time.Now(), interval)
-		w.replica.log.Info().Str("event", "store.history_gone").Str("kind", w.sub.Kind).Send()
-		return 0
-	}
 	if ctx.Err() != nil {
 		return 0
 	}
-	if err != nil {
-		w.replica.setUnconfirmed(w.sub.Kind, true)
+	probed := !w.watching
+	historyGone := errors.Is(err, objects.ErrHistoryGone)
+	if probed {
+		w.replica.breaker.record(w.sub.Kind, err == nil || historyGone, time.Now(), interval)
 	}
+	w.watching = err == nil
+	if historyGone {
+		w.listed = false
+		w.replica.log.Info().Str("event", "store.history_gone").Str("kind", w.sub.Kind).Send()
+		return 0
+	}
+	w.replica.setUnconfirmed(w.sub.Kind, err != nil)
 	w.reportAvailability(err)
-	w.replica.breaker.record(w.sub.Kind, err == nil, time.Now(), interval)
 	return watchInterval
 }
 
@@ -95,13 +102,18 @@
 	return relayedProbeInterval
 }
 
-// fetch lists the kind or watches it once.
+// fetch lists the kind, or watches it once: for a while if the last call
+// succeeded, else only for the changes that the store has already.
 func (w *watcher) fetch(ctx context.Context) error {
 	from, hasCopy := w.replica.cache.Revision(w.sub.Kind)
 	if !hasCopy || !w.listed {
 		return w.list(ctx, from)
 	}
-	events, to, err := w.replica.store.Watch(ctx, w.sub.Kind, from, w.sub.WatchTimeout)
+	wait := time.Duration(0)
+	if w.watching {
+		wait = w.sub.watchTimeout()
+	}
+	events, to, err := w.replica.store.Watch(ctx, w.sub.Kind, from, wait)
 	if err != nil {
 		return err
 	}
--- a/gateway/feed/probe.go
+++ b/gateway/feed/probe.go
@@ -11,8 +11,10 @@
 	// answer, by a daemon that has no relay.
 	rootProbeInterval = 250 * time.Millisecond
 	// relayedProbeInterval is the same for a daemon that has relays, which are
-	// likely to notice the recovery of the store first.
-	relayedProbeInterval = 2 * time.Second
+	// likely to notice the recovery of the store first. With its jitter it is
+	// shorter than the time after which a daemon that reaches the store again must
+	// be up to date.
+	relayedProbeInterval = 1500 * time.Millisecond
 )
 
 // circuitBreaker limits the calls to a store that does not answer to one probe
@@ -45,7 +47,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !available && !b.open {
-		b.nextProbe = now.Add(jitter(interval))
+		// The failed call may have begun long ago, so the first probe follows sooner.
+		b.nextProbe = now.Add(jitter(interval / 2))
 		b.openedBy = kind
 	}
 	b.open = !available
--- a/gateway/feed/relay.go
+++ b/gateway/feed/relay.go
@@ -16,18 +16,14 @@
 )
 
 const (
-	// relayPollTimeout is how long a relay waits for a change before it replies.
-	// Each step between a daemon and the store adds up to this much to the age of
-	// the data, so four steps add up to four times this timeout.
+	// relayPollTimeout is how long a relay waits for a change before it replies. It
+	// replies sooner to a caller whose copy is older than its own by this much.
 	relayPollTimeout = 300 * time.Millisecond
 	// relayReplyMargin is the time allowed for the reply beyond relayPollTimeout.
 	relayReplyMargin = 300 * time.Millisecond
 	// relayRetryDelay is how long a failed relay is not called. It is short,
 	// since the relay may notice the recovery of the store first.
 	relayRetryDelay = 700 * time.Millisecond
-	// maxExtraAge is how much older than the watch timeout a relay's data may be.
-	// It covers the store's response time and the transfer of the relay's reply.
-	maxExtraAge = time.Second
 	// maxStartupRelayWait bounds how long a starting daemon waits for a relay
 	// that is starting too.
 	maxStartupRelayWait = 1500 * time.Millisecond
@@ -64,14 +60,15 @@
 // yet. If there are none, or the daemon has just lost its own source, it waits
 // up to the timeout in the call.
 func (r *Replica) handleCall(ctx context.Context, from string, call *wire.ObjectsCall) (*wire.ObjectsReply, error) {
-	r.failures.recordReport(from, call.Failures, time.Now())
+	received := time.Now()
+	r.failures.recordReport(from, call.Failures, received)
 	timer := time.NewTimer(min(call.Wait, maxPollTimeout))
 	defer timer.Stop()
 	for {
-		changed := r.cache.Changed()
+		updated := r.cache.Updated()
 		reply := r.changesFor(call)
 		unconfirmed := slices.ContainsFunc(reply.Kinds, func(k wire.KindReply) bool { return k.Unconfirmed })
-		if !unconfirmed && slices.ContainsFunc(reply.Kinds, hasNews) {
+		if !unconfirmed && hasNews(call, reply, time.Since(received)) {
 			return reply, nil
 		}
 		var recheck <-chan time.Time
@@ -79,7 +76,7 @@
 			recheck = time.After(sourceRecheckInterval)
 		}
 		select {
-		case <-changed:
+		case <-updated:
 		case <-recheck:
 		case <-timer.C:
 			return r.changesFor(call), nil
@@ -97,8 +94,16 @@
 	return reply
 }
 
-// hasNews reports whether the reply for a kind is worth sending at once.
-func hasNews(k wire.KindReply) bool { return k.Full || k.Unknown || len(k.Events) > 0 }
+// hasNews reports whether a reply is worth sending at once, to a caller that has
+// waited for it.
+func hasNews(call *wire.ObjectsCall, reply *wire.ObjectsReply, waited time.Duration) bool {
+	for i, k := range reply.Kinds {
+		if k.Full || k.Unknown || len(k.Events) > 0 || call.Kinds[i].Age+waited >= k.Age+relayPollTimeout {
+			return true
+		}
+	}
+	return false
+}
 
 func (r *Replica) replyForKind(k wire.KindCall) wire.KindReply {
 	reply := wire.KindReply{Kind: k.Kind}
@@ -120,25 +125,12 @@
 	return reply
 }
 
-// isRelayed reports whether a relay supplies up-to-date objects.
-func (r *Replica) isRelayed(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return now.Before(r.relayedUntil)
-}
-
-func (r *Replica) setRelayedUntil(until time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.relayedUntil = until
-}
-
 // awaitRelay gives the relay of a starting daemon time to reply, so that the
 // daemons of a data centre that start at the same time do not all read the
 // store.
-func (r *Replica) awaitRelay(ctx context.Context) {
+func (r *Replica) awaitRelay(ctx context.Context, sub Subscription) {
 	for ctx.Err() == nil && r.waitsForRelay() {
-		if r.isRelayed(time.Now()) || r.IsRelayRoot() {
+		if r.isSupplied(sub, time.Now()) || r.IsRelayRoot() {
 			return
 		}
 		sleep.For(ctx, relayCheckInterval)
@@ -184,7 +176,7 @@
 		}
 		err := r.pollDaemon(ctx, source.Address, true)
 		if err == nil {
-			r.setRelayedUntil(time.Now().Add(relayPollTimeout + relayReplyMargin))
+			r.markRelayWorking(source)
 			continue
 		}
 		if errors.Is(err, objects.ErrUnknownKind) {
@@ -206,15 +198,22 @@
 	return r.selector.Pick(r.members, time.Now())
 }
 
+// markRelayFailed makes the next poll use another relay, if there is one. It logs
+// only the first of several failures.
 func (r *Replica) markRelayFailed(source relay.Member, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.selector.MarkFailed(source.ID, time.Now())
-	r.relayedUntil = time.Time{}
-	for _, sub := range r.subscriptions {
-		r.unconfirmed[sub.Kind] = true
+	if r.selector.MarkFailed(source.ID, time.Now()) {
+		r.log.Info().Str("event", "relay.lost").Str("relay", source.ID).Err(err).Send()
+	}
+}
+
+func (r *Replica) markRelayWorking(source relay.Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.selector.MarkWorking(source.ID) {
+		r.log.Info().Str("event", "relay.regained").Str("relay", source.ID).Send()
 	}
-	r.log.Info().Str("event", "relay.lost").Str("relay", source.ID).Err(err).Send()
 }
 
 // pollSeeds polls the daemons named in the settings while not all kinds are
@@ -239,9 +238,10 @@
 	return true
 }
 
-// pollDaemon asks a daemon once for changes and applies the reply. If
-// rejectStale is set, data that is too old is rejected with ErrStale.
-func (r *Replica) pollDaemon(ctx context.Context, address string, rejectStale bool) error {
+// pollDaemon asks a daemon once for changes and applies the reply. If isRelay is
+// set, the daemon supplies the kinds that it has in time; the error wraps ErrStale
+// if these are not all.
+func (r *Replica) pollDaemon(ctx context.Context, address string, isRelay bool) error {
 	addr, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return fmt.Errorf("parse daemon address: %w", err)
@@ -251,32 +251,47 @@
 	call := &wire.ObjectsCall{Wait: relayPollTimeout, Failures: r.failures.subtreeTotal(time.Now())}
 	for _, sub := range r.subscriptions {
 		revision, known := r.cache.Revision(sub.Kind)
-		call.Kinds = append(call.Kinds, wire.KindCall{Kind: sub.Kind, Revision: revision, HasRevision: known})
+		age, _ := r.cache.Age(sub.Kind, time.Now())
+		call.Kinds = append(call.Kinds, wire.KindCall{Kind: sub.Kind, Revision: revision, HasRevision: known, Age: age})
 	}
 	reply, err := r.call(ctx, addr, call)
 	if err != nil {
 		return err
 	}
 	r.failures.recordRegionTotal(reply.Failures, time.Now())
-	return r.applyReply(call, reply, rejectStale)
+	return r.applyReply(call, reply, isRelay)
 }
 
-func (r *Replica) applyReply(call *wire.ObjectsCall, reply *wire.ObjectsReply, rejectStale bool) error {
+func (r *Replica) applyReply(call *wire.ObjectsCall, reply *wire.ObjectsReply, isRelay bool) error {
 	if len(reply.Kinds) != len(r.subscriptions) {
 		return fmt.Errorf("%w: reply has %d kinds, want one for each kind of the call", objects.ErrUnknownKind, len(reply.Kinds))
 	}
-	for i, kindReply := range reply.Kinds {
-		if kindReply.Unknown {
-			return fmt.Errorf("%w: kind %s", objects.ErrUnknownKind, kindReply.Kind)
-		}
-		if rejectStale && kindReply.Unconfirmed {
-			return fmt.Errorf("%w: it lost its own source of kind %s", ErrStale, kindReply.Kind)
+	var errs []error
+	for i, sub := range r.subscriptions {
+		k := reply.Kinds[i]
+		if k.Unknown {
+			errs = append(errs, fmt.Errorf("%w: kind %s", objects.ErrUnknownKind, k.Kind))
+			continue
 		}
-		if rejectStale && kindReply.Age > r.subscriptions[i].WatchTimeout+maxExtraAge {
-			return fmt.Errorf("%w: objects of kind %s are %s old, above the limit for the kind", ErrStale, kindReply.Kind, kindReply.Age)
+		r.apply(sub, k.Full, k.Objects, k.Events, call.Kinds[i].Revision, k.Revision, time.Now().Add(-k.Age))
+		if !isRelay {
+			continue
 		}
-		from := call.Kinds[i].Revision
-		r.apply(r.subscriptions[i], kindReply.Full, kindReply.Objects, kindReply.Events, from, kindReply.Revision, time.Now().Add(-kindReply.Age))
+		err := checkFresh(sub, k)
+		r.setSupplied(sub.Kind, err == nil)
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
+}
+
+// checkFresh returns an error that wraps ErrStale if a relay's copy of a kind is
+// too old or has lost its source.
+func checkFresh(sub Subscription, k wire.KindReply) error {
+	if k.Unconfirmed {
+		return fmt.Errorf("%w: it lost its own source of kind %s", ErrStale, k.Kind)
+	}
+	if limit := sub.maxRelayedAge(); k.Age > limit {
+		return fmt.Errorf("%w: objects of kind %s are %s old, want at most %s", ErrStale, k.Kind, k.Age, limit)
 	}
 	return nil
 }
--- a/gateway/feed/staleness_test.go
+++ b/gateway/feed/staleness_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -11,6 +12,10 @@
 	"bilberrytiller.example/tiller/coordination/relay"
 )
 
+// faultSeeds is the number of seeds that TestReachableDaemonIsNeverOlderThanBound
+// plays.
+var faultSeeds = flag.Uint64("seeds", 60, "number of seeds of random faults")
+
 const (
 	// changeBound is the time within which a daemon has a change of the store.
 	changeBound = 2500 * time.Millisecond
@@ -58,7 +63,7 @@
 // slow calls, and changes all the while.
 func TestReachableDaemonIsNeverOlderThanBound(t *testing.T) {
 	zones := slices.Concat(slices.Repeat([]string{"z1"}, 9), slices.Repeat([]string{"z2"}, 3))
-	for seed := range uint64(60) {
+	for seed := range *faultSeeds {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { playFaults(t, seed, zones) })
 		})
--- a/protocol/wire/objects.go
+++ b/protocol/wire/objects.go
@@ -10,7 +10,8 @@
 const TypeObjects Type = "objects"
 
 // ObjectsCall asks for the changes of several kinds of objects. The reply is
-// sent when there is a change, or after Wait.
+// sent when there is a change, when the replying daemon's copy was confirmed well
+// after the caller's, or after Wait.
 type ObjectsCall struct {
 	Kinds []KindCall    `cbor:"k"`
 	Wait  time.Duration `cbor:"w"`
@@ -34,6 +35,9 @@
 	Revision int64  `cbor:"r"`
 	// HasRevision says that the calling daemon knows the kind up to Revision.
 	HasRevision bool `cbor:"n,omitempty"`
+	// Age is the time since the calling daemon's copy was last confirmed to match
+	// the store.
+	Age time.Duration `cbor:"a,omitempty"`
 }
 
 // ObjectsReply is the reply to an ObjectsCall.
@@ -57,7 +61,7 @@
 	Revision int64            `cbor:"r"`
 	// Age is the time since the copy was last confirmed to match the store.
 	Age time.Duration `cbor:"a"`
-	// Unconfirmed says that the replying daemon has lost the relay or the store
-	// that the copy came from and has not reached another one yet.
+	// Unconfirmed says that the replying daemon has no relay, and that its last
+	// call to the store failed.
 	Unconfirmed bool `cbor:"n,omitempty"`
 }
