--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -77,6 +77,7 @@
 
 	balancer *Balancer
 	server   *server
+	chosenAt time.Time
 }
 
 // Refusal says why no server was chosen and when to retry.
@@ -129,7 +130,7 @@
 	}
 	estimated := srv.estimatedRequests(now)
 	srv.inflight++
-	return &Choice{Backend: srv.Backend, Reason: reason, EstimatedRequests: estimated, LoadAge: srv.loadAge(now), balancer: b, server: srv}
+	return &Choice{Backend: srv.Backend, Reason: reason, EstimatedRequests: estimated, LoadAge: srv.loadAge(now), balancer: b, server: srv, chosenAt: now}
 }
 
 // probeDelay returns the time until an unhealthy server may get its next
--- a/coordination/upstream/outcome.go
+++ b/coordination/upstream/outcome.go
@@ -42,15 +42,18 @@
 	// ColdLeft is how much longer the server will be cold, as it reported
 	// itself.
 	ColdLeft time.Duration
+	// RateLimit is the limit that the server named in its answer, or nil.
+	RateLimit *RateLimit
 }
 
 // Done ends a request that was in flight at the chosen server and records its
-// result.
-func (c *Choice) Done(r Result, now time.Time) {
+// result. It reports whether the server's rate limit is another than before.
+func (c *Choice) Done(r Result, now time.Time) (limitChanged bool) {
 	c.balancer.mu.Lock()
 	defer c.balancer.mu.Unlock()
 	srv := c.server
 	srv.inflight--
+	limitChanged = srv.recordRateLimit(r, c.chosenAt, now)
 	srv.recordRoundTrip(r.RoundTrip)
 	c.balancer.recordRegionRoundTrip(srv.region, r.RoundTrip)
 	if r.Load != nil {
@@ -72,6 +75,7 @@
 	if (outcome == Failed || outcome == Lost) && c.balancer.servers[srv.ID] == srv {
 		c.balancer.recentlyFailed[srv.ID] = srv
 	}
+	return limitChanged
 }
 
 // hangFactor is how many times the usual latency a request may go unanswered
--- a/coordination/upstream/server.go
+++ b/coordination/upstream/server.go
@@ -100,6 +100,10 @@
 	misdirected bool
 	// missing is set while the server's entry is gone but may come back.
 	missing bool
+	// rateLimit is the limit that the server named last, or nil if its latest
+	// answer named none. limitNamedAt is the time of the answer.
+	rateLimit    *RateLimit
+	limitNamedAt time.Time
 }
 
 func newServer(b routing.Backend, region string) *server {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -154,7 +154,9 @@
 	message.MaxIdleConns = idleConnLimit(d.req.service, d.g.daemonCount())
 	go func() {
 		exchange := d.g.upstreamClient.Run(ctx, choice.Backend.Address, &message)
-		choice.Done(exchange.Result, time.Now())
+		if choice.Done(exchange.Result, time.Now()) {
+			d.g.logRateLimit(choice.Backend.ID, exchange.Result.RateLimit)
+		}
 		d.results <- sendResult{choice, exchange}
 	}()
 	return nil
--- a/gateway/runlog.go
+++ b/gateway/runlog.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"bilberrytiller.example/tiller/coordination/upstream"
 )
 
 // logSend logs a send whose outcome is not a successful answer.
@@ -32,6 +34,16 @@
 	d.addBackendFields(e).Send()
 }
 
+// logRateLimit logs the limit that a server names from now on, or that it names
+// none any more.
+func (g *Gateway) logRateLimit(backend string, limit *upstream.RateLimit) {
+	if limit == nil {
+		g.log.Info().Str("event", "backend.unlimited").Str("backend", backend).Send()
+		return
+	}
+	g.log.Info().Str("event", "backend.limited").Str("backend", backend).Float64("per_second", float64(*limit)).Send()
+}
+
 // addBackendFields adds the inputs of the latest server choice to a log line.
 func (d *dispatcher) addBackendFields(e *zerolog.Event) *zerolog.Event {
 	if d.refusal != nil {
--- a/transport/upstreamhttp/client.go
+++ b/transport/upstreamhttp/client.go
@@ -96,6 +96,7 @@
 	}
 	return Exchange{Sent: true, Answer: answer, Result: upstream.Result{
 		Outcome: answer.outcome(), Load: answer.Load, Latency: time.Since(start), RoundTrip: roundTrip, ColdLeft: answer.ColdLeft,
+		RateLimit: answer.RateLimit,
 	}}
 }
 
--- a/transport/upstreamhttp/client_test.go
+++ b/transport/upstreamhttp/client_test.go
@@ -17,7 +17,7 @@
 
 var testHeaders = HeaderNames{
 	AttemptID: "X-Id", DeadlineMs: "X-Left", AffinityKey: "X-Key", ExpectedServerID: "X-Expect", Signature: "X-Signed",
-	NotExecuted: "X-Not-Run", Load: "X-Load", ColdMs: "X-Cold",
+	NotExecuted: "X-Not-Run", Load: "X-Load", ColdMs: "X-Cold", RateLimit: "X-Limit",
 }
 
 // startScriptedServer starts a server and returns its address. Its n-th
@@ -352,3 +352,18 @@
 		t.Errorf("got %d idle connections, want 2", n)
 	}
 }
+
+// TestRateLimitHeader checks decimal limits and values that are none.
+func TestRateLimitHeader(t *testing.T) {
+	for value, want := range map[string]float64{"17.8": 17.8, "0": 0, "1e3": 1000, "-1": -1, "NaN": -1, "Inf": -1, "1,2": -1, "some": -1} {
+		a := &Answer{Header: http.Header{"X-Limit": {value}}}
+		a.parseRateLimit(testHeaders)
+		got := -1.0
+		if a.RateLimit != nil {
+			got = float64(*a.RateLimit)
+		}
+		if got != want || (len(a.UnreadableHeaders) == 0) != (want >= 0) {
+			t.Errorf("X-Limit %q: got limit %v and unreadable headers %v, want limit %v", value, got, a.UnreadableHeaders, want)
+		}
+	}
+}
--- a/transport/upstreamhttp/conn.go
+++ b/transport/upstreamhttp/conn.go
@@ -185,6 +185,7 @@
 	}
 	a.parseLoad(n)
 	a.parseColdLeft(n)
+	a.parseRateLimit(n)
 	a.NotRun = a.Misdirected || h.Get(n.NotExecuted) != ""
 	if a.Status/100 == 2 && !a.Signed {
 		return nil, ErrUnsigned
--- a/transport/upstreamhttp/message.go
+++ b/transport/upstreamhttp/message.go
@@ -1,6 +1,7 @@
 package upstreamhttp
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -31,6 +32,9 @@
 	Load string
 	// ColdMs is how long the server remains cold, in milliseconds.
 	ColdMs string
+	// RateLimit is the number of requests per second that the server accepts from
+	// all daemons together, as a decimal number.
+	RateLimit string
 }
 
 // Request is a request to a backend server.
@@ -65,7 +69,10 @@
 	Load *upstream.Load
 	// ColdLeft is how long the server remains cold.
 	ColdLeft time.Duration
-	// UnreadableHeaders names the load and cold headers that could not be parsed.
+	// RateLimit is nil if the server named no limit.
+	RateLimit *upstream.RateLimit
+	// UnreadableHeaders names the load, cold and limit headers that could not be
+	// parsed.
 	UnreadableHeaders []string
 }
 
@@ -179,3 +186,18 @@
 	}
 	a.ColdLeft = time.Duration(ms) * time.Millisecond
 }
+
+// parseRateLimit sets RateLimit from the limit header.
+func (a *Answer) parseRateLimit(n HeaderNames) {
+	value := a.Header.Get(n.RateLimit)
+	if value == "" {
+		return
+	}
+	perSecond, err := strconv.ParseFloat(value, 64)
+	if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+		a.UnreadableHeaders = append(a.UnreadableHeaders, n.RateLimit)
+		return
+	}
+	limit := upstream.RateLimit(perSecond)
+	a.RateLimit = &limit
+}
