--- a/standin/originserver/server.go
+++ b/standin/originserver/server.go
@@ -9,6 +9,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -22,6 +24,7 @@
 	notRunHeader    = "X-Bilberrytiller-Not-Executed"
 	loadHeader      = "X-Bilberrytiller-Server-Load"
 	instanceHeader  = "X-Bilberrytiller-Instance-Id"
+	rateLimitHeader = "Server-Limit"
 )
 
 // warmSpeedup is how many times faster a request for a warm object is.
@@ -36,6 +39,10 @@
 	// DropRate is the fraction of answers that are dropped after the request has
 	// run, TruncateRate the fraction that are cut off.
 	DropRate, TruncateRate float64
+	// RateLimit is the number of requests per second that the server names as its
+	// limit in its answers, or 0 if it names none. It serves further requests all
+	// the same.
+	RateLimit float64
 	// Seed makes the selection of those answers repeatable.
 	Seed uint64
 }
@@ -43,17 +50,26 @@
 // Runs records which requests ran, and on which servers. It is safe for
 // concurrent use.
 type Runs struct {
-	mu   sync.Mutex
-	byID map[string][]string
+	mu       sync.Mutex
+	byID     map[string][]string
+	byServer map[string][]time.Time
 }
 
 // NewRuns returns an empty record.
-func NewRuns() *Runs { return &Runs{byID: map[string][]string{}} }
+func NewRuns() *Runs { return &Runs{byID: map[string][]string{}, byServer: map[string][]time.Time{}} }
 
 func (r *Runs) add(id, server string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.byID[id] = append(r.byID[id], server)
+	r.byServer[server] = append(r.byServer[server], time.Now())
+}
+
+// TimesOf returns when a server began its runs.
+func (r *Runs) TimesOf(server string) []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.byServer[server])
 }
 
 // ServersOf returns the servers that ran a request, one for each run.
@@ -171,6 +187,9 @@
 	w.Header().Set(attemptHeader, id)
 	w.Header().Set(signatureHeader, s.options.ID+"."+id)
 	w.Header().Set(loadHeader, load)
+	if s.options.RateLimit > 0 {
+		w.Header().Set(rateLimitHeader, strconv.FormatFloat(s.options.RateLimit, 'f', -1, 64))
+	}
 	text := ResponseBody(id, body)
 	if draw < s.options.DropRate+s.options.TruncateRate {
 		w.Header().Set("Content-Length", fmt.Sprint(2*len(text)))
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -320,3 +320,63 @@
 		t.Errorf("got status %d, error %v; want 200", status, err)
 	}
 }
+
+// TestGatewaysKeepServerLimits guards against servers that get several times the
+// requests that they named as their limit, from all gateways together.
+func TestGatewaysKeepServerLimits(t *testing.T) {
+	const (
+		gateways, clients = 3, 8
+		limit             = 12.0
+		stable, window    = 3 * time.Second, 4 * time.Second
+		allowed           = 1.5*limit*4 + 5
+	)
+	cluster := startGateways(t, gateways, originserver.Options{Slots: 8, Work: 20 * time.Millisecond})
+	for _, service := range []string{"look", "pay"} {
+		must(t, cluster.AddServer(service, originserver.Options{ID: "i-" + service + "-limited", Slots: 8, Work: 20 * time.Millisecond, RateLimit: limit}))
+	}
+	stop := make(chan struct{})
+	results := make(chan []result, clients)
+	for c := range clients {
+		go func() { results <- sendLoad(cluster, 1, c, gateways, stop) }()
+	}
+	limited := []string{"i-look-limited", "i-pay-limited"}
+	waitFor(t, func() bool {
+		return len(cluster.Runs.TimesOf(limited[0])) > gateways && len(cluster.Runs.TimesOf(limited[1])) > gateways
+	})
+	time.Sleep(stable)
+	from := time.Now()
+	time.Sleep(2 * window)
+	close(stop)
+	answered := 0
+	for range clients {
+		for _, r := range <-results {
+			checkResponse(t, cluster, r.id, r.path, r.status, r.body, r.err)
+			if r.status == http.StatusOK {
+				answered++
+			}
+		}
+	}
+	for _, server := range limited {
+		if n := mostWithin(cluster.Runs.TimesOf(server), from, window); float64(n) > allowed {
+			t.Errorf("%s with a limit of %v a second began %d requests in %s, want at most %v", server, limit, n, window, allowed)
+		}
+	}
+	if answered == 0 {
+		t.Error("no request was answered with status 200")
+	}
+}
+
+// mostWithin returns the largest number of times in any window that begins after
+// from. The times must be sorted.
+func mostWithin(times []time.Time, from time.Time, window time.Duration) int {
+	most, first := 0, 0
+	for last, at := range times {
+		for times[first].Before(from) && first < last || at.Sub(times[first]) > window {
+			first++
+		}
+		if at.After(from) {
+			most = max(most, last-first+1)
+		}
+	}
+	return most
+}
