Keep to the limit that a server names in its answers

Cause: nothing read the limit. Ruled out by the record: repeated requests (the server got as many requests before it named its limit), and daemons that each take the whole limit (no daemon's rate changed).

Each daemon keeps to an equal share, counted where a request is assigned, so that second copies and repeats count too. What is beyond it goes to the object's next server, and is refused at once with the time to return if no server has room in its limit.

--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -23,6 +23,9 @@
 	// request.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = time.Second
+	// maxRateLimitDraws bounds the servers that a request is tried at whose rate
+	// limits may or may not admit it.
+	maxRateLimitDraws = 4
 )
 
 // Request holds the inputs for choosing a server.
@@ -41,7 +44,8 @@
 	// ColdRate is the rate, in requests per second, that a cold server accepts
 	// from the whole fleet.
 	ColdRate float64
-	// DaemonCount is the number of daemons that share ColdRate.
+	// DaemonCount is the number of daemons that share ColdRate and the servers' rate
+	// limits.
 	DaemonCount int
 }
 
@@ -62,6 +66,9 @@
 	// ReasonColdLimit means that only cold servers are left, and they are at
 	// their rate limit.
 	ReasonColdLimit Reason = "cold_limit"
+	// ReasonRateLimit means that no server is left but those whose limit, as named
+	// by themselves, this daemon has used its share of.
+	ReasonRateLimit Reason = "rate_limit"
 )
 
 // Choice is the server chosen for a request. The request counts as in flight
@@ -101,17 +108,30 @@
 	}
 	b.updateBaseline(svc, now)
 	sel := b.newSelection(svc, r, now)
-	if len(sel.candidates) == 0 {
-		return nil, &Refusal{Reason: sel.noCandidateReason(), RetryAfter: maxRetryAfter / 4}
+	for draws := 0; len(sel.candidates) > 0 && draws < maxRateLimitDraws; draws++ {
+		srv := sel.pickServer()
+		reason, ok := sel.reasonToUse(srv)
+		if !ok {
+			return nil, sel.refuseFull(srv)
+		}
+		if b.takeFromRateLimit(srv, r.DaemonCount, now) {
+			return b.assign(srv, r, reason, now), nil
+		}
+		sel.leaveOutLimited(srv)
 	}
-	srv := sel.pickServer()
+	return nil, sel.refuseWithoutCandidate()
+}
+
+// reasonToUse returns why the server may get the request, or false if its queue is
+// too long.
+func (sel *selection) reasonToUse(srv *server) (Reason, bool) {
 	switch {
 	case sel.hasCapacity(srv):
-		return b.assign(srv, r, ReasonHasCapacity, now), nil
-	case sel.expectedLatency(srv) <= r.ObjectiveLeft:
-		return b.assign(srv, r, ReasonQueue, now), nil
+		return ReasonHasCapacity, true
+	case sel.expectedLatency(srv) <= sel.request.ObjectiveLeft:
+		return ReasonQueue, true
 	}
-	return nil, sel.refuseFull(srv)
+	return "", false
 }
 
 // assign counts a request as in flight at a server and updates the server's
@@ -163,6 +183,10 @@
 	unhealthy []*server
 	// coldLimited counts the cold servers that are at their rate limit.
 	coldLimited int
+	// rateLimited is set if a server was left out because of its own limit, and
+	// rateLimitWait is the shortest time until such a server may be used.
+	rateLimited   bool
+	rateLimitWait time.Duration
 }
 
 func (b *Balancer) newSelection(svc *service, r Request, now time.Time) *selection {
@@ -178,6 +202,8 @@
 		case !b.usable(srv, r, now):
 		case srv.isCold(now) && !srv.coldLimiter.Ready(r.ColdRate, r.DaemonCount, now):
 			sel.coldLimited++
+		case srv.atRateLimit(r.DaemonCount, now):
+			sel.recordRateLimited(srv)
 		case !srv.healthy(sel.baseline, now) && now.Before(srv.nextProbe):
 			sel.unhealthy = append(sel.unhealthy, srv)
 		default:
@@ -216,7 +242,7 @@
 	if first.estimatedRequests(sel.now) < first.slots() || sel.expectedLatency(first) <= sel.request.ObjectiveLeft {
 		return first
 	}
-	rest := slices.DeleteFunc(sel.candidates, func(srv *server) bool { return srv == first })
+	rest := slices.DeleteFunc(slices.Clone(sel.candidates), func(srv *server) bool { return srv == first })
 	next := slices.MinFunc(rest, sel.compare)
 	if next.estimatedRequests(sel.now) >= next.slots() {
 		return first
@@ -302,11 +328,15 @@
 	return max(minServiceTime, latency-srv.roundTrip) * srv.expectedWorkFactor(sel.now)
 }
 
-func (sel *selection) noCandidateReason() Reason {
-	if sel.coldLimited > 0 {
-		return ReasonColdLimit
+// refuseWithoutCandidate returns a refusal because no server may get the request.
+func (sel *selection) refuseWithoutCandidate() *Refusal {
+	switch {
+	case sel.rateLimited:
+		return &Refusal{Reason: ReasonRateLimit, RetryAfter: min(maxRetryAfter, max(minRetryAfter, sel.rateLimitWait))}
+	case sel.coldLimited > 0:
+		return &Refusal{Reason: ReasonColdLimit, RetryAfter: maxRetryAfter / 4}
 	}
-	return ReasonNoServer
+	return &Refusal{Reason: ReasonNoServer, RetryAfter: maxRetryAfter / 4}
 }
 
 // refuseFull returns a refusal because the server's queue is too long. The
--- a/coordination/upstream/ratelimit_test.go
+++ b/coordination/upstream/ratelimit_test.go
@@ -227,3 +227,87 @@
 		})
 	}
 }
+
+// TestCallersAreServedBesideLimitedServers checks that requests beyond the limits go
+// to the other servers, that limited servers get most of what they accept, and that
+// they get their objects back when they no longer name a limit.
+func TestCallersAreServedBesideLimitedServers(t *testing.T) {
+	limits := map[int]RateLimit{0: 17.8, 1: 10.9, 2: 17.8}
+	p := newLimitPlay(9, 1, limits, limitLoad{total: constantLoad(540)})
+	p.run()
+	if p.refused > 0 {
+		t.Errorf("%d of %d requests were refused, want none", p.refused, p.refused+p.answered)
+	}
+	var before, after float64
+	for i, limit := range limits {
+		id := fmt.Sprint("i-", i)
+		during := p.rateBetween(id, limitBegins+limitStable, limitEnds)
+		if during < 0.8*float64(limit) {
+			t.Errorf("%s got %.1f requests a second, want at least 0.8 of its limit %v", id, during, limit)
+		}
+		before += p.rateBetween(id, 0, limitBegins)
+		after += p.rateBetween(id, limitEnds+time.Second, limitPlayTime)
+	}
+	if after < 0.9*before {
+		t.Errorf("the servers got %.1f requests a second after their limits ended, want about the %.1f of before", after, before)
+	}
+}
+
+// limitedBalancer returns the function to choose for a request at a time, from one
+// server that names a limit of 18 a second, which nine daemons share.
+func limitedBalancer(t *testing.T) (choose func(at time.Time) (*Choice, *Refusal)) {
+	t.Helper()
+	b := NewBalancer(Locality{Zone: "a1", Region: "a"}, map[string]string{"a1": "a"})
+	b.Put(routing.Backend{ID: "i-0", StartedAtMs: 1, Service: "stock", Address: "i-0", Zone: "a1", Slots: 9}, start)
+	choose = func(at time.Time) (*Choice, *Refusal) {
+		return b.Choose(Request{Service: "stock", Key: "k", ObjectiveLeft: time.Second, TimeLeft: time.Second, DaemonCount: 9}, at)
+	}
+	c, refusal := choose(start)
+	if refusal != nil {
+		t.Fatalf("request to a server without a limit was refused: %s", refusal.Reason)
+	}
+	limit := RateLimit(18)
+	if !c.Done(Result{Outcome: Answered, RateLimit: &limit, Latency: limitWork}, start) {
+		t.Fatal("a limit that begins was not reported as a change")
+	}
+	return choose
+}
+
+// TestRequestBeyondAllLimitsIsRefused checks that a request is refused at once if no
+// server has a share left, with the time after which one has.
+func TestRequestBeyondAllLimitsIsRefused(t *testing.T) {
+	choose := limitedBalancer(t)
+	_, refusal := choose(start)
+	if refusal == nil || refusal.Reason != ReasonRateLimit || refusal.RetryAfter != 500*time.Millisecond {
+		t.Fatalf("got refusal %+v, want %s with a retry after 500ms at a share of 2 a second", refusal, ReasonRateLimit)
+	}
+	if _, refusal := choose(start.Add(refusal.RetryAfter)); refusal != nil {
+		t.Errorf("refused with %s after the retry delay", refusal.Reason)
+	}
+}
+
+// TestOnlyLaterAnswerEndsLimit guards against a limit that is dropped because of the
+// answer to a request sent before the server named it, or of a refusal.
+func TestOnlyLaterAnswerEndsLimit(t *testing.T) {
+	b := NewBalancer(Locality{Zone: "a1", Region: "a"}, map[string]string{"a1": "a"})
+	b.Put(routing.Backend{ID: "i-0", StartedAtMs: 1, Service: "stock", Address: "i-0", Zone: "a1", Slots: 9}, start)
+	choose := func(at time.Duration) *Choice {
+		c, refusal := b.Choose(Request{Service: "stock", ObjectiveLeft: time.Second, TimeLeft: time.Second, DaemonCount: 1}, start.Add(at))
+		if refusal != nil {
+			t.Fatalf("refused with %s after %s", refusal.Reason, at)
+		}
+		return c
+	}
+	limit := RateLimit(2)
+	earlier, naming := choose(0), choose(0)
+	naming.Done(Result{Outcome: Answered, RateLimit: &limit}, start.Add(time.Second))
+	if earlier.Done(Result{Outcome: Answered}, start.Add(2*time.Second)) {
+		t.Error("the answer to an earlier request ended the limit")
+	}
+	if choose(3*time.Second).Done(Result{Outcome: Shed}, start.Add(3*time.Second)) {
+		t.Error("a refusal ended the limit")
+	}
+	if !choose(5*time.Second).Done(Result{Outcome: Answered}, start.Add(5*time.Second)) {
+		t.Error("the answer to a later request did not end the limit")
+	}
+}
--- a/coordination/upstream/server.go
+++ b/coordination/upstream/server.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bilberrytiller.example/tiller/coordination/coldrate"
+	"bilberrytiller.example/tiller/coordination/serverlimit"
 	"bilberrytiller.example/tiller/state/routing"
 )
 
@@ -104,6 +105,7 @@
 	// answer named none. limitNamedAt is the time of the answer.
 	rateLimit    *RateLimit
 	limitNamedAt time.Time
+	rateLimiter  serverlimit.Limiter
 }
 
 func newServer(b routing.Backend, region string) *server {
