Soak gateways under planned work in series that overlap

Stops, restarts, reloads, changes of the configuration, drains and servers' limits overlap, while clients use their open connections until the process is gone. Each request that ran must be answered, a configuration in force after 2.5 s, and a drained server idle.

--- a/Makefile
+++ b/Makefile
@@ -23,9 +23,9 @@
 measure: build
 	bash scripts/measure.sh
 
-# Runs the fault soak with fifty seeds, which takes about seven minutes.
+# Runs the soaks with fifty seeds each, which takes about twenty-five minutes.
 soak:
-	cd standin && go test -count=1 -timeout 30m ./soak -run TestSoak -seeds 50
+	cd standin && go test -count=1 -timeout 60m ./soak -run "TestSoak|TestPlannedWorkIsUnnoticed" -seeds 50
 
 fuzz:
 	go test ./platform -fuzz FuzzSettings -fuzztime 1m
--- a/standin/originserver/server.go
+++ b/standin/originserver/server.go
@@ -39,9 +39,7 @@
 	// DropRate is the fraction of answers that are dropped after the request has
 	// run, TruncateRate the fraction that are cut off.
 	DropRate, TruncateRate float64
-	// RateLimit is the number of requests per second that the server names as its
-	// limit in its answers, or 0 if it names none. It serves further requests all
-	// the same.
+	// RateLimit is the limit that the server names at first; see SetRateLimit.
 	RateLimit float64
 	// Seed makes the selection of those answers repeatable.
 	Seed uint64
@@ -88,19 +86,28 @@
 	random    *rand.Rand
 	running   int
 	waiting   int
+	rateLimit float64
 	warmKeys  map[string]bool
 	freeSlots chan struct{}
 }
 
 // New returns a server that adds the requests it runs to runs.
 func New(o Options, runs *Runs) *Server {
-	s := &Server{options: o, runs: runs, random: rand.New(rand.NewPCG(o.Seed, 1)), warmKeys: map[string]bool{}, freeSlots: make(chan struct{}, o.Slots)}
+	s := &Server{options: o, runs: runs, rateLimit: o.RateLimit, random: rand.New(rand.NewPCG(o.Seed, 1)), warmKeys: map[string]bool{}, freeSlots: make(chan struct{}, o.Slots)}
 	for range o.Slots {
 		s.freeSlots <- struct{}{}
 	}
 	return s
 }
 
+// SetRateLimit sets the number of requests per second that the server names as its
+// limit in its answers, or 0 to name none. It serves further requests all the same.
+func (s *Server) SetRateLimit(perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rateLimit = perSecond
+}
+
 // ServeHTTP handles one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(instanceHeader, s.options.ID)
@@ -180,6 +187,7 @@
 	s.mu.Lock()
 	draw := s.random.Float64()
 	load := fmt.Sprintf("%d,%d,%d", s.running, s.waiting, s.options.Slots)
+	rateLimit := s.rateLimit
 	s.mu.Unlock()
 	if draw < s.options.DropRate {
 		panic(http.ErrAbortHandler)
@@ -187,8 +195,8 @@
 	w.Header().Set(attemptHeader, id)
 	w.Header().Set(signatureHeader, s.options.ID+"."+id)
 	w.Header().Set(loadHeader, load)
-	if s.options.RateLimit > 0 {
-		w.Header().Set(rateLimitHeader, strconv.FormatFloat(s.options.RateLimit, 'f', -1, 64))
+	if rateLimit > 0 {
+		w.Header().Set(rateLimitHeader, strconv.FormatFloat(rateLimit, 'f', -1, 64))
 	}
 	text := ResponseBody(id, body)
 	if draw < s.options.DropRate+s.options.TruncateRate {
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -32,6 +32,13 @@
 
 	mu       sync.Mutex
 	gateways []*gateway
+	origins  map[string]origin
+}
+
+// origin is a backend server and its entry in the store.
+type origin struct {
+	server *originserver.Server
+	entry  map[string]any
 }
 
 // gateway is a gateway process. ports are the frontend, readiness, directory
@@ -47,7 +54,7 @@
 // NewCluster starts a test cluster with an object store only. program is the path
 // of the tillerd binary; settings and logs are written to dir.
 func NewCluster(program, dir string) (*Cluster, error) {
-	c := &Cluster{Store: objectstore.New(), Runs: originserver.NewRuns(), program: program, dir: dir}
+	c := &Cluster{Store: objectstore.New(), Runs: originserver.NewRuns(), program: program, dir: dir, origins: map[string]origin{}}
 	address, err := c.serve(c.Store)
 	c.storeAddress = address
 	return c, err
@@ -66,18 +73,41 @@
 
 // AddServer starts a backend server of a service and registers it in the store.
 func (c *Cluster) AddServer(service string, o originserver.Options) error {
-	address, err := c.serve(originserver.New(o, c.Runs))
+	server := originserver.New(o, c.Runs)
+	address, err := c.serve(server)
 	if err != nil {
 		return err
 	}
-	return c.Store.Put("servers", o.ID, map[string]any{
+	entry := map[string]any{
 		"service_name": service, "address": address, "zone": "z1", "config_version": "v1", "slots": o.Slots,
 		"state": "ready", "cold_left": "0ms", "sequence": 1, "born": time.Now().UnixMilli(),
-	})
+	}
+	c.origins[o.ID] = origin{server, entry}
+	return c.Store.Put("servers", o.ID, entry)
+}
+
+// SetRateLimit sets the limit that a backend server names.
+func (c *Cluster) SetRateLimit(id string, perSecond float64) {
+	c.origins[id].server.SetRateLimit(perSecond)
 }
 
+// SetDraining changes the entry of a backend server, which goes on serving.
+func (c *Cluster) SetDraining(id string, draining bool) error {
+	entry := c.origins[id].entry
+	entry["state"] = "ready"
+	if draining {
+		entry["state"] = "draining"
+	}
+	return c.Store.Put("servers", id, entry)
+}
+
+// VersionPath returns the path of the route that only the given version of the
+// configuration has.
+func VersionPath(version int) string { return fmt.Sprintf("/only-%d/", version) }
+
 // Configure writes a version of the configuration to the store, with one route
-// for look-ups and one for payments, each to a separate service.
+// for look-ups and one for payments, each to a separate service, and one that only
+// this version has.
 func (c *Cluster) Configure(version int) error {
 	route := func(prefix, routeType, service string) map[string]any {
 		return map[string]any{
@@ -88,7 +118,7 @@
 	service := map[string]any{"health_path": "/health", "max_conns": 330, "cold_start": "3s", "cold_per_s": 22.0}
 	return c.Store.Put("config", "main", map[string]any{
 		"config_version": fmt.Sprint("r", version),
-		"routes":         map[string]any{"a": route("/look/", "idempotent", "look"), "b": route("/pay/", "non_idempotent", "pay")},
+		"routes":         map[string]any{"a": route("/look/", "idempotent", "look"), "b": route("/pay/", "non_idempotent", "pay"), fmt.Sprint("c", version): route(VersionPath(version), "idempotent", "look")},
 		"services":       map[string]any{"look": service, "pay": service},
 		"limits":         map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
 	})
--- /dev/null
+++ b/standin/soak/planned_test.go
@@ -0,0 +1,282 @@
+package soak
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"bilberrytiller.example/standin/originserver"
+)
+
+var (
+	plannedGateways = flag.Int("gateways", 4, "number of gateways under planned work")
+	plannedClients  = flag.Int("clients", 16, "number of clients under planned work")
+	plannedDuration = flag.Duration("planned", 15*time.Second, "duration of planned work per seed")
+)
+
+const (
+	// configBound is the time within which a confirmed configuration is in force,
+	// and drainBound the time after which a draining server gets no request.
+	configBound = 2500 * time.Millisecond
+	drainBound  = 2500 * time.Millisecond
+	// routeTimeout is the timeout of the routes.
+	routeTimeout = 2 * time.Second
+	// serversPerService is the number of servers that startGateways adds to each
+	// service.
+	serversPerService = 3
+)
+
+// TestPlannedWorkIsUnnoticed stops, restarts and reloads gateways, changes the
+// configuration, drains servers and has servers name limits, in series that overlap.
+// Clients use their open connections until the gateway's process is gone. Each
+// request that ran must be answered, and each change must be in force in time.
+func TestPlannedWorkIsUnnoticed(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { playPlannedWork(t, seed) })
+	}
+}
+
+// plannedWork is one run of planned work on a cluster.
+type plannedWork struct {
+	t       *testing.T
+	cluster *Cluster
+	seed    uint64
+	stop    chan struct{}
+	working sync.WaitGroup
+
+	// mu guards running and version.
+	mu sync.Mutex
+	// running holds the gateways that are ready and have not been told to stop.
+	running map[int]bool
+	version int
+}
+
+func playPlannedWork(t *testing.T, seed uint64) {
+	cluster := startGateways(t, *plannedGateways, originserver.Options{Slots: 16, Work: 20 * time.Millisecond})
+	p := &plannedWork{t: t, cluster: cluster, seed: seed, stop: make(chan struct{}), running: map[int]bool{}, version: 1}
+	for n := range *plannedGateways {
+		p.running[n] = true
+		p.working.Go(func() { p.restartGateway(n, p.random(n)) })
+	}
+	p.working.Go(func() { p.changeConfiguration(p.random(1000)) })
+	p.working.Go(func() { p.drainServers(p.random(1001)) })
+	p.working.Go(func() { p.limitServers(p.random(1002)) })
+	answers := make(chan int, *plannedClients)
+	for c := range *plannedClients {
+		go func() { answers <- p.client(c, p.random(2000+c)) }()
+	}
+	time.Sleep(*plannedDuration)
+	close(p.stop)
+	p.working.Wait()
+	answered := 0
+	for range *plannedClients {
+		answered += <-answers
+	}
+	if answered == 0 {
+		t.Error("no request was answered with status 200")
+	}
+}
+
+func (p *plannedWork) random(stream int) *rand.Rand {
+	return rand.New(rand.NewPCG(p.seed, uint64(stream)))
+}
+
+// pause waits for a random time up to most. It returns false when the work ends.
+func (p *plannedWork) pause(random *rand.Rand, most time.Duration) bool {
+	select {
+	case <-p.stop:
+		return false
+	case <-time.After(time.Duration(random.Int64N(int64(most)))):
+		return true
+	}
+}
+
+func (p *plannedWork) setRunning(n int, running bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running[n] = running
+}
+
+func (p *plannedWork) isRunning(n int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.running[n]
+}
+
+// restartGateway stops and starts a gateway again and again, reloads it in between,
+// and at times stops it before it is ready.
+func (p *plannedWork) restartGateway(n int, random *rand.Rand) {
+	for p.pause(random, 8*time.Second) {
+		for range random.IntN(4) {
+			p.signal(n, syscall.SIGHUP)
+			p.pause(random, 50*time.Millisecond)
+		}
+		for range 1 + random.IntN(2) {
+			p.setRunning(n, false)
+			// A process that has not installed its signal handler yet ends at once.
+			wasReady := p.cluster.Ready(n)
+			for range 1 + random.IntN(2) {
+				p.signal(n, syscall.SIGTERM)
+				p.pause(random, 100*time.Millisecond)
+			}
+			if err := p.cluster.AwaitExit(n); err != nil && wasReady {
+				p.t.Errorf("gateway %d exited with %v after SIGTERM", n, err)
+			}
+			if err := p.cluster.Start(n); err != nil {
+				p.t.Error(err)
+				return
+			}
+			if random.IntN(2) == 0 {
+				p.awaitReady(n)
+			}
+		}
+		p.awaitReady(n)
+		p.setRunning(n, true)
+	}
+}
+
+// awaitReady waits until a gateway is ready, and starts it again if it exited on its
+// own: its ports may have been in use.
+func (p *plannedWork) awaitReady(n int) {
+	for !p.cluster.Ready(n) {
+		exitErr, restarted, err := p.cluster.RestartIfExited(n)
+		if err != nil {
+			p.t.Error(err)
+			return
+		}
+		if restarted {
+			p.t.Logf("gateway %d exited on its own: %v", n, exitErr)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (p *plannedWork) signal(n int, s syscall.Signal) {
+	if err := p.cluster.Signal(n, s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		p.t.Error(err)
+	}
+}
+
+// changeConfiguration makes series of changes, and checks after each series that the
+// last version is in force on all gateways that ran all the while.
+func (p *plannedWork) changeConfiguration(random *rand.Rand) {
+	for p.pause(random, 2*time.Second) {
+		for range 1 + random.IntN(5) {
+			p.version++
+			if err := p.cluster.Configure(p.version); err != nil {
+				p.t.Error(err)
+			}
+			p.pause(random, 300*time.Millisecond)
+		}
+		if err := p.cluster.Configure(p.version + 1); err != nil {
+			p.t.Error(err)
+		}
+		p.version++
+		var before []int
+		for n := range *plannedGateways {
+			if p.isRunning(n) {
+				before = append(before, n)
+			}
+		}
+		time.Sleep(configBound)
+		for _, n := range before {
+			p.checkVersion(n)
+		}
+	}
+}
+
+func (p *plannedWork) checkVersion(n int) {
+	status, _, err := sendRequest(http.DefaultClient, p.cluster.ClientURL(n), VersionPath(p.version)+"x", fmt.Sprint("probe-", p.version, "-", n))
+	if status == http.StatusNotFound && p.isRunning(n) {
+		p.t.Errorf("gateway %d lacks version %d of the configuration %s after it was confirmed (%v)", n, p.version, configBound, err)
+	}
+}
+
+// drainServers drains one server at a time, and checks that it gets no request once
+// it has been draining for long enough.
+func (p *plannedWork) drainServers(random *rand.Rand) {
+	for p.pause(random, 3*time.Second) {
+		id := p.randomServer(random)
+		if err := p.cluster.SetDraining(id, true); err != nil {
+			p.t.Error(err)
+		}
+		time.Sleep(drainBound)
+		drained := time.Now()
+		p.pause(random, 2*time.Second)
+		for _, at := range p.cluster.Runs.TimesOf(id) {
+			if at.After(drained) {
+				p.t.Errorf("%s began a request %s after it was draining", id, at.Sub(drained)+drainBound)
+				break
+			}
+		}
+		if err := p.cluster.SetDraining(id, false); err != nil {
+			p.t.Error(err)
+		}
+	}
+}
+
+func (p *plannedWork) limitServers(random *rand.Rand) {
+	for p.pause(random, time.Second) {
+		id := p.randomServer(random)
+		p.cluster.SetRateLimit(id, 1+30*random.Float64())
+		p.pause(random, 4*time.Second)
+		p.cluster.SetRateLimit(id, 0)
+	}
+}
+
+func (p *plannedWork) randomServer(random *rand.Rand) string {
+	service := []string{"look", "pay"}[random.IntN(2)]
+	return fmt.Sprint("i-", service, random.IntN(serversPerService))
+}
+
+// client sends requests one after the other. It keeps to one gateway and its open
+// connection until that is closed, then goes to another one. It returns the number
+// of requests that were answered with status 200.
+func (p *plannedWork) client(c int, random *rand.Rand) (answered int) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	n := random.IntN(*plannedGateways)
+	for i := 0; ; i++ {
+		select {
+		case <-p.stop:
+			return answered
+		default:
+		}
+		id, path := fmt.Sprintf("%d-%d-%d", p.seed, c, i), "/look/x"
+		if random.IntN(2) == 0 {
+			path = "/pay/x"
+		}
+		sent := time.Now()
+		status, body, err := sendRequest(client, p.cluster.ClientURL(n), path, id)
+		checkResponse(p.t, p.cluster, id, path, status, body, err)
+		complete := status == http.StatusOK && err == nil
+		if !complete && len(p.cluster.Runs.ServersOf(id)) > 0 && time.Since(sent) < routeTimeout {
+			p.t.Errorf("%s ran, but its client got status %d from gateway %d after %s, error %v", id, status, n, time.Since(sent), err)
+		}
+		if complete {
+			answered++
+			time.Sleep(time.Duration(random.IntN(10)) * time.Millisecond)
+			continue
+		}
+		if err != nil && !isClosed(err) {
+			p.t.Errorf("%s got error %v from gateway %d", id, err, n)
+		}
+		transport.CloseIdleConnections()
+		n = random.IntN(*plannedGateways)
+	}
+}
+
+// isClosed reports whether an error means that a gateway's process is gone, or that
+// it closed the connection without an answer.
+func isClosed(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF)
+}
