--- a/gateway/feed/age.go
+++ b/gateway/feed/age.go
@@ -15,8 +15,9 @@
 )
 
 // watchTimeout returns how long a watch waits for a change. The store confirms a
-// copy only when a watch ends, so a copy reaches an age of this wait, the pause
-// between watches and transferBudget, and must not be read again before that.
+// copy only when a watch ends. Without changes, a copy becomes as old as this wait,
+// the pause between watches and transferBudget together, which must stay below
+// maxRelayedAge.
 func (s Subscription) watchTimeout() time.Duration {
 	return max(min(s.MaxWatchTimeout, s.maxRelayedAge()-watchInterval-transferBudget), minWatchTimeout)
 }
