Give no two gateways of a test the same port

A planned-work soak of 40 gateways did not get past its start in five minutes, with the machine idle: ports were chosen one gateway at a time, and a port chosen for one was free again for the next.

--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -33,6 +33,8 @@
 	mu       sync.Mutex
 	gateways []*gateway
 	origins  map[string]origin
+	// ports holds the ports given to gateways.
+	ports map[int]bool
 }
 
 // origin is a backend server and its entry in the store.
@@ -54,7 +56,7 @@
 // NewCluster starts a test cluster with an object store only. program is the path
 // of the tillerd binary; settings and logs are written to dir.
 func NewCluster(program, dir string) (*Cluster, error) {
-	c := &Cluster{Store: objectstore.New(), Runs: originserver.NewRuns(), program: program, dir: dir, origins: map[string]origin{}}
+	c := &Cluster{Store: objectstore.New(), Runs: originserver.NewRuns(), program: program, dir: dir, origins: map[string]origin{}, ports: map[int]bool{}}
 	address, err := c.serve(c.Store)
 	c.storeAddress = address
 	return c, err
@@ -132,18 +134,34 @@
 	n := len(c.gateways)
 	g := &gateway{name: fmt.Sprint("edge-", n+1)}
 	for i := range g.ports {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		port, err := c.allocatePort()
 		if err != nil {
 			return 0, err
 		}
-		g.ports[i] = l.Addr().(*net.TCPAddr).Port
-		defer l.Close()
+		g.ports[i] = port
 	}
 	g.settingsPath = filepath.Join(c.dir, g.name+".toml")
 	c.gateways = append(c.gateways, g)
 	return n, c.writeSettings()
 }
 
+// allocatePort returns a free port that no other gateway has been given. The caller
+// holds mu.
+func (c *Cluster) allocatePort() (int, error) {
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return 0, err
+		}
+		port := l.Addr().(*net.TCPAddr).Port
+		_ = l.Close()
+		if !c.ports[port] {
+			c.ports[port] = true
+			return port, nil
+		}
+	}
+}
+
 // maxSeeds is the number of gateways listed as seeds in the settings.
 const maxSeeds = 3
 
