Let a soak fail if a gateway exits by itself for another reason than its ports

Status 2 stands for invalid settings: the test rewrote the settings of all gateways while the first ones were starting.

--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -175,13 +175,21 @@
 	for _, g := range c.gateways {
 		text := fmt.Sprintf(settingsTemplate, g.name, g.ports[4], g.ports[5], strings.Join(seeds, ", "),
 			g.ports[0], g.ports[1], g.ports[2], g.ports[3], c.storeAddress)
-		if err := os.WriteFile(g.settingsPath, []byte(text), 0o600); err != nil {
+		if err := replaceFile(g.settingsPath, text); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// replaceFile writes a file that a starting gateway may read at the same time.
+func replaceFile(path, text string) error {
+	if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
 // settingsTemplate is the template of a gateway's settings file.
 const settingsTemplate = `node_name = %q
 zone = "z1"
--- a/standin/soak/planned_test.go
+++ b/standin/soak/planned_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"os/exec"
 	"sync"
 	"syscall"
 	"testing"
@@ -29,6 +30,8 @@
 	drainBound  = 2500 * time.Millisecond
 	// routeTimeout is the timeout of the routes.
 	routeTimeout = 2 * time.Second
+	// exitFailed is the exit code of a gateway that cannot listen on an address.
+	exitFailed = 1
 	// serversPerService is the number of servers that startGateways adds to each
 	// service.
 	serversPerService = 3
@@ -152,8 +155,9 @@
 			p.t.Error(err)
 			return
 		}
-		if restarted {
-			p.t.Logf("gateway %d exited on its own: %v", n, exitErr)
+		var exit *exec.ExitError
+		if restarted && (!errors.As(exitErr, &exit) || exit.ExitCode() != exitFailed) {
+			p.t.Errorf("gateway %d exited on its own: %v", n, exitErr)
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
