--- a/gateway/feed/staleness_test.go
+++ b/gateway/feed/staleness_test.go
@@ -62,8 +62,17 @@
 // from the store, from each other or from both, restarts, outages, lost history,
 // slow calls, and changes all the while.
 func TestReachableDaemonIsNeverOlderThanBound(t *testing.T) {
-	zones := slices.Concat(slices.Repeat([]string{"z1"}, 9), slices.Repeat([]string{"z2"}, 3))
-	for seed := range *faultSeeds {
+	playSeeds(t, *faultSeeds, slices.Concat(slices.Repeat([]string{"z1"}, 9), slices.Repeat([]string{"z2"}, 3)))
+}
+
+// TestReachableDaemonOfDeepTreeIsNeverOlderThanBound does the same where up to four
+// relays are between a daemon and the store.
+func TestReachableDaemonOfDeepTreeIsNeverOlderThanBound(t *testing.T) {
+	playSeeds(t, *faultSeeds/15, slices.Concat(slices.Repeat([]string{"z1"}, 50), slices.Repeat([]string{"z2"}, 50)))
+}
+
+func playSeeds(t *testing.T, seeds uint64, zones []string) {
+	for seed := range seeds {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { playFaults(t, seed, zones) })
 		})
