Leave the rest of a long body unread in the test of early answers

The stacks show that no second connection was opened: the scripted server read the body on after its answer, so that now and then the 24 MB were written before the client had read the answer. The request was then complete, the connection was rightly kept, and the server discarded the second request.

--- a/transport/upstreamhttp/client_test.go
+++ b/transport/upstreamhttp/client_test.go
@@ -29,20 +29,21 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
+	ended := make(chan struct{})
+	t.Cleanup(func() { l.Close(); close(ended) })
 	go func() {
 		for _, script := range scripts {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go serveScript(c, script)
+			go serveScript(c, script, ended)
 		}
 	}()
 	return l.Addr().String()
 }
 
-func serveScript(c net.Conn, script []string) {
+func serveScript(c net.Conn, script []string, ended <-chan struct{}) {
 	defer c.Close()
 	reader := bufio.NewReader(c)
 	for _, text := range script {
@@ -61,6 +62,12 @@
 		if _, err := io.WriteString(c, text); err != nil {
 			return
 		}
+		// The rest of the body stays unread, or the request could be complete before
+		// the client has read the answer.
+		if strings.Contains(text, "early") {
+			<-ended
+			return
+		}
 	}
 	_, _ = io.Copy(io.Discard, reader)
 }
