--- /dev/null
+++ b/review/tools/rig/memory.go
@@ -0,0 +1,53 @@
+package rig
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// EnforceMemory does what the platform does with a process that exceeds memory_mb:
+// it kills the process and starts it again after a short delay. It returns the
+// count of such ends.
+func (f *Fleet) EnforceMemory(g *Gateway) *atomic.Int64 {
+	var ends atomic.Int64
+	go func() {
+		peak := 0
+		for {
+			time.Sleep(10 * time.Millisecond)
+			mb := residentMB(g.Pid())
+			if mb > peak+50 {
+				peak = mb
+				Log("%s uses %d MB", g.Name, mb)
+			}
+			if mb <= f.MemoryMB {
+				continue
+			}
+			g.Kill()
+			Log("%s used %d MB, more than its memory_mb = %d, and was killed", g.Name, mb, f.MemoryMB)
+			ends.Add(1)
+			time.Sleep(500 * time.Millisecond)
+			g.Start(f.root)
+			peak = 0
+		}
+	}()
+	return &ends
+}
+
+// residentMB returns the resident memory of a process, or 0 if it doesn't run.
+func residentMB(pid int) int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(text), "\n") {
+		if value, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(value), " kB"))
+			return kb / 1024
+		}
+	}
+	return 0
+}
