--- a/review/tools/rig/gateway.go
+++ b/review/tools/rig/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -60,16 +61,21 @@
 // reserved holds the ports given out, so that none is given out twice.
 var reserved = map[int]bool{}
 
-// FreePort returns a free port of 127.0.0.1.
+// FreePort returns a free port of 127.0.0.1, below those that the system gives to
+// outgoing connections, so that none of these takes it before its user listens.
 func FreePort() int {
 	for {
-		l := listen()
-		port := l.Addr().(*net.TCPAddr).Port
-		_ = l.Close()
-		if !reserved[port] {
-			reserved[port] = true
-			return port
+		port := 20000 + rand.IntN(12000)
+		if reserved[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", address(port))
+		if err != nil {
+			continue
 		}
+		_ = l.Close()
+		reserved[port] = true
+		return port
 	}
 }
 
--- a/review/tools/rig/upstream.go
+++ b/review/tools/rig/upstream.go
@@ -135,14 +135,28 @@
 
 // Crash ends the upstream at once: all of its connections are reset and its port
 // refuses further ones. Its entry expires after three heartbeats.
-func (u *Upstream) Crash() {
-	u.mu.Lock()
-	if u.listener == nil {
+func (u *Upstream) Crash() { CrashTogether([]*Upstream{u}) }
+
+// CrashTogether ends upstreams at the same moment.
+func CrashTogether(all []*Upstream) {
+	var ending []*Upstream
+	for _, u := range all {
+		u.mu.Lock()
+		if u.listener != nil {
+			_ = u.listener.Close()
+			u.listener = nil
+			ending = append(ending, u)
+		}
 		u.mu.Unlock()
-		return
 	}
-	_ = u.listener.Close()
-	u.listener = nil
+	for _, u := range ending {
+		u.reset()
+	}
+}
+
+// reset resets the connections of an upstream that ends.
+func (u *Upstream) reset() {
+	u.mu.Lock()
 	for c := range u.conns {
 		_ = c.(*net.TCPConn).SetLinger(0)
 		_ = c.Close()
