--- a/review/tools/upload/main.go
+++ b/review/tools/upload/main.go
@@ -17,7 +17,7 @@
 
 const (
 	perSecond = 189
-	length    = 40 * time.Second
+	length    = 60 * time.Second
 	// bodyBytes is the size of a large body, less than half of max_body_bytes.
 	bodyBytes = 30_000_000
 	// together is how many clients send a large body to one machine at the same time,
