Limit the heads of servers' answers, and their large bodies together

Cause: connections to servers parse answers with http.ReadResponse, which keeps a head of any length. A server fills what its link carries until the request's time is over. Ruled out: bytes kept after a request (the memory is free when it ends). Of the same class: bodies have 32 MiB each and no limit together.

A head now has 64 KiB, in which an interim answer counts as one head. Bodies above 256 KiB that are being read share 64 MiB; smaller ones do not draw on it, so endless bodies cannot fail ordinary answers. The memory is counted with the old buffer while a buffer grows.

TestEndlessHeadEndsExchange failed before (0.5 to 4.6 GB allocated for a request of 2 s; limit 8 MiB), as did TestUnfinishedBodiesShareMemory with the shared limit off.

--- a/transport/upstreamhttp/client.go
+++ b/transport/upstreamhttp/client.go
@@ -7,6 +7,7 @@
 package upstreamhttp
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -15,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sync/semaphore"
 	"golang.org/x/sys/unix"
 
 	"bilberrytiller.example/tiller/coordination/upstream"
@@ -40,6 +42,8 @@
 type Client struct {
 	names  HeaderNames
 	dialer net.Dialer
+	// bodyMemory is what large bodies that are being read may use together.
+	bodyMemory *semaphore.Weighted
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -55,6 +59,8 @@
 		names:  names,
 		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setTCPUserTimeout},
 		idle:   map[string][]*conn{},
+
+		bodyMemory: semaphore.NewWeighted(largeBodyMemory),
 	}
 }
 
@@ -120,7 +126,13 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	return newConn(raw), time.Since(start), nil
+	return c.newConn(raw), time.Since(start), nil
+}
+
+func (c *Client) newConn(raw net.Conn) *conn {
+	cn := &conn{Conn: raw, head: headLimiter{source: raw}, bodyMemory: c.bodyMemory, idleTimeout: defaultIdleTimeout}
+	cn.reader = bufio.NewReaderSize(&cn.head, readBufferSize)
+	return cn
 }
 
 // Warm connects to addr and keeps the connection for a later request. It returns
@@ -132,7 +144,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("connect: %w", err)
 	}
-	c.putIdle(addr, newConn(raw), 1)
+	c.putIdle(addr, c.newConn(raw), 1)
 	return time.Since(start), nil
 }
 
--- a/transport/upstreamhttp/client_test.go
+++ b/transport/upstreamhttp/client_test.go
@@ -353,7 +353,7 @@
 	for range 3 {
 		clientEnd, serverEnd := net.Pipe()
 		defer serverEnd.Close()
-		c.putIdle("10.0.0.1:1", newConn(clientEnd), 2)
+		c.putIdle("10.0.0.1:1", c.newConn(clientEnd), 2)
 	}
 	if n := len(c.idle["10.0.0.1:1"]); n != 2 {
 		t.Errorf("got %d idle connections, want 2", n)
--- a/transport/upstreamhttp/conn.go
+++ b/transport/upstreamhttp/conn.go
@@ -13,12 +13,12 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"bilberrytiller.example/tiller/coordination/upstream"
 )
 
 const (
-	// MaxAnswerBytes limits the body of an answer.
-	MaxAnswerBytes = 32 << 20
 	// maxUnmatchedAnswers limits the answers that are read in search of the one that
 	// carries the request's ID, interim 1xx answers included.
 	maxUnmatchedAnswers = 4
@@ -35,8 +35,6 @@
 var (
 	// ErrUnmatchedAnswer means that no answer carried the ID of the request.
 	ErrUnmatchedAnswer = errors.New("none of the answers carries the request's ID")
-	// ErrTooLarge means that the body of an answer exceeds MaxAnswerBytes.
-	ErrTooLarge = errors.New("answer body is larger than 32 MiB")
 	// ErrEncoded means that the body of an answer was encoded, so its bytes are
 	// not those that the server produced.
 	ErrEncoded = errors.New("answer has a Content-Encoding header")
@@ -47,7 +45,10 @@
 // conn is a connection to a backend server. It carries one request at a time.
 type conn struct {
 	net.Conn
+	head   headLimiter
 	reader *bufio.Reader
+	// bodyMemory is shared by all connections of a client.
+	bodyMemory *semaphore.Weighted
 	// The connection may be reused until idleTimeout after idleSince.
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -56,10 +57,6 @@
 	writeDone chan error
 }
 
-func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize), idleTimeout: defaultIdleTimeout}
-}
-
 // alive reports whether an idle connection is open and has no unread data.
 // Data that arrives while no request is in flight belongs to no request.
 func (c *conn) alive() bool {
@@ -92,7 +89,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	answer, err = readAnswer(n, resp)
+	answer, err = readAnswer(n, resp, c.bodyMemory)
 	if err != nil {
 		return nil, false, err
 	}
@@ -136,8 +133,9 @@
 // to earlier requests.
 func (c *conn) readMatchingAnswer(n HeaderNames, r *Request) (*http.Response, error) {
 	for range maxUnmatchedAnswers {
+		c.head.begin()
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		if err != nil {
+		if err := c.head.end(err); err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
@@ -164,13 +162,10 @@
 	return resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(n.NotExecuted) != ""
 }
 
-func readAnswer(n HeaderNames, resp *http.Response) (*Answer, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
+func readAnswer(n HeaderNames, resp *http.Response, bodyMemory *semaphore.Weighted) (*Answer, error) {
+	body, err := readBody(resp.Body, bodyMemory)
 	if err != nil {
-		return nil, fmt.Errorf("read body: %w", err)
-	}
-	if len(body) > MaxAnswerBytes {
-		return nil, ErrTooLarge
+		return nil, err
 	}
 	h := resp.Header
 	if h.Get("Content-Encoding") != "" {
--- a/transport/upstreamhttp/fuzz_test.go
+++ b/transport/upstreamhttp/fuzz_test.go
@@ -34,7 +34,7 @@
 		f.Add([]byte(text))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		c := newConn(fixedInputConn{in: bytes.NewReader(text)})
+		c := New(testHeaders).newConn(fixedInputConn{in: bytes.NewReader(text)})
 		a, keep, err := c.exchange(context.Background(), testHeaders, newRequest("a"))
 		if err != nil {
 			if a != nil || keep {
