--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -22,6 +22,7 @@
 	"syscall"
 	"time"
 
+	"bilberrytiller.example/tiller/internal/httplimit"
 	"bilberrytiller.example/tiller/protocol/backendapi"
 	"bilberrytiller.example/tiller/state/request"
 )
@@ -29,9 +30,11 @@
 const (
 	// MaxAnswerBytes limits the body of an answer of a backend server.
 	MaxAnswerBytes = 8 << 20
-	dialTimeout    = 2 * time.Second
-	controlTimeout = 2 * time.Second
-	idleTimeout    = 90 * time.Second
+	// maxControlBytes limits the body of an answer to a control call.
+	maxControlBytes = 64 << 10
+	dialTimeout     = 2 * time.Second
+	controlTimeout  = 2 * time.Second
+	idleTimeout     = 90 * time.Second
 	// keyedIdleTimeout is the idle timeout of connections for requests with a
 	// key.
 	keyedIdleTimeout   = time.Second
@@ -91,6 +94,8 @@
 			MaxIdleConnsPerHost: connections,
 			IdleConnTimeout:     idle,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: httplimit.MaxResponseHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -259,7 +264,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return StatusError{Status: resp.StatusCode}
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, MaxAnswerBytes)).Decode(result); err != nil {
+	body, err := httplimit.ReadAll(resp.Body, maxControlBytes)
+	if err != nil {
+		return fmt.Errorf("read answer of backend server to %s: %w", path, err)
+	}
+	if err := json.Unmarshal(body, result); err != nil {
 		return fmt.Errorf("decode answer of backend server to %s: %w", path, err)
 	}
 	return nil
@@ -309,12 +318,12 @@
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return nil, fmt.Errorf("neither Content-Length nor chunked: %w", ErrTruncated)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
+	body, err := httplimit.ReadAll(resp.Body, MaxAnswerBytes)
+	if errors.Is(err, httplimit.ErrTooLarge) {
+		return nil, ErrAnswerTooLarge
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrTruncated, err)
 	}
-	if len(body) > MaxAnswerBytes {
-		return nil, ErrAnswerTooLarge
-	}
 	return body, nil
 }
--- a/transport/backendhttp/silence.go
+++ b/transport/backendhttp/silence.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"bilberrytiller.example/tiller/internal/httplimit"
 	"bilberrytiller.example/tiller/internal/sleep"
 	"bilberrytiller.example/tiller/protocol/backendapi"
 	"bilberrytiller.example/tiller/state/request"
@@ -29,7 +30,9 @@
 
 // newProbeClient returns a client that opens a connection for each call.
 func newProbeClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true, MaxResponseHeaderBytes: httplimit.MaxResponseHeaderBytes,
+	}}
 }
 
 // watchSilence cancels an attempt with errSilent if probes on new connections
--- a/transport/operatorhttp/client.go
+++ b/transport/operatorhttp/client.go
@@ -6,12 +6,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
 	"time"
 
+	"bilberrytiller.example/tiller/internal/httplimit"
 	"bilberrytiller.example/tiller/protocol/operatorapi"
 	"bilberrytiller.example/tiller/transport/peer"
 )
@@ -21,6 +21,9 @@
 	maxAnswerBytes = 64 << 20
 )
 
+// httpClient is shared by the clients of all daemons.
+var httpClient = &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: httplimit.MaxResponseHeaderBytes}}
+
 // StatusError is an answer of a daemon with a status other than 2xx.
 type StatusError struct {
 	Address string
@@ -109,12 +112,12 @@
 		return &UnreachableError{Address: c.address, Err: err}
 	}
 	req.Header.Set(peer.HeaderAuth, c.auth.Token(time.Now()))
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpClient.Do(req)
 	if err != nil {
 		return &UnreachableError{Address: c.address, Err: err}
 	}
 	defer resp.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	answer, err := httplimit.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return &UnreachableError{Address: c.address, Err: err}
 	}
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/coder/websocket"
 
+	"bilberrytiller.example/tiller/internal/httplimit"
 	"bilberrytiller.example/tiller/protocol/wire"
 )
 
@@ -44,8 +45,10 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: localAddr.AsSlice()}
 	}
 	return &Client{
-		auth:      auth,
-		http:      &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}},
+		auth: auth,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxResponseHeaderBytes: httplimit.MaxResponseHeaderBytes,
+		}},
 		addrConns: map[netip.AddrPort]*addrConn{},
 	}
 }
--- a/transport/platformhttp/client.go
+++ b/transport/platformhttp/client.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -15,6 +14,7 @@
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/platform"
+	"bilberrytiller.example/tiller/internal/httplimit"
 	"bilberrytiller.example/tiller/protocol/platformapi"
 )
 
@@ -22,9 +22,9 @@
 	callTimeout  = 5 * time.Second
 	watchTimeout = 60 * time.Second
 	maxIdleConns = 8
-	// maxAnswerBytes limits an answer. It is large since a list may hold many
-	// objects.
-	maxAnswerBytes = 256 << 20
+	// maxAnswerBytes limits the body of an answer. It is large since a list may hold
+	// many objects.
+	maxAnswerBytes = 64 << 20
 )
 
 // StatusError is an answer with an HTTP status that the object API does not define.
@@ -55,7 +55,7 @@
 // New returns a client of the platform with the given base URL.
 func New(base string) *Client {
 	return &Client{base: base, http: &http.Client{
-		Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns},
+		Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: httplimit.MaxResponseHeaderBytes},
 		// Redirects are not followed, since a redirected write would become a GET.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
@@ -127,7 +127,7 @@
 		return unavailableError(err)
 	}
 	defer resp.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	answer, err := httplimit.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return errors.Join(platform.ErrUnavailable, err)
 	}
