Send a rejected request again on another connection only

Cause: a request may go once more to a server that rejected it although it had free slots. The second send took the connection that had carried the rejection, and both sends have the attempt's ID, so a late second copy of the rejection matched the second send. Ruled out: a rejection counted for another server's send (log and server's record show two sends to one server, one rejection, one run).

A connection remembers the IDs of up to 64 requests that were not run on it and carries none of them again, so nothing that answers the first send can arrive at the second. One that carried a rejection without an ID is closed. Considered: closing each connection that carried a rejection, which costs a connection for each rejection of a full server.

--- a/transport/upstreamhttp/client.go
+++ b/transport/upstreamhttp/client.go
@@ -3,7 +3,9 @@
 // Each request is sent once; the package never retries. An answer is accepted
 // only if it is complete, carries the ID of the request and, for a 2xx status,
 // the server's signature. A connection that received anything else, or whose
-// request was cancelled, is closed.
+// request was cancelled, is closed. A connection carries no second request with the
+// ID of one that was not run on it, and none after a rejection without an ID: a second
+// copy of the rejection may arrive late.
 package upstreamhttp
 
 import (
@@ -11,6 +13,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -78,7 +81,7 @@
 // Run sends a request to the server at addr and waits for the answer until ctx
 // ends.
 func (c *Client) Run(ctx context.Context, addr string, r *Request) Exchange {
-	cn, roundTrip, err := c.getConn(ctx, addr)
+	cn, roundTrip, err := c.getConn(ctx, addr, r)
 	if err != nil {
 		outcome := upstream.Unreachable
 		if ctx.Err() != nil {
@@ -106,11 +109,11 @@
 	}}
 }
 
-// getConn returns an idle connection, or a new one with the time that it took
-// to connect.
-func (c *Client) getConn(ctx context.Context, addr string) (cn *conn, roundTrip time.Duration, err error) {
+// getConn returns an idle connection that may carry the request, or a new one with
+// the time that it took to connect.
+func (c *Client) getConn(ctx context.Context, addr string, r *Request) (cn *conn, roundTrip time.Duration, err error) {
 	for {
-		cn := c.popIdle(addr)
+		cn := c.popIdle(addr, r)
 		if cn == nil {
 			break
 		}
@@ -148,18 +151,19 @@
 	return time.Since(start), nil
 }
 
-// popIdle removes and returns the most recently used idle connection to addr,
-// or returns nil.
-func (c *Client) popIdle(addr string) *conn {
+// popIdle removes and returns the most recently used idle connection to addr that
+// may carry the request, or returns nil.
+func (c *Client) popIdle(addr string, r *Request) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conns := c.idle[addr]
-	if len(conns) == 0 {
-		return nil
+	for i, cn := range slices.Backward(conns) {
+		if cn.mayCarry(r) {
+			c.idle[addr] = slices.Delete(conns, i, i+1)
+			return cn
+		}
 	}
-	cn := conns[len(conns)-1]
-	c.idle[addr] = conns[:len(conns)-1]
-	return cn
+	return nil
 }
 
 // putIdle returns a connection to the pool, or closes it if the pool already
--- a/transport/upstreamhttp/client_test.go
+++ b/transport/upstreamhttp/client_test.go
@@ -283,7 +283,7 @@
 	var x Exchange
 	for range 100 {
 		// Waits until the server's FIN has arrived.
-		if idle := c.popIdle(l.Addr().String()); idle != nil && idle.alive() {
+		if idle := c.popIdle(l.Addr().String(), newRequest("b")); idle != nil && idle.alive() {
 			c.putIdle(l.Addr().String(), idle, 4)
 			time.Sleep(time.Millisecond)
 			continue
--- a/transport/upstreamhttp/conn.go
+++ b/transport/upstreamhttp/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -27,6 +28,8 @@
 	// before it has read the whole request. The value is below the smallest
 	// socket send buffer, so that the write does not block.
 	maxSyncWriteBytes = 2 << 10
+	// maxRejectedIDs is how many requests a connection may carry that were not run.
+	maxRejectedIDs = 64
 	// readBufferSize holds the header of a typical answer.
 	readBufferSize = 2 << 10
 )
@@ -52,6 +55,9 @@
 	// The connection may be reused until idleTimeout after idleSince.
 	idleSince   time.Time
 	idleTimeout time.Duration
+	// rejected holds the IDs of the requests that the connection carried and that
+	// were not run. A second copy of such an answer may still arrive.
+	rejected []string
 	// writeDone receives the result of a concurrent write of the request. It is
 	// nil if the request was written before the answer was read.
 	writeDone chan error
@@ -97,9 +103,26 @@
 		return answer, false, nil
 	}
 	c.idleTimeout = parseIdleTimeout(resp.Header)
-	return answer, c.reader.Buffered() == 0 && ctx.Err() == nil, nil
+	keep = c.reader.Buffered() == 0 && ctx.Err() == nil
+	if answer.NotRun {
+		keep = c.rememberRejection(n, r, resp) && keep
+	}
+	return answer, keep, nil
+}
+
+// rememberRejection records that the connection carried a request that was not run,
+// and reports whether it may carry others. After an answer without an ID it may not,
+// since a late second copy would be taken for the answer to any of them.
+func (c *conn) rememberRejection(n HeaderNames, r *Request, resp *http.Response) bool {
+	c.rejected = append(c.rejected, r.ID)
+	return resp.Header.Get(n.AttemptID) != "" && len(c.rejected) < maxRejectedIDs
 }
 
+// mayCarry reports whether an answer that carries the ID of a request would be the
+// answer to it. A request that the connection has carried and that was not run may be
+// sent again; a late second copy of the first answer would say that it was not run.
+func (c *conn) mayCarry(r *Request) bool { return !slices.Contains(c.rejected, r.ID) }
+
 func (c *conn) send(n HeaderNames, r *Request) error {
 	buffer := n.appendRequest(make([]byte, 0, 1024+len(r.Body)), r, time.Now())
 	c.writeDone = nil
