Refuse a relay's reply whose parts are of other kinds than the call's

Daemons of one build never send such a reply; a build with other kinds could.

Each part must name the kind at its place. A relay that does otherwise does not supply the kind, and the daemon reads the store. TestReplyForOtherKindIsRefused failed before.

--- a/gateway/feed/relay.go
+++ b/gateway/feed/relay.go
@@ -269,6 +269,10 @@
 	var errs []error
 	for i, sub := range r.subscriptions {
 		k := reply.Kinds[i]
+		if k.Kind != sub.Kind {
+			errs = append(errs, fmt.Errorf("%w: reply has kind %q, want %q", objects.ErrUnknownKind, k.Kind, sub.Kind))
+			continue
+		}
 		if k.Unknown {
 			errs = append(errs, fmt.Errorf("%w: kind %s", objects.ErrUnknownKind, k.Kind))
 			continue
