--- a/standin/proofs/endless_test.go
+++ b/standin/proofs/endless_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"bilberrytiller.example/tiller/platform"
 	"bilberrytiller.example/tiller/protocol/wire"
 	"bilberrytiller.example/tiller/state/request"
@@ -29,7 +31,7 @@
 	addr := startEndlessPeer(t, "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n")
 	backend := backendhttp.New(addr, 8)
 	peers := peer.NewClient(peer.NewAuth("a", nil), netip.IPv4Unspecified())
-	store := platform.NewStore(addr.String())
+	store := platform.NewStore(addr.String(), zerolog.Nop())
 	for name, call := range map[string]func(ctx context.Context) error{
 		"platform": func(ctx context.Context) error {
 			_, err := platformhttp.New("http://"+addr.String()).List(ctx, "catalogue")
