Answer requests that arrive late in a gateway's stop

Cause: http.Server.Shutdown, called 2.5 s after SIGTERM, keeps connections that have carried no request open and drops a request that it then reads: net/http checks for the shutdown after reading. A request of a connection from the accept queue, unread at that moment, is dropped the same way. Ruled out: kept connections, which end after an answer with Connection: close.

A stop now disables keep-alive and waits until the connections are closed. What arrives after the time in which every request is served goes to a server only if its deadline is before the end of the stop, else it is refused at once as not run, with a Retry-After of 10 ms since other gateways are free. The decision is coordination/shutdown, without I/O.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"fmt"
 	"maps"
@@ -13,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"bilberrytiller.example/tiller/internal/sleep"
 	"bilberrytiller.example/tiller/state/routing"
 )
 
@@ -31,6 +33,8 @@
 	// drainTimeout bounds draining while clients keep opening connections. It is
 	// one twelfth of the usual stop timeout.
 	drainTimeout = 500 * time.Millisecond
+	// openConnsInterval is how often a stop checks whether connections are open.
+	openConnsInterval = 10 * time.Millisecond
 )
 
 // clientServer serves client connections with the limits in force. New limits
@@ -186,6 +190,26 @@
 	}
 }
 
+// finish refuses further connections, closes each open one after its next answer, and
+// waits until all are closed or ctx ends. http.Server.Shutdown does not fit here: it drops
+// a request that it reads meanwhile, so that its client gets no answer.
+func (c *clientServer) finish(ctx context.Context) {
+	for _, s := range c.stop() {
+		s.SetKeepAlivesEnabled(false)
+	}
+	for c.openConns() > 0 && sleep.For(ctx, openConnsInterval) {
+	}
+}
+
+func (c *clientServer) openConns() (n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.servers {
+		n += h.openConns.Load()
+	}
+	return n
+}
+
 // stop refuses further connections and returns the servers to shut down.
 func (c *clientServer) stop() []*http.Server {
 	c.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"bilberrytiller.example/tiller/coordination/budget"
+	"bilberrytiller.example/tiller/coordination/shutdown"
 	"bilberrytiller.example/tiller/coordination/upstream"
 	"bilberrytiller.example/tiller/internal/inflight"
 	"bilberrytiller.example/tiller/internal/sleep"
@@ -56,7 +57,8 @@
 
 	clients  *clientServer
 	inFlight inflight.Counter
-	stopping atomic.Bool
+	// stopPlan is nil until the gateway is stopping.
+	stopPlan atomic.Pointer[shutdown.Plan]
 }
 
 // New returns a gateway. It accepts no connections until Run is called.
@@ -196,33 +198,24 @@
 
 // Ready reports whether new clients may be directed to this host.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.configuration.Load() != nil && g.backends.isLoaded()
+	return !g.isStopping() && g.configuration.Load() != nil && g.backends.isLoaded()
 }
 
-const (
-	// directoryAnswerExpiry is how long after the start of a stop clients may
-	// still open connections because of cached directory answers.
-	directoryAnswerExpiry = 2500 * time.Millisecond
-	// stopMargin is the part of the stop timeout reserved for the process to
-	// exit.
-	stopMargin = 800 * time.Millisecond
-)
+func (g *Gateway) isStopping() bool { return g.stopPlan.Load() != nil }
 
 // stop withdraws the gateway from the directory, keeps serving clients that
-// still hold a cached directory answer, and then waits for requests in flight.
+// still hold a cached directory answer, and then waits for requests in flight and for
+// connections that may still carry one.
 func (g *Gateway) stop(clientListener deadlineListener) {
-	g.stopping.Store(true)
-	timeout := g.settings.Load().StopTimeout
+	plan := shutdown.New(time.Now(), g.settings.Load().StopTimeout)
+	g.stopPlan.Store(&plan)
 	g.log.Info().Str("event", "gateway.stopping").Int("requests", g.inFlight.Count()).Send()
-	ctx, cancel := context.WithTimeout(context.Background(), timeout-stopMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), plan.ServeUntil)
 	defer cancel()
-	sleep.For(ctx, min(directoryAnswerExpiry, timeout/2))
+	sleep.For(ctx, time.Until(plan.AcceptUntil))
 	g.clients.drain(clientListener)
-	var group errgroup.Group
-	for _, s := range g.clients.stop() {
-		group.Go(func() error { return s.Shutdown(ctx) })
-	}
-	if err := group.Wait(); err != nil {
-		g.log.Warn().Str("event", "gateway.cut").Int("requests", g.inFlight.Count()).Err(err).Send()
+	g.clients.finish(ctx)
+	if n := g.inFlight.Count(); n > 0 {
+		g.log.Warn().Str("event", "gateway.cut").Int("requests", n).Send()
 	}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"bilberrytiller.example/tiller/coordination/budget"
+	"bilberrytiller.example/tiller/coordination/shutdown"
 	"bilberrytiller.example/tiller/coordination/upstream"
 	"bilberrytiller.example/tiller/state/routing"
 )
@@ -430,7 +431,7 @@
 	if addresses, _ := f.Resolve(); !f.Ready() || len(addresses) != 1 {
 		t.Error("not ready or not listed with a configuration and backend servers")
 	}
-	f.stopping.Store(true)
+	f.stopPlan.Store(&shutdown.Plan{})
 	if addresses, _ := f.Resolve(); f.Ready() || len(addresses) != 0 {
 		t.Error("ready or listed while stopping")
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -24,6 +24,9 @@
 	// noConfigurationRetryAfter is the Retry-After of requests that arrive before
 	// the daemon has a configuration.
 	noConfigurationRetryAfter = 250 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After of requests that a stopping gateway does not
+	// pass on. Other gateways serve them at once.
+	stoppingRetryAfter = 10 * time.Millisecond
 )
 
 // clientRequest is a client's request with everything needed to send it to a
@@ -43,7 +46,7 @@
 // serveClient handles one client request.
 func (g *Gateway) serveClient(w http.ResponseWriter, r *http.Request) {
 	defer g.inFlight.Begin()()
-	if g.stopping.Load() {
+	if g.isStopping() {
 		w.Header().Set("Connection", "close")
 	}
 	req, resp := g.parseRequest(w, r)
@@ -72,6 +75,9 @@
 		return nil, &localResponse{status: http.StatusNotFound, reason: "no_route", version: c.Version}
 	}
 	deadline := g.requestDeadline(r, route, arrived)
+	if plan := g.stopPlan.Load(); plan != nil && !plan.Admits(arrived, deadline) {
+		return nil, &localResponse{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: stoppingRetryAfter}
+	}
 	body, err := readBody(w, r, c.Limits.BodyBytes, deadline)
 	if err != nil {
 		return nil, bodyErrorResponse(err)
@@ -175,7 +181,7 @@
 		// A nil value stops net/http from sniffing a content type.
 		h["Content-Type"] = nil
 	}
-	if g.stopping.Load() {
+	if g.isStopping() {
 		h.Set("Connection", "close")
 	}
 	h.Set("Content-Length", strconv.Itoa(len(result.answer.Body)))
