Answer callers' requests that arrive late in a daemon's stop

internal/httpstop closes the listener, ends each connection after its next answer, and waits for those that may still carry a request; one that has carried none is awaited for 5 s, as Shutdown does. TestStopAnswersRequestOnUnusedConnection fails with Shutdown in the place of Finish (EOF).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"bilberrytiller.example/tiller/coordination/platformwrite"
 	"bilberrytiller.example/tiller/coordination/retry"
 	"bilberrytiller.example/tiller/coordination/spread"
+	"bilberrytiller.example/tiller/internal/httpstop"
 	"bilberrytiller.example/tiller/internal/inflight"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/transport/peer"
@@ -252,15 +253,20 @@
 // servers holds the servers of the three listeners.
 type servers struct {
 	caller, peer, operator boundServer
+	// callerConns are the connections of caller.
+	callerConns *httpstop.Conns
 }
 
 func (s servers) all() []boundServer { return []boundServer{s.caller, s.peer, s.operator} }
 
 func (d *Daemon) servers() servers {
+	caller := newServer(d.closeConnectionsWhileLeaving(d.callerHandler()))
 	return servers{
-		caller:   boundServer{newServer(d.closeConnectionsWhileLeaving(d.callerHandler())), d.listeners.caller},
+		caller:   boundServer{caller, d.listeners.caller},
 		peer:     boundServer{newServer(d.peerHandler()), d.listeners.peer},
 		operator: boundServer{newServer(d.operatorHandler()), d.listeners.operator},
+
+		callerConns: httpstop.Track(caller),
 	}
 }
 
@@ -275,7 +281,8 @@
 }
 
 func serveListener(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	// Only a stop closes a listener.
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("serve %s: %w", l.Addr(), err)
 	}
 	return nil
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -54,7 +54,7 @@
 		{"announce", d.announceLeaving},
 		{"lookups-expire", d.awaitLookupExpiry},
 		{"keys", d.handOverKeys},
-		{"callers", s.caller.server.Shutdown},
+		{"callers", s.finishCallers},
 		{"runs", d.runs.Wait},
 		{"limits", d.limits.releaseAllShares},
 		{"peers", d.peerServer.Shutdown},
@@ -110,6 +110,12 @@
 	})
 }
 
+// finishCallers answers the callers' requests in flight and those that arrive meanwhile
+// on open connections.
+func (s servers) finishCallers(ctx context.Context) error {
+	return s.callerConns.Finish(ctx, s.caller.server, s.caller.listener)
+}
+
 // shutdown shuts down the servers of peers and operators once they are idle.
 func (s servers) shutdown(ctx context.Context) error {
 	return errors.Join(s.peer.server.Shutdown(ctx), s.operator.server.Shutdown(ctx))
