--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -23,8 +23,11 @@
 
 // Client makes calls to peers. It is safe for concurrent use.
 type Client struct {
-	auth      *Auth
-	http      *http.Client
+	auth *Auth
+	http *http.Client
+	// closing ends when the client is closed.
+	closing   context.Context
+	close     context.CancelFunc
 	mu        sync.Mutex
 	addrConns map[netip.AddrPort]*addrConn
 }
@@ -44,8 +47,11 @@
 	if !localAddr.IsUnspecified() {
 		dialer.LocalAddr = &net.TCPAddr{IP: localAddr.AsSlice()}
 	}
+	closing, closeClient := context.WithCancel(context.Background())
 	return &Client{
-		auth: auth,
+		auth:    auth,
+		closing: closing,
+		close:   closeClient,
 		http: &http.Client{Transport: &http.Transport{
 			DialContext: dialer.DialContext, MaxResponseHeaderBytes: httplimit.MaxResponseHeaderBytes,
 		}},
@@ -83,8 +89,10 @@
 	return out, nil
 }
 
-// Close closes all connections.
+// Close closes all connections and ends attempts to open some. Calls made later fail
+// with ErrNotSent.
 func (c *Client) Close() {
+	c.close()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, ac := range c.addrConns {
@@ -148,6 +156,7 @@
 func (c *Client) dial(ctx context.Context, addr netip.AddrPort) (*websocket.Conn, clockReading, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	defer context.AfterFunc(c.closing, cancel)()
 	header := http.Header{}
 	header.Set(HeaderAuth, c.auth.Token(time.Now()))
 	ws, resp, err := websocket.Dial(ctx, "ws://"+addr.String()+Path, &websocket.DialOptions{
