Keep a daemon running when the reader of its log ends

Cause: Go ends a process with SIGPIPE when it writes to a broken standard output or error, unless the signal is ignored or handled. Writes to sockets are not affected.

TestGatewayOutlivesItsLogReader failed before.

--- a/cli/tillerd/tillerd.go
+++ b/cli/tillerd/tillerd.go
@@ -57,6 +57,8 @@
 func Main() int { return run(os.Args[1:], os.Stdout, os.Stderr) }
 
 func run(args []string, stdout, stderr io.Writer) int {
+	// A write to a standard output that nobody reads any more would end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	if len(args) > 0 && args[0] == gatewayCommand {
 		return runGateway(stdout, stderr)
 	}
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -222,9 +222,15 @@
 		return err
 	}
 	defer log.Close()
+	return c.startWithOutput(n, log)
+}
+
+// startWithOutput starts the process of a gateway, which writes its log to output.
+func (c *Cluster) startWithOutput(n int, output *os.File) error {
+	g := c.gateways[n]
 	g.cmd = exec.Command(c.program, "gateway")
 	g.cmd.Env = append(os.Environ(), "BILBERRYTILLER_NODE_FILE="+g.settingsPath)
-	g.cmd.Stdout, g.cmd.Stderr = log, log
+	g.cmd.Stdout, g.cmd.Stderr = output, output
 	if err := g.cmd.Start(); err != nil {
 		return err
 	}
--- /dev/null
+++ b/standin/soak/start_test.go
@@ -0,0 +1,108 @@
+package soak
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"bilberrytiller.example/standin/originserver"
+)
+
+// startWait limits the wait for a gateway to start.
+const startWait = 20 * time.Second
+
+// newSingleGateway returns a cluster with a configuration, a server for look-ups and one
+// gateway that has not been started.
+func newSingleGateway(t *testing.T) *Cluster {
+	t.Helper()
+	c, err := NewCluster(program, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	if err := c.AddServer("look", originserver.Options{ID: "i-look", Slots: 8}); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Configure(1); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.AddGateway(); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(startWait); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %s: %s", startWait, what)
+		}
+	}
+}
+
+// requireRunning fails the test if the gateway's process has exited.
+func requireRunning(t *testing.T, c *Cluster) {
+	t.Helper()
+	select {
+	case err := <-c.gateways[0].exited:
+		c.gateways[0].exited <- err
+		log, _ := os.ReadFile(filepath.Join(c.dir, "edge-1.log"))
+		t.Fatalf("the process exited by itself: %v\n%s", err, log)
+	default:
+	}
+}
+
+// lookUp sends a request through the gateway and returns the status.
+func lookUp(t *testing.T, c *Cluster, id string) int {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, c.ClientURL(0)+"/look/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "field.example"
+	req.Header.Set("X-Bilberrytiller-Attempt-Id", id)
+	req.Header.Set("X-Bilberrytiller-Deadline-Ms", "2000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// TestGatewayOutlivesItsLogReader guards against a reader of the log that ends: the next
+// line ended the gateway's process, and all of its requests with it.
+func TestGatewayOutlivesItsLogReader(t *testing.T) {
+	c := newSingleGateway(t)
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.startWithOutput(0, writer); err != nil {
+		t.Fatal(err)
+	}
+	writer.Close()
+	eventually(t, "the gateway is ready", func() bool { requireRunning(t, c); return c.Ready(0) })
+	reader.Close()
+	// Each request writes a line, which the gateway writes in batches.
+	for i := range 30 {
+		if status := lookUp(t, c, string(rune('a'+i))); status != http.StatusOK {
+			t.Errorf("request %d: got status %d, want 200", i, status)
+		}
+		time.Sleep(20 * time.Millisecond)
+		requireRunning(t, c)
+	}
+	if err := c.Signal(0, syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.AwaitExit(0); err != nil {
+		t.Errorf("got %v after SIGTERM, want exit status 0", err)
+	}
+	c.gateways[0].exited <- nil
+}
