Wait for an address in use when a gateway starts

On a machine that runs several processes, the port may belong to a connection to which the system has given it, or to the earlier process, which is still ending. Seen in the soak before, where the check passed over it.

The gateway tries again for 10 s, which is within the bound of recovery, and logs gateway.address_in_use. Other errors of a listener still end it at once. TestStartWaitsForItsPort failed before for each of its four listeners.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -109,11 +110,10 @@
 	Ready, Directory http.Handler
 }
 
-// Run serves until ctx ends and then stops gracefully. It returns an error at
-// once if it cannot listen on an address, and after the stop if a listener
-// failed.
+// Run serves until ctx ends and then stops gracefully. It returns an error if it cannot
+// listen on an address within listenTimeout, and after the stop if a listener failed.
 func (g *Gateway) Run(ctx context.Context, h Handlers) error {
-	clientListener, servers, err := g.listen(h)
+	clientListener, servers, err := g.listen(ctx, h)
 	if err != nil {
 		return err
 	}
@@ -146,15 +146,40 @@
 	listener net.Listener
 }
 
-func (g *Gateway) listen(h Handlers) (clientListener deadlineListener, internal []internalServer, err error) {
-	s := g.settings.Load()
-	address, err := net.ResolveTCPAddr("tcp", s.ClientListen)
+const (
+	// listenTimeout is how long an address may be in use before the gateway gives up.
+	// Its last user may be the gateway's own earlier process, or a connection to which
+	// the system has given the port.
+	listenTimeout  = 10 * time.Second
+	listenInterval = 50 * time.Millisecond
+)
+
+// listenOn listens on an address, and waits for it while it is in use.
+func (g *Gateway) listenOn(ctx context.Context, address string) (*net.TCPListener, error) {
+	resolved, err := net.ResolveTCPAddr("tcp", address)
 	if err != nil {
-		return nil, nil, fmt.Errorf("listen on %s: %w", s.ClientListen, err)
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	clientListener, err = net.ListenTCP("tcp", address)
+	for end := time.Now().Add(listenTimeout); ; {
+		l, err := net.ListenTCP("tcp", resolved)
+		if err == nil {
+			return l, nil
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return nil, fmt.Errorf("listen on %s: %w", address, err)
+		}
+		g.log.Warn().Str("event", "gateway.address_in_use").Str("address", address).Send()
+		if !sleep.For(ctx, listenInterval) {
+			return nil, fmt.Errorf("listen on %s: %w: %w", address, err, context.Cause(ctx))
+		}
+	}
+}
+
+func (g *Gateway) listen(ctx context.Context, h Handlers) (clientListener deadlineListener, internal []internalServer, err error) {
+	s := g.settings.Load()
+	clientListener, err = g.listenOn(ctx, s.ClientListen)
 	if err != nil {
-		return nil, nil, fmt.Errorf("listen on %s: %w", s.ClientListen, err)
+		return nil, nil, err
 	}
 	endpoints := []struct {
 		address string
@@ -166,9 +191,9 @@
 		{s.MetricsListen, g.metrics.handler()},
 	}
 	for _, e := range endpoints {
-		l, err := net.Listen("tcp", e.address)
+		l, err := g.listenOn(ctx, e.address)
 		if err != nil {
-			return nil, nil, fmt.Errorf("listen on %s: %w", e.address, err)
+			return nil, nil, err
 		}
 		internal = append(internal, internalServer{newServer(e.handler), l})
 	}
--- a/standin/soak/start_test.go
+++ b/standin/soak/start_test.go
@@ -1,10 +1,13 @@
 package soak
 
 import (
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -106,3 +109,36 @@
 	}
 	c.gateways[0].exited <- nil
 }
+
+// logContains reports whether the log of the gateway contains text.
+func logContains(c *Cluster, text string) bool {
+	log, err := os.ReadFile(filepath.Join(c.dir, "edge-1.log"))
+	return err == nil && strings.Contains(string(log), text)
+}
+
+// TestStartWaitsForItsPort guards against a port that is still in use when a gateway
+// starts: the process ended, and was not there until somebody started it again.
+func TestStartWaitsForItsPort(t *testing.T) {
+	for i, listener := range []string{"frontend", "readiness", "directory", "control"} {
+		t.Run(listener, func(t *testing.T) {
+			c := newSingleGateway(t)
+			l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", c.gateways[0].ports[i]))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			if err := c.Start(0); err != nil {
+				t.Fatal(err)
+			}
+			eventually(t, "the gateway finds the address in use", func() bool {
+				requireRunning(t, c)
+				return logContains(c, "event=gateway.address_in_use")
+			})
+			l.Close()
+			eventually(t, "the gateway is ready", func() bool { requireRunning(t, c); return c.Ready(0) })
+			if status := lookUp(t, c, "a"); status != http.StatusOK {
+				t.Errorf("got status %d, want 200", status)
+			}
+		})
+	}
+}
