Read settings again that are being written when a gateway starts

An invalid file is read again every 20 ms until it has not changed for 0.5 s, for 5 s at most; a reload has kept the settings in force before. TestStartWaitsForItsSettings failed before, TestInvalidSettingsEndTheStart checks that a file that stays invalid still ends the start with exit status 2.

--- a/cli/tillerd/gateway.go
+++ b/cli/tillerd/gateway.go
@@ -32,7 +32,7 @@
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsEnv)
-	settings, err := platform.ReadSettings(path)
+	settings, err := awaitSettings(path, stderr)
 	if err != nil {
 		fmt.Fprintln(stderr, "tillerd:", err)
 		return exitSettings
@@ -53,6 +53,38 @@
 	return exitOK
 }
 
+const (
+	// settingsSettleTime is how long an invalid settings file must stay unchanged before
+	// it is refused, and settingsTimeout how long a file may change at most.
+	settingsSettleTime = 500 * time.Millisecond
+	settingsTimeout    = 5 * time.Second
+	settingsInterval   = 20 * time.Millisecond
+)
+
+// awaitSettings reads the settings file. A file that is invalid may be in the middle of
+// being written, so it is read again until it is valid or no longer changes.
+func awaitSettings(path string, stderr io.Writer) (platform.Settings, error) {
+	began := time.Now()
+	lastChange, lastModTime := began, modTime(path)
+	for reported := false; ; time.Sleep(settingsInterval) {
+		settings, err := platform.ReadSettings(path)
+		if err == nil {
+			return settings, nil
+		}
+		now := time.Now()
+		if at := modTime(path); !at.Equal(lastModTime) {
+			lastChange, lastModTime = now, at
+		}
+		if now.Sub(lastChange) > settingsSettleTime || now.Sub(began) > settingsTimeout {
+			return settings, err
+		}
+		if !reported {
+			fmt.Fprintln(stderr, "tillerd: settings are read again in case they are being written:", err)
+			reported = true
+		}
+	}
+}
+
 func serveGateway(path string, settings platform.Settings, reloads <-chan os.Signal, log zerolog.Logger) error {
 	if len(settings.InvalidSeeds) > 0 {
 		log.Warn().Str("event", "settings.seeds_unreadable").Strs("seeds", settings.InvalidSeeds).Send()
--- a/standin/soak/start_test.go
+++ b/standin/soak/start_test.go
@@ -1,11 +1,13 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -142,3 +144,49 @@
 		})
 	}
 }
+
+// TestStartWaitsForItsSettings guards against a settings file that is being written when
+// a gateway starts: the process ended.
+func TestStartWaitsForItsSettings(t *testing.T) {
+	c := newSingleGateway(t)
+	path := c.gateways[0].settingsPath
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, length := range []int{0, len(whole) / 2} {
+		if err := os.WriteFile(path, whole[:length], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if length == 0 {
+			if err := c.Start(0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		eventually(t, "the gateway has read the settings", func() bool { requireRunning(t, c); return logContains(c, "settings are read again") })
+	}
+	if err := os.WriteFile(path, whole, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the gateway is ready", func() bool { requireRunning(t, c); return c.Ready(0) })
+}
+
+// TestInvalidSettingsEndTheStart checks that the wait for settings has an end.
+func TestInvalidSettingsEndTheStart(t *testing.T) {
+	c := newSingleGateway(t)
+	if err := os.WriteFile(c.gateways[0].settingsPath, []byte("node_name = 7\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Start(0); err != nil {
+		t.Fatal(err)
+	}
+	err := c.AwaitExit(0)
+	c.gateways[0].exited <- err
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) || exit.ExitCode() != exitSettings {
+		t.Errorf("got %v, want exit status %d", err, exitSettings)
+	}
+}
+
+// exitSettings is the exit code of a gateway with invalid settings.
+const exitSettings = 2
