End a gateway's process when the reader of its log stalls

The class of the fault with the log's reader, found by reading: the process waits at its end for the log output to accept the last lines, without a limit, and is killed at the end of grace if its reader stalls. It now waits for 0.1 s. TestCloseDoesNotWaitForStalledOutput failed before.

--- a/transport/logline/bounded.go
+++ b/transport/logline/bounded.go
@@ -2,15 +2,24 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
+	"time"
 )
 
 // maxPendingBytes limits the lines buffered for a slow output before further lines
 // are dropped. It holds a few seconds of the log of a busy daemon.
 const maxPendingBytes = 1 << 20
 
+// closeTimeout limits the wait for an output that accepts no lines when the writer is
+// closed.
+const closeTimeout = 100 * time.Millisecond
+
+// ErrOutputStalled means that the output did not accept the last lines.
+var ErrOutputStalled = errors.New("log output does not accept lines")
+
 // DroppingWriter forwards log lines to an output without blocking the callers of
 // Write. Lines that do not fit into the buffer while the output is slow are dropped
 // and counted. It is safe for concurrent use.
@@ -60,7 +69,8 @@
 	return w.totalDropped
 }
 
-// Close writes the buffered lines and waits for the output to accept them.
+// Close writes the buffered lines. It returns ErrOutputStalled if the output does not
+// accept them within closeTimeout.
 func (w *DroppingWriter) Close() error {
 	w.mu.Lock()
 	if !w.closed {
@@ -68,8 +78,12 @@
 		close(w.wake)
 	}
 	w.mu.Unlock()
-	<-w.done
-	return nil
+	select {
+	case <-w.done:
+		return nil
+	case <-time.After(closeTimeout):
+		return ErrOutputStalled
+	}
 }
 
 func (w *DroppingWriter) writeLoop() {
--- a/transport/logline/bounded_test.go
+++ b/transport/logline/bounded_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"bilberrytiller.example/tiller/transport/logline"
 )
@@ -48,3 +50,24 @@
 		t.Errorf("%d written and %d dropped, want %d in total", got, dropped, lines)
 	}
 }
+
+// TestCloseDoesNotWaitForStalledOutput guards against a reader of the log that stalls:
+// the process outlasted the time for its stop.
+func TestCloseDoesNotWaitForStalledOutput(t *testing.T) {
+	blocked := &blockedWriter{release: make(chan struct{})}
+	defer close(blocked.release)
+	w := logline.NewDroppingWriter(blocked)
+	if _, err := w.Write([]byte("event=a\n")); err != nil {
+		t.Fatal(err)
+	}
+	closed := make(chan error, 1)
+	go func() { closed <- w.Close() }()
+	select {
+	case err := <-closed:
+		if !errors.Is(err, logline.ErrOutputStalled) {
+			t.Errorf("got %v, want ErrOutputStalled", err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("Close waits for the output")
+	}
+}
