Soak: clients that send late, odd entries, servers that send without end

Under planned work some clients connect and send their first request up to 6 s later, and another writer leaves entries that cannot be read or used, nested 40,000 levels deep among them. Under faults, servers send bytes without end in a head or a body, and no gateway may have used more memory than the small machines have (284 MB).

A gateway that exits by itself now fails both soaks. Before, exit status 1 was passed over, since the soak's own ports could be taken by connections; its ports are now below those that the system gives to connections.

--- a/standin/objectstore/store.go
+++ b/standin/objectstore/store.go
@@ -4,6 +4,7 @@
 package objectstore
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"net/http"
@@ -190,12 +191,23 @@
 	s.SetFaults(f)
 }
 
+// Deep is a string in whose place answers contain a value that is nested 40,000 levels
+// deep, which encoding/json would not write.
+const Deep = "(deeply nested value)"
+
 func writeResponse(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	if body != nil {
-		_ = json.NewEncoder(w).Encode(body)
+	if body == nil {
+		return
+	}
+	text, err := json.Marshal(body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
 	}
+	const depth = 40_000
+	deep := strings.Repeat("[", depth) + strings.Repeat("]", depth)
+	_, _ = w.Write(bytes.ReplaceAll(text, []byte(strconv.Quote(Deep)), []byte(deep)))
 }
 
 func (s *Store) handle(r *http.Request, kind, name string) (int, any) {
--- a/standin/originserver/server.go
+++ b/standin/originserver/server.go
@@ -39,6 +39,9 @@
 	// DropRate is the fraction of answers that are dropped after the request has
 	// run, TruncateRate the fraction that are cut off.
 	DropRate, TruncateRate float64
+	// EndlessRate is the fraction of answers in whose place the server sends bytes
+	// without end, until the connection is closed; see SetEndlessRate.
+	EndlessRate float64
 	// RateLimit is the limit that the server names at first; see SetRateLimit.
 	RateLimit float64
 	// Seed makes the selection of those answers repeatable.
@@ -87,13 +90,14 @@
 	running   int
 	waiting   int
 	rateLimit float64
+	endless   float64
 	warmKeys  map[string]bool
 	freeSlots chan struct{}
 }
 
 // New returns a server that adds the requests it runs to runs.
 func New(o Options, runs *Runs) *Server {
-	s := &Server{options: o, runs: runs, rateLimit: o.RateLimit, random: rand.New(rand.NewPCG(o.Seed, 1)), warmKeys: map[string]bool{}, freeSlots: make(chan struct{}, o.Slots)}
+	s := &Server{options: o, runs: runs, rateLimit: o.RateLimit, endless: o.EndlessRate, random: rand.New(rand.NewPCG(o.Seed, 1)), warmKeys: map[string]bool{}, freeSlots: make(chan struct{}, o.Slots)}
 	for range o.Slots {
 		s.freeSlots <- struct{}{}
 	}
@@ -108,6 +112,13 @@
 	s.rateLimit = perSecond
 }
 
+// SetEndlessRate sets Options.EndlessRate.
+func (s *Server) SetEndlessRate(rate float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endless = rate
+}
+
 // ServeHTTP handles one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(instanceHeader, s.options.ID)
@@ -187,8 +198,12 @@
 	s.mu.Lock()
 	draw := s.random.Float64()
 	load := fmt.Sprintf("%d,%d,%d", s.running, s.waiting, s.options.Slots)
-	rateLimit := s.rateLimit
+	rateLimit, endless := s.rateLimit, s.random.Float64() < s.endless
 	s.mu.Unlock()
+	if endless {
+		sendEndless(w, draw)
+		return
+	}
 	if draw < s.options.DropRate {
 		panic(http.ErrAbortHandler)
 	}
@@ -207,5 +222,22 @@
 	_, _ = io.WriteString(w, text)
 }
 
+// endlessStarts are what endless bytes begin with: nothing, a status line, a header field
+// and a body.
+var endlessStarts = []string{"", "HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nX-Field: ", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"}
+
+// sendEndless sends bytes until the connection is closed. draw selects their start.
+func sendEndless(w http.ResponseWriter, draw float64) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	_, err = io.WriteString(conn, endlessStarts[int(draw*float64(len(endlessStarts)))])
+	for zeros := make([]byte, 64<<10); err == nil; {
+		_, err = conn.Write(zeros)
+	}
+}
+
 // ResponseBody returns the body of the answer to a request.
 func ResponseBody(id string, body []byte) string { return fmt.Sprintf("answer to %s: %s", id, body) }
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -4,7 +4,10 @@
 package soak
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -88,6 +91,31 @@
 	return c.Store.Put("servers", o.ID, entry)
 }
 
+// SetEndlessRate sets the fraction of the answers of each backend server in whose place
+// it sends bytes without end.
+func (c *Cluster) SetEndlessRate(rate float64) {
+	for _, o := range c.origins {
+		o.server.SetEndlessRate(rate)
+	}
+}
+
+// ErrNoPeakMemory means that the system does not tell the peak memory of a process.
+var ErrNoPeakMemory = errors.New("no peak memory of the process")
+
+// PeakMemoryMB returns the peak resident memory of a gateway's process, in MB.
+func (c *Cluster) PeakMemoryMB(n int) (int, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.gateways[n].cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, found := bytes.Cut(status, []byte("VmHWM:"))
+	kb := 0
+	if _, err := fmt.Sscan(string(rest), &kb); !found || err != nil {
+		return 0, errors.Join(ErrNoPeakMemory, err)
+	}
+	return kb >> 10, nil
+}
+
 // SetRateLimit sets the limit that a backend server names.
 func (c *Cluster) SetRateLimit(id string, perSecond float64) {
 	c.origins[id].server.SetRateLimit(perSecond)
@@ -145,21 +173,30 @@
 	return n, c.writeSettings()
 }
 
+const (
+	// firstPort and lastPort are below the ports that the system gives to connections,
+	// which would take the port of a gateway that is not running.
+	firstPort = 18_000
+	lastPort  = 32_000
+)
+
 // allocatePort returns a free port that no other gateway has been given. The caller
 // holds mu.
 func (c *Cluster) allocatePort() (int, error) {
-	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range lastPort - firstPort {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if c.ports[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port))
 		if err != nil {
-			return 0, err
+			continue
 		}
-		port := l.Addr().(*net.TCPAddr).Port
 		_ = l.Close()
-		if !c.ports[port] {
-			c.ports[port] = true
-			return port, nil
-		}
+		c.ports[port] = true
+		return port, nil
 	}
+	return 0, fmt.Errorf("no free port between %d and %d", firstPort, lastPort)
 }
 
 // maxSeeds is the number of gateways listed as seeds in the settings.
--- a/standin/soak/planned_test.go
+++ b/standin/soak/planned_test.go
@@ -1,19 +1,22 @@
 package soak
 
 import (
+	"context"
 	"errors"
 	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
-	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"bilberrytiller.example/standin/objectstore"
 	"bilberrytiller.example/standin/originserver"
 )
 
@@ -30,8 +33,8 @@
 	drainBound  = 2500 * time.Millisecond
 	// routeTimeout is the timeout of the routes.
 	routeTimeout = 2 * time.Second
-	// exitFailed is the exit code of a gateway that cannot listen on an address.
-	exitFailed = 1
+	// lateSendTime limits how long a client waits before it uses a new connection.
+	lateSendTime = 6 * time.Second
 	// serversPerService is the number of servers that startGateways adds to each
 	// service.
 	serversPerService = 3
@@ -72,6 +75,7 @@
 	p.working.Go(func() { p.changeConfiguration(p.random(1000)) })
 	p.working.Go(func() { p.drainServers(p.random(1001)) })
 	p.working.Go(func() { p.limitServers(p.random(1002)) })
+	p.working.Go(func() { p.writeOddEntries(p.random(1003)) })
 	answers := make(chan int, *plannedClients)
 	for c := range *plannedClients {
 		go func() { answers <- p.client(c, p.random(2000+c)) }()
@@ -146,8 +150,7 @@
 	}
 }
 
-// awaitReady waits until a gateway is ready, and starts it again if it exited on its
-// own: its ports may have been in use.
+// awaitReady waits until a gateway is ready. It must not exit on its own.
 func (p *plannedWork) awaitReady(n int) {
 	for !p.cluster.Ready(n) {
 		exitErr, restarted, err := p.cluster.RestartIfExited(n)
@@ -155,8 +158,7 @@
 			p.t.Error(err)
 			return
 		}
-		var exit *exec.ExitError
-		if restarted && (!errors.As(exitErr, &exit) || exit.ExitCode() != exitFailed) {
+		if restarted {
 			p.t.Errorf("gateway %d exited on its own: %v", n, exitErr)
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -236,6 +238,24 @@
 	}
 }
 
+// writeOddEntries writes entries of servers, and of other kinds, that cannot be used or
+// read, and removes them again.
+func (p *plannedWork) writeOddEntries(random *rand.Rand) {
+	specs := []any{
+		objectstore.Deep, map[string]any{"address": objectstore.Deep}, map[string]any{"slots": -1}, "text", nil,
+		map[string]any{"service_name": "look", "address": "127.0.0.1:0", "zone": "z1", "slots": 1 << 40, "state": "ready"},
+		map[string]any{"service_name": "pay", "address": "127.0.0.1:65536", "zone": "z1", "slots": 8, "state": "ready"},
+	}
+	for p.pause(random, 2*time.Second) {
+		kind := []string{"servers", "servers", "config", "tillers"}[random.IntN(4)]
+		if err := p.cluster.Store.Put(kind, "odd", specs[random.IntN(len(specs))]); err != nil {
+			p.t.Error(err)
+		}
+		p.pause(random, 3*time.Second)
+		p.cluster.Store.Delete(kind, "odd")
+	}
+}
+
 func (p *plannedWork) randomServer(random *rand.Rand) string {
 	service := []string{"look", "pay"}[random.IntN(2)]
 	return fmt.Sprint("i-", service, random.IntN(serversPerService))
@@ -245,7 +265,15 @@
 // connection until that is closed, then goes to another one. It returns the number
 // of requests that were answered with status 200.
 func (p *plannedWork) client(c int, random *rand.Rand) (answered int) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1}
+	unused := make(chan net.Conn, 1)
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		select {
+		case conn := <-unused:
+			return conn, nil
+		default:
+			return new(net.Dialer).DialContext(ctx, network, address)
+		}
+	}}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
 	n := random.IntN(*plannedGateways)
@@ -276,7 +304,20 @@
 		}
 		transport.CloseIdleConnections()
 		n = random.IntN(*plannedGateways)
+		if random.IntN(4) == 0 {
+			p.connectEarly(n, random, unused)
+		}
+	}
+}
+
+// connectEarly connects to a gateway and waits before the connection is used.
+func (p *plannedWork) connectEarly(n int, random *rand.Rand, unused chan<- net.Conn) {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(p.cluster.ClientURL(n), "http://"))
+	if err != nil {
+		return
 	}
+	p.pause(random, lateSendTime)
+	unused <- conn
 }
 
 // isClosed reports whether an error means that a gateway's process is gone, or that
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -82,16 +82,14 @@
 	return cluster
 }
 
-// waitReady waits until a gateway is ready. It restarts a gateway that exited
-// on its own: while the gateway was down, the kernel may have given one of its
-// listening ports to an outgoing connection of a client.
+// waitReady waits until a gateway is ready. It must not exit on its own.
 func waitReady(t *testing.T, cluster *Cluster, n int) {
 	t.Helper()
 	waitFor(t, func() bool {
 		exitErr, restarted, err := cluster.RestartIfExited(n)
 		must(t, err)
 		if restarted {
-			t.Logf("gateway %d exited on its own: %v", n, exitErr)
+			t.Errorf("gateway %d exited on its own: %v", n, exitErr)
 		}
 		return cluster.Ready(n)
 	})
@@ -169,7 +167,7 @@
 }
 
 // TestSoak injects a seeded sequence of faults, which may overlap, into gateways
-// under load. It checks that no payment runs twice, no request refused with 503
+// under load, and into servers that send bytes without end. It checks that no payment runs twice, no request refused with 503
 // runs, and no client receives the response to another request.
 func TestSoak(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
@@ -193,6 +191,7 @@
 	cluster.Store.SetFaults(objectstore.Faults{})
 	for n := range gateways {
 		waitReady(t, cluster, n)
+		checkMemory(t, cluster, n)
 	}
 	close(stop)
 	answered := 0
@@ -209,6 +208,17 @@
 	}
 }
 
+// checkMemory checks that the process of a gateway has never used more memory than the
+// machines of the small deployments have.
+func checkMemory(t *testing.T, cluster *Cluster, n int) {
+	t.Helper()
+	const limitMB = 284
+	mb, err := cluster.PeakMemoryMB(n)
+	if err != nil || mb > limitMB {
+		t.Errorf("gateway %d has used %d MB (%v), want at most %d", n, mb, err, limitMB)
+	}
+}
+
 // sendLoad sends requests one after the other, each to a random gateway, until
 // stop is closed.
 func sendLoad(cluster *Cluster, seed uint64, c, gateways int, stop <-chan struct{}) []result {
@@ -238,7 +248,7 @@
 func injectFault(t *testing.T, cluster *Cluster, random *rand.Rand, gateways int) {
 	t.Helper()
 	n := random.IntN(gateways)
-	switch random.IntN(7) {
+	switch random.IntN(9) {
 	case 0:
 		sendSignal(t, cluster, n, syscall.SIGKILL)
 		_ = cluster.AwaitExit(n)
@@ -257,6 +267,10 @@
 		sendSignal(t, cluster, n, syscall.SIGHUP)
 	case 6:
 		cluster.Store.SetFaults(objectstore.Faults{})
+	case 7:
+		cluster.SetEndlessRate(0.1)
+	case 8:
+		cluster.SetEndlessRate(0)
 	}
 }
 
