Take another connection when a request gets one that is closed already

Traced by reading and shown by a test: an answer that is refused after it was read whole leaves its connection in net/http's pool; the client closes it, but net/http hands it out until it notices. The next request then cannot write a byte and is refused, truly as not run, though other connections work.

Such a request takes another connection, up to eight times; nothing has been written. TestRequestTakesAnotherConnectionThanClosedOne failed before (not-run after 1 connection).

--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -39,6 +39,8 @@
 	// key.
 	keyedIdleTimeout   = time.Second
 	controlConnections = 4
+	// maxClosedConns bounds the closed connections that one request is assigned.
+	maxClosedConns = 8
 	// MaxOverrun limits the wait, after the deadline, for the answer to a request
 	// with a key.
 	MaxOverrun = 30 * time.Second
@@ -148,8 +150,19 @@
 	return request.NotRunAnswer(request.ReasonCancelled, ctx.Err().Error())
 }
 
-// attempt sends a request once and reads the answer.
+// attempt sends a request once and reads the answer. If it is assigned a connection that
+// an earlier request has closed, nothing was written, and it takes another one.
 func (c *Client) attempt(ctx context.Context, client *http.Client, req *request.Request, tracker *sendTracker) request.Answer {
+	for tries := 1; ; tries++ {
+		answer := c.attemptOnConn(ctx, client, req, tracker)
+		if answer.Reason != request.ReasonConnect || !tracker.gotClosedConn() || tries == maxClosedConns || ctx.Err() != nil {
+			return answer
+		}
+		tracker.reset()
+	}
+}
+
+func (c *Client) attemptOnConn(ctx context.Context, client *http.Client, req *request.Request, tracker *sendTracker) request.Answer {
 	ctx, cancel := context.WithCancelCause(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: tracker.gotConn}))
 	defer cancel(nil)
 	defer time.AfterFunc(firstProbeDelay, func() { c.watchSilence(ctx, cancel, req, tracker) }).Stop()
--- a/transport/backendhttp/client_test.go
+++ b/transport/backendhttp/client_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"bilberrytiller.example/tiller/protocol/backendapi"
 	"bilberrytiller.example/tiller/state/request"
 )
 
@@ -31,6 +32,28 @@
 	}
 }
 
+// TestRequestTakesAnotherConnectionThanClosedOne guards against a request that is refused
+// as it gets a connection that an earlier one has closed, before net/http notices.
+func TestRequestTakesAnotherConnectionThanClosedOne(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(backendapi.HeaderRequestID, r.Header.Get(backendapi.HeaderRequestID))
+	}))
+	defer s.Close()
+	addr := s.Listener.Addr().(*net.TCPAddr).AddrPort()
+	dials := 0
+	closedOnce := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
+		conn, err := countingDial(&net.Dialer{})(ctx, network, addr.String())
+		if dials++; err == nil && dials == 1 {
+			conn.(*countingConn).closeAndCount()
+		}
+		return conn, err
+	}}}
+	req := &request.Request{ID: "id-1", Key: "key", Service: "payments", Body: []byte("pay"), Deadline: time.Now().Add(time.Minute)}
+	if got := New(addr, 10).attempt(context.Background(), closedOnce, req, new(sendTracker)); got.Outcome != request.OutcomeDone || dials != 2 {
+		t.Errorf("got %s (%s) after %d connections, want done after 2", got.Outcome, got.Reason, dials)
+	}
+}
+
 // newClosedConnClient returns a client whose connections fail every write, like
 // connections that were lost while idle.
 func newClosedConnClient(addr netip.AddrPort) *http.Client {
--- a/transport/backendhttp/tracker.go
+++ b/transport/backendhttp/tracker.go
@@ -17,6 +17,9 @@
 	// before the request got it.
 	sentBefore     int64
 	receivedBefore int64
+	// closedBefore is set if the connection was closed by an earlier request. net/http
+	// hands out such a connection until it notices.
+	closedBefore bool
 }
 
 // gotConn records the connection that the request is assigned.
@@ -28,6 +31,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.conn, t.sentBefore, t.receivedBefore = conn, conn.sentBytes(), conn.received.Load()
+	t.closedBefore = conn.isClosed()
 }
 
 // hasConn reports whether the request has been assigned a connection.
@@ -37,6 +41,21 @@
 	return t.conn != nil
 }
 
+// gotClosedConn reports whether the request was assigned a connection that an earlier
+// request had closed, so that nothing was written.
+func (t *sendTracker) gotClosedConn() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.closedBefore
+}
+
+// reset prepares for another connection.
+func (t *sendTracker) reset() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.conn, t.closedBefore = nil, false
+}
+
 // receivedBytes returns the number of bytes received on the request's connection
 // since the request was assigned to it.
 func (t *sendTracker) receivedBytes() int64 {
@@ -99,6 +118,12 @@
 	return n, err
 }
 
+func (c *countingConn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 func (c *countingConn) sentBytes() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
