--- a/cli/tillerctl/trace.go
+++ b/cli/tillerctl/trace.go
@@ -22,6 +22,7 @@
 	"crashes_servers":  "backend servers crashed on this request: see the request.crashed_server lines with its digest; it was not run this time",
 	"answered":         "a backend server answered; its status was returned unchanged",
 	"no_configuration": "the daemon had just started and had no configuration yet; the request was not run",
+	"stopping":         "the daemon was stopping and might have cut the request off; the request was not run, and other daemons serve it",
 	"no_route":         "no route of the configuration in force matches this host and path",
 	"body_too_large":   "the body is larger than the configuration allows",
 	"body_late":        "the body did not arrive completely before the request's deadline; the request was not run",
