--- a/transport/upstreamhttp/limit.go
+++ b/transport/upstreamhttp/limit.go
@@ -14,6 +14,8 @@
 	maxHeadBytes = 64 << 10
 	// MaxAnswerBytes limits the body of an answer.
 	MaxAnswerBytes = 32 << 20
+	// minBodyBuffer is the first buffer of a body. It holds a typical one.
+	minBodyBuffer = 4 << 10
 	// smallBodyBytes is the part of a body that is read without regard to other
 	// bodies.
 	smallBodyBytes = 256 << 10
@@ -35,8 +37,8 @@
 	ErrBodyMemory = errors.New("memory for large answer bodies is in use")
 )
 
-// headLimiter limits the bytes that are read from a connection while the head of
-// an answer is parsed. net/http reads a head into memory however long it is.
+// headLimiter limits the bytes that are read from a connection while the head of an
+// answer, its status line and header, is parsed. http.ReadResponse has no limit.
 type headLimiter struct {
 	source io.Reader
 	// limited is set while a head is parsed. left is the number of bytes that may
@@ -103,6 +105,3 @@
 		reserved = int64(grown)
 	}
 }
-
-// minBodyBuffer is the first buffer of a body. It holds a typical one.
-const minBodyBuffer = 4 << 10
