--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -160,7 +160,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	for end := time.Now().Add(listenTimeout); ; {
+	end := time.Now().Add(listenTimeout)
+	for {
 		l, err := net.ListenTCP("tcp", resolved)
 		if err == nil {
 			return l, nil
