Close a connection as idle only if none of its next request has been read

Cause: the change to disabled keep-alive at that moment, which closes the connections that net/http holds idle. It holds one idle until it has recorded the next request, although that may have been read. Shutdown closes them the same way, but drops such a request, which nobody counts.

internal/httpstop, now used by the gateway too, tracks the connections below net/http. What has been read makes a connection busy at once, and a connection that was closed returns nothing more, so a request is answered or was never read.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -261,12 +261,13 @@
 
 func (d *Daemon) servers() servers {
 	caller := newServer(d.closeConnectionsWhileLeaving(d.callerHandler()))
+	callerConns := httpstop.Track(caller)
 	return servers{
-		caller:   boundServer{caller, d.listeners.caller},
+		caller:   boundServer{caller, callerConns.Listener(d.listeners.caller)},
 		peer:     boundServer{newServer(d.peerHandler()), d.listeners.peer},
 		operator: boundServer{newServer(d.operatorHandler()), d.listeners.operator},
 
-		callerConns: httpstop.Track(caller),
+		callerConns: callerConns,
 	}
 }
 
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -9,12 +9,13 @@
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"bilberrytiller.example/tiller/internal/sleep"
+	"golang.org/x/sync/errgroup"
+
+	"bilberrytiller.example/tiller/internal/httpstop"
 	"bilberrytiller.example/tiller/state/routing"
 )
 
@@ -33,8 +34,6 @@
 	// drainTimeout bounds draining while clients keep opening connections. It is
 	// one twelfth of the usual stop timeout.
 	drainTimeout = 500 * time.Millisecond
-	// openConnsInterval is how often a stop checks whether connections are open.
-	openConnsInterval = 10 * time.Millisecond
 )
 
 // clientServer serves client connections with the limits in force. New limits
@@ -65,6 +64,8 @@
 	// openConns counts the connections that were handed over and are not closed
 	// yet.
 	openConns atomic.Int64
+	// accepted are the connections that the server has accepted.
+	accepted *httpstop.Conns
 }
 
 func newClientServer(handler http.Handler) *clientServer {
@@ -95,7 +96,10 @@
 		IdleTimeout:       cmp.Or(c.limits.IdleTimeout, defaultIdleTimeout) + idleGrace,
 		MaxHeaderBytes:    cmp.Or(c.limits.HeaderBytes, defaultHeaderBytes),
 	}
-	s.ConnState = func(_ net.Conn, state http.ConnState) {
+	h.accepted = httpstop.Track(s)
+	track := s.ConnState
+	s.ConnState = func(conn net.Conn, state http.ConnState) {
+		track(conn, state)
 		if state == http.StateClosed && h.openConns.Add(-1) == 0 {
 			c.removeIfUnused(s)
 		}
@@ -103,7 +107,7 @@
 	c.current = h
 	c.servers[s] = h
 	// Serve returns when the listener is closed, which is not an error.
-	go func() { _ = s.Serve(h) }()
+	go func() { _ = s.Serve(h.accepted.Listener(h)) }()
 }
 
 // removeIfUnused removes a server that is not current and has no open
@@ -190,32 +194,22 @@
 	}
 }
 
-// finish refuses further connections, closes each open one after its next answer, and
-// waits until all are closed or ctx ends. http.Server.Shutdown does not fit here: it drops
-// a request that it reads meanwhile, so that its client gets no answer.
-func (c *clientServer) finish(ctx context.Context) {
-	for _, s := range c.stop() {
-		s.SetKeepAlivesEnabled(false)
-	}
-	for c.openConns() > 0 && sleep.For(ctx, openConnsInterval) {
-	}
-}
-
-func (c *clientServer) openConns() (n int64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, h := range c.servers {
-		n += h.openConns.Load()
+// finish refuses further connections, and waits until the open ones are closed after
+// their last answer. It returns the cause if ctx ends first.
+func (c *clientServer) finish(ctx context.Context) error {
+	var group errgroup.Group
+	for s, h := range c.stop() {
+		group.Go(func() error { return h.accepted.Finish(ctx, s, h) })
 	}
-	return n
+	return group.Wait()
 }
 
-// stop refuses further connections and returns the servers to shut down.
-func (c *clientServer) stop() []*http.Server {
+// stop refuses further connections and returns the servers with their listeners.
+func (c *clientServer) stop() map[*http.Server]*handoffListener {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopped = true
-	return slices.Collect(maps.Keys(c.servers))
+	return maps.Clone(c.servers)
 }
 
 // Accept returns the next connection that was handed over.
--- a/gateway/clients_test.go
+++ b/gateway/clients_test.go
@@ -51,7 +51,7 @@
 	if _, err := net.Dial("tcp", l.Addr().String()); err == nil {
 		t.Error("a connection was accepted after the drain")
 	}
-	for _, s := range c.stop() {
+	for s := range c.stop() {
 		s.Close()
 	}
 }
@@ -76,7 +76,7 @@
 	if err := <-done; err != nil {
 		t.Fatal(err)
 	}
-	for _, s := range c.stop() {
+	for s := range c.stop() {
 		s.Close()
 	}
 }
@@ -92,7 +92,7 @@
 		if err := <-done; err != nil {
 			t.Error(err)
 		}
-		for _, s := range c.stop() {
+		for s := range c.stop() {
 			s.Close()
 		}
 	})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -240,8 +240,7 @@
 	defer cancel()
 	sleep.For(ctx, time.Until(plan.AcceptUntil))
 	g.clients.drain(clientListener)
-	g.clients.finish(ctx)
-	if n := g.inFlight.Count(); n > 0 {
-		g.log.Warn().Str("event", "gateway.cut").Int("requests", n).Send()
+	if err := g.clients.finish(ctx); err != nil && g.inFlight.Count() > 0 {
+		g.log.Warn().Str("event", "gateway.cut").Int("requests", g.inFlight.Count()).Err(err).Send()
 	}
 }
--- a/internal/httpstop/httpstop.go
+++ b/internal/httpstop/httpstop.go
@@ -1,8 +1,12 @@
-// Package httpstop ends an HTTP server without dropping requests.
+// Package httpstop ends an HTTP server so that each request that it has read is
+// answered, and none is passed on whose client gets no answer.
 //
-// http.Server.Shutdown keeps a connection that has carried no request open for some
-// seconds, and drops a request that it reads on one: its client gets no answer, and
-// cannot tell whether the request has run.
+// http.Server.Shutdown does not do so. It keeps a connection that has carried no request
+// open for some seconds, and drops a request that it reads on one. It may also close a
+// connection as idle whose next request has been read, but not been recorded yet; without
+// the shutdown flag, as after SetKeepAlivesEnabled(false), that request is even served.
+// Here a connection is closed as idle only if none of its next request has been read, and
+// nothing is read from it afterwards.
 package httpstop
 
 import (
@@ -24,37 +28,54 @@
 // Conns are the open connections of a server.
 type Conns struct {
 	mu   sync.Mutex
-	open map[net.Conn]connState
-}
-
-type connState struct {
-	state http.ConnState
-	since time.Time
+	open map[*conn]bool
 }
 
 // Track returns the connections of a server that has not started to serve. It sets the
-// server's ConnState hook.
+// server's ConnState hook; the server must accept from Listener.
 func Track(s *http.Server) *Conns {
-	c := &Conns{open: map[net.Conn]connState{}}
-	s.ConnState = func(conn net.Conn, state http.ConnState) {
+	c := &Conns{open: map[*conn]bool{}}
+	s.ConnState = c.setState
+	return c
+}
+
+// Listener returns a listener that accepts from l connections that are tracked.
+func (c *Conns) Listener(l net.Listener) net.Listener { return &listener{l, c} }
+
+type listener struct {
+	net.Listener
+	conns *Conns
+}
+
+// Accept returns the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tracked := &conn{Conn: accepted, accepted: time.Now()}
+	l.conns.mu.Lock()
+	defer l.conns.mu.Unlock()
+	l.conns.open[tracked] = true
+	return tracked, nil
+}
+
+func (c *Conns) setState(changed net.Conn, state http.ConnState) {
+	tracked := changed.(*conn)
+	tracked.setState(state)
+	if state == http.StateClosed || state == http.StateHijacked {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if state == http.StateClosed || state == http.StateHijacked {
-			delete(c.open, conn)
-			return
-		}
-		c.open[conn] = connState{state, time.Now()}
+		delete(c.open, tracked)
 	}
-	return c
 }
 
-// Finish closes the listener of the server, ends each connection after its next answer,
-// and closes the server when no connection is left that may carry a request. If ctx ends
-// first, it returns the cause and leaves the connections open.
+// Finish closes the listener of the server, ends each connection that has carried a
+// request when it is idle, and closes the server when no connection is left that may
+// carry one. If ctx ends first, it returns the cause and leaves the connections open.
 func (c *Conns) Finish(ctx context.Context, s *http.Server, l net.Listener) error {
 	_ = l.Close()
-	s.SetKeepAlivesEnabled(false)
-	for c.mayCarryRequest(time.Now()) {
+	for c.closeIdle(time.Now()) > 0 {
 		if !sleep.For(ctx, checkInterval) {
 			return context.Cause(ctx)
 		}
@@ -62,13 +83,83 @@
 	return s.Close()
 }
 
-func (c *Conns) mayCarryRequest(now time.Time) bool {
+// closeIdle closes the idle connections and returns the number of those that may still
+// carry a request.
+func (c *Conns) closeIdle(now time.Time) (remaining int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, conn := range c.open {
-		if conn.state != http.StateNew || now.Sub(conn.since) < unusedTimeout {
-			return true
+	for tracked := range c.open {
+		if !tracked.closeIfIdle() && tracked.mayCarryRequest(now) {
+			remaining++
 		}
 	}
-	return false
+	return remaining
+}
+
+// conn is a connection of a client.
+type conn struct {
+	net.Conn
+	accepted time.Time
+
+	mu sync.Mutex
+	// used is set when a request has been read. idle is set while none of the next one
+	// has been read.
+	used, idle bool
+	closed     bool
+}
+
+func (c *conn) setState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.used = c.used || state != http.StateNew
+	c.idle = state == http.StateIdle
+}
+
+// Read reads from the connection. What arrived before the connection was closed, but was
+// not returned, is dropped.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	if n > 0 {
+		c.idle = false
+	}
+	return n, err
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the sending side, so that the last answer arrives although the client
+// is still sending.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+func (c *conn) closeIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle {
+		return false
+	}
+	c.closed = true
+	_ = c.Conn.Close()
+	return true
+}
+
+func (c *conn) mayCarryRequest(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.used || now.Sub(c.accepted) < unusedTimeout
 }
