Do not report a listener that is closed twice at the end of a stop

Seen once under the race detector: httpstop.Finish closes the listener, and http.Server.Close closes it again if Serve has not returned yet; its error would have made a daemon's stop count as one that cut off requests (exit status 3). The gateway's listener returns no such error.

TestEachRequestServedInStopIsAnswered failed so under the race detector; eight runs of the package under it pass.

--- a/internal/httpstop/httpstop.go
+++ b/internal/httpstop/httpstop.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -80,7 +81,11 @@
 			return context.Cause(ctx)
 		}
 	}
-	return s.Close()
+	// The server closes the listener again if Serve has not returned yet.
+	if err := s.Close(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
 }
 
 // closeIdle closes the idle connections and returns the number of those that may still
