Recognise the organisation of a request by its key

Cause: no line of code read organisations.

Change: the configuration holds the organisations; keys are kept as digests and compared by these. The gateway refuses a request without a known key with 401, removes the key and whatever the client says of its organisation, and names the organisation to the server. A request's homes are those of its route and of its organisation; its rank is the organisation's where one is given. A daemon whose configuration has not been known to be current for config_apply denies nothing (401, 404): it says 503 instead, as a later version may allow the request.

Ruled out: passing the key's organisation on if the client names it too, and taking the first of several Authorization headers, since servers differ.

--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -33,8 +33,12 @@
 	Service string
 	// Key identifies the object, or is empty if any server will do.
 	Key string
-	// Route restricts the regions that the request may go to.
-	Route *routing.Route
+	// Route and Organisation restrict the regions that the request may go to. Both may
+	// be nil.
+	Route        *routing.Route
+	Organisation *routing.Organisation
+	// Rank is the urgency of the request; 0 is the most urgent.
+	Rank int
 	// Tried lists the server incarnations that the request was already sent to.
 	// They are not chosen again.
 	Tried []routing.Incarnation
@@ -221,7 +225,7 @@
 	if srv.Draining || srv.misdirected || b.evacuated[srv.Zone] || now.Before(srv.ejectedUntil) {
 		return false
 	}
-	if r.Route != nil && !r.Route.AllowsRegion(srv.region) {
+	if r.Route != nil && !r.Route.AllowsRegion(srv.region) || !r.Organisation.AllowsRegion(srv.region) {
 		return false
 	}
 	return !slices.Contains(r.Tried, srv.Incarnation())
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -28,6 +28,7 @@
 	h := Headers{RetryAfter: "Retry-After"}
 	h.HeaderNames.AttemptID, h.HeaderNames.DeadlineMs, h.HeaderNames.AffinityKey = "X-Id", "X-Left", "X-Key"
 	h.HeaderNames.ExpectedServerID, h.HeaderNames.Signature, h.HeaderNames.NotExecuted = "X-Expect", "X-Signed", "X-Not-Run"
+	h.HeaderNames.Organisation = "X-Org"
 	h.HeaderNames.Load, h.HeaderNames.ColdMs, h.HeaderNames.RateLimit = "X-Load", "X-Cold", "X-Limit"
 	return h
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -137,7 +137,7 @@
 		return d.failureResponse(reasonCrashes, retryAfterCrashes)
 	}
 	choice, refusal := d.g.balancer.Choose(upstream.Request{
-		Service: d.req.service.Name, Key: d.req.key, Route: d.req.route, Tried: d.tried,
+		Service: d.req.service.Name, Key: d.req.key, Route: d.req.route, Organisation: d.req.organisation, Rank: d.req.rank, Tried: d.tried,
 		ObjectiveLeft: d.req.route.LatencyObjective - now.Sub(d.req.arrived), TimeLeft: d.req.deadline.Sub(now),
 		ColdRate: d.req.service.ColdRate, DaemonCount: d.g.daemonCount(),
 	}, now)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -32,9 +32,14 @@
 // clientRequest is a client's request with everything needed to send it to a
 // backend server.
 type clientRequest struct {
-	id      string
-	key     string
-	route   *routing.Route
+	id    string
+	key   string
+	route *routing.Route
+	// organisation is nil if the configuration has none, or if the route is public and
+	// the request carries no known key.
+	organisation *routing.Organisation
+	// rank is the urgency of the request; 0 is the most urgent.
+	rank    int
 	service routing.Service
 	version routing.Version
 	message upstreamhttp.Request
@@ -72,7 +77,11 @@
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route, ok := c.Match(r.Host, path)
 	if !ok {
-		return nil, &localResponse{status: http.StatusNotFound, reason: "no_route", version: c.Version}
+		return nil, g.denial(http.StatusNotFound, "no_route", c)
+	}
+	organisation, resp := g.authenticate(r.Header, c, route)
+	if resp != nil {
+		return nil, resp
 	}
 	deadline := g.requestDeadline(r, route, arrived)
 	if plan := g.stopPlan.Load(); plan != nil && !plan.Admits(arrived, deadline) {
@@ -85,7 +94,7 @@
 	id := r.Header.Get(g.headers.AttemptID)
 	service := route.PickService(affinity.Fraction(affinity.Hash("split", id)))
 	req := &clientRequest{
-		id: id, route: route, service: c.Services[service], version: c.Version, arrived: arrived,
+		id: id, route: route, organisation: organisation, rank: route.Rank(organisation), service: c.Services[service], version: c.Version, arrived: arrived,
 		deadline: deadline,
 	}
 	req.service.Name = service
@@ -96,6 +105,9 @@
 	req.message = upstreamhttp.Request{
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body, ID: id, Deadline: req.deadline,
 	}
+	if organisation != nil {
+		req.message.Organisation = organisation.Name
+	}
 	return req, nil
 }
 
@@ -151,7 +163,8 @@
 	// retryAfter is the delay after which the client may retry. It is set only if
 	// the request has not run.
 	retryAfter time.Duration
-	// version is the configuration that has no route for the request, or 0.
+	// version is the configuration that has no route for the request or does not hold
+	// its key, or 0.
 	version routing.Version
 }
 
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -27,6 +27,9 @@
 	// MaxDirectoryTTL is the longest time for which clients may cache a directory
 	// answer.
 	MaxDirectoryTTL time.Duration
+	// MaxDenialAge is the age of the configuration up to which a request may be denied
+	// because it has no route or an unknown key. Zero means any age.
+	MaxDenialAge time.Duration
 	// RetryLimits bound the retries of the whole fleet.
 	RetryLimits budget.Limits
 }
--- a/state/routing/routing.go
+++ b/state/routing/routing.go
@@ -19,6 +19,9 @@
 	Limits   ClientLimits
 
 	byHost map[string][]Route
+
+	organisations map[string]*Organisation
+	byKey         map[keyDigest]*Organisation
 }
 
 // Route defines how requests below a path of a host are served.
@@ -47,6 +50,8 @@
 	// Regions lists the regions that may serve the route. If it is empty, all
 	// may.
 	Regions []string
+	// Public routes accept requests without the key of an organisation.
+	Public bool
 }
 
 // WeightedService is a service with its weight in a route's traffic split.
--- a/transport/upstreamhttp/message.go
+++ b/transport/upstreamhttp/message.go
@@ -19,6 +19,8 @@
 	DeadlineMs string
 	// AffinityKey identifies the object that the request is about.
 	AffinityKey string
+	// Organisation names the organisation that sent the request.
+	Organisation string
 	// ExpectedServerID names the only server that may run the request; any other
 	// server refuses it.
 	ExpectedServerID string
@@ -48,6 +50,8 @@
 	ID     string
 	// ServerID identifies the only server that may run the request.
 	ServerID string
+	// Organisation is sent to the server unless it is empty.
+	Organisation string
 	// Deadline is sent to the server as the time that remains.
 	Deadline time.Time
 	// MaxIdleConns limits the idle connections to the server.
@@ -120,6 +124,9 @@
 	left := max(1, r.Deadline.Sub(now).Milliseconds())
 	b = appendHeader(b, n.DeadlineMs, strconv.FormatInt(left, 10))
 	b = appendHeader(b, n.ExpectedServerID, r.ServerID)
+	if r.Organisation != "" {
+		b = appendHeader(b, n.Organisation, r.Organisation)
+	}
 	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
 		b = appendHeader(b, "Content-Length", strconv.Itoa(len(r.Body)))
 	}
