Decide by rank which requests a full server takes

Cause: every server has one queue in order of arrival, and the balancer fills it to two requests a slot whoever asks. A daemon that shares a server with 74 to 111 others has mostly no report younger than a second and took such a server for empty.

Change: package coordination/overload decides for services that requests of several ranks use, by route or organisation: send, wait at the daemon (at most 64 requests, at most a quarter of the time left to the objective), or refuse with the time to return at. The less urgent a request, the less may lie in the queue that it joins; requests past their objective yield to those in time; a rank that gets under 0.4 of the average share is let in as the most urgent; returning requests go before first attempts of their rank. Without a recent report, the load that is usual in the region is expected. Services with one rank are served as before.

--- /dev/null
+++ b/coordination/overload/overload.go
@@ -0,0 +1,232 @@
+// Package overload decides which requests go to a backend server that has less
+// room than is asked for: which are sent, which wait at the daemon and which are
+// refused, and when those should return.
+//
+// A server runs its requests in order of arrival, so an urgent request cannot
+// overtake there. The less urgent a request is, the less may lie in the queue
+// that it joins. The load that the decision answers is the requests at the server
+// as estimated by a daemon that shares it with others.
+//
+// The package does no I/O and takes the current time from its callers.
+package overload
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxRequestsPerSlot is the number of requests per slot up to which the most
+	// urgent requests are sent although they miss their objective.
+	maxRequestsPerSlot = 2.0
+	// rankShare is the part of the queue open to a rank that is open to the next
+	// less urgent one.
+	rankShare = 0.5
+	// lateShare is the part of the queue open to requests in time that is open to
+	// requests that miss their objective. Their answers are worth about a fifth.
+	lateShare = 0.5
+	// firstAttemptShare is the part of the queue open to a returning request that
+	// is open to a first attempt. The rest keeps a request that was refused once
+	// from being refused again.
+	firstAttemptShare = 0.85
+	// maxWaitFraction is the fraction of the time left to its objective that a
+	// request may wait at the daemon. One that is refused after a longer wait is
+	// worse off than one refused at once.
+	maxWaitFraction = 0.25
+	// clientPatience is the fraction of their time left that clients wait before
+	// they return.
+	clientPatience = 1.0 / 3
+	// minRetryAfter is the least delay of a returning request.
+	minRetryAfter = 50 * time.Millisecond
+)
+
+// Class is a kind of request that a service serves.
+type Class struct {
+	// Rank is the urgency; 0 is the most urgent.
+	Rank int
+	// Objective is the latency within which an answer has its full value, or 0.
+	Objective time.Duration
+}
+
+// Policy decides about the requests of one service whose ranks compete.
+type Policy struct {
+	// ranks are the ranks in use, the most urgent first.
+	ranks []int
+	// objectives holds the least objective of each rank, or 0 if it has none.
+	objectives []time.Duration
+}
+
+// NewPolicy returns the policy for a service with the given classes, or nil if
+// they have fewer than two ranks.
+func NewPolicy(classes []Class) *Policy {
+	p := &Policy{}
+	sorted := slices.SortedFunc(slices.Values(classes), func(a, b Class) int {
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Objective, b.Objective))
+	})
+	for _, c := range sorted {
+		last := len(p.ranks) - 1
+		switch {
+		case last < 0 || p.ranks[last] != c.Rank:
+			p.ranks = append(p.ranks, c.Rank)
+			p.objectives = append(p.objectives, c.Objective)
+		case p.objectives[last] == 0:
+			p.objectives[last] = c.Objective
+		}
+	}
+	if len(p.ranks) < 2 {
+		return nil
+	}
+	return p
+}
+
+// Position returns how many of the ranks in use are more urgent than the given
+// one. It is below Positions.
+func (p *Policy) Position(rank int) int {
+	i, _ := slices.BinarySearch(p.ranks, rank)
+	return min(i, len(p.ranks)-1)
+}
+
+// Positions returns the number of ranks in use.
+func (p *Policy) Positions() int { return len(p.ranks) }
+
+// Request is a request to decide about.
+type Request struct {
+	Rank int
+	// ObjectiveLeft and TimeLeft are the time until the latency objective and
+	// until the deadline.
+	ObjectiveLeft, TimeLeft time.Duration
+	// ClientTimeLeft is the time until the client gives up. It is TimeLeft or
+	// more.
+	ClientTimeLeft time.Duration
+	// Returning is set if the request was refused before.
+	Returning bool
+	// BelowMinimum is set if the rank is served less than its guaranteed minimum.
+	BelowMinimum bool
+	// Overtaken is set if a request that callers lose more by waits for the same
+	// server.
+	Overtaken bool
+}
+
+// Server is the state of the server that the request would go to.
+type Server struct {
+	// Requests is the estimated number of requests there, and Slots how many of
+	// them it works on at once.
+	Requests float64
+	Slots    int
+	// ServiceTime is the expected time that it works on a request, and RoundTrip
+	// the time on the way.
+	ServiceTime, RoundTrip time.Duration
+}
+
+// wait returns the expected time in the server's queue of a request that joins it.
+func (s Server) wait() time.Duration {
+	ahead := max(0, s.Requests+1-float64(s.Slots))
+	return time.Duration(ahead / float64(s.Slots) * float64(s.ServiceTime))
+}
+
+// run returns the time until the answer to a request that finds a free slot.
+func (s Server) run() time.Duration { return s.RoundTrip + s.ServiceTime }
+
+// Action is what is done with a request.
+type Action int
+
+// The actions.
+const (
+	Send Action = iota
+	Wait
+	Refuse
+)
+
+// Reason says why a request was refused.
+type Reason string
+
+const (
+	// ReasonTooLate means that no answer is expected before the deadline.
+	ReasonTooLate Reason = "too_late"
+	// ReasonYields means that the room left is kept for requests that callers
+	// lose more by.
+	ReasonYields Reason = "yields"
+)
+
+// Decision is what is done with a request, and for how long it may wait or when
+// it should return.
+type Decision struct {
+	Action Action
+	Reason Reason
+	// MaxWait is the longest useful wait at the daemon.
+	MaxWait time.Duration
+	// RetryAfter is the delay after which room is expected.
+	RetryAfter time.Duration
+}
+
+// Decide decides about a request for a server. jitter is a uniformly distributed
+// random number in [0, 1) that spreads the returns.
+func (p *Policy) Decide(r Request, s Server, jitter float64) Decision {
+	wait := s.wait()
+	limit := p.waitLimit(r, s)
+	switch {
+	case s.run()+wait > r.TimeLeft:
+		return p.refuse(ReasonTooLate, r, s, limit, jitter)
+	case !r.Overtaken && (s.Requests+1 <= float64(s.Slots) || wait <= limit):
+		return Decision{Action: Send}
+	}
+	d := p.refuse(ReasonYields, r, s, limit, jitter)
+	// The request can meet its objective only if it is sent so early that its
+	// wait at the server, up to the limit, is within what is left.
+	d.MaxWait = min(time.Duration(maxWaitFraction*float64(r.ObjectiveLeft)), r.ObjectiveLeft-s.run()-limit)
+	if drain := wait - limit; d.MaxWait > 0 && drain <= d.MaxWait {
+		d.Action = Wait
+	}
+	return d
+}
+
+// waitLimit returns the longest wait at the server that a request may find and
+// add to.
+func (p *Policy) waitLimit(r Request, s Server) time.Duration {
+	position := p.Position(r.Rank)
+	if r.BelowMinimum {
+		position = 0
+	}
+	share := 1.0
+	for range position {
+		share *= rankShare
+	}
+	if !r.Returning {
+		share *= firstAttemptShare
+	}
+	own := r.ObjectiveLeft - s.run()
+	late := s.wait() > own
+	if late {
+		share = min(share, lateShare)
+	}
+	full := time.Duration((maxRequestsPerSlot - 1) * float64(s.ServiceTime))
+	limit := full
+	for i, objective := range p.objectives {
+		spare := objective - s.run()
+		// A rank that cannot be in time even at a free slot loses nothing.
+		if objective > 0 && spare > 0 && (i <= position || late) {
+			limit = min(limit, spare)
+		}
+	}
+	return time.Duration(share * float64(limit))
+}
+
+// refuse returns a refusal with the time to return at: when the queue is expected
+// to be short enough, if the request can be in time then. Otherwise the returns
+// are spread over the time that clients wait, the most urgent first.
+func (p *Policy) refuse(reason Reason, r Request, s Server, limit time.Duration, jitter float64) Decision {
+	drain := max(minRetryAfter, s.wait()-limit)
+	d := Decision{Action: Refuse, Reason: reason, RetryAfter: drain}
+	if spare := r.ObjectiveLeft - s.run() - limit - drain; spare > 0 && reason != ReasonTooLate {
+		d.RetryAfter += time.Duration(jitter * float64(min(spare, drain)))
+		return d
+	}
+	latest := min(time.Duration(clientPatience*float64(r.ClientTimeLeft)), r.ClientTimeLeft-s.run())
+	if latest <= drain {
+		return d
+	}
+	slice := float64(latest-drain) / float64(p.Positions())
+	d.RetryAfter += time.Duration((float64(p.Position(r.Rank)) + jitter) * slice)
+	return d
+}
--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/affinity"
+	"bilberrytiller.example/tiller/coordination/overload"
 	"bilberrytiller.example/tiller/state/routing"
 )
 
@@ -51,6 +52,14 @@
 	// DaemonCount is the number of daemons that share ColdRate and the servers' rate
 	// limits.
 	DaemonCount int
+	// ClientTimeLeft is the time until the client gives up, if that is longer than
+	// TimeLeft. Returning is set if the request was refused before.
+	ClientTimeLeft time.Duration
+	Returning      bool
+	// Waiter is the request's place in the daemon's queue, or nil. MustNotWait is
+	// set if it may not wait (again).
+	Waiter      *overload.Waiter
+	MustNotWait bool
 }
 
 // Reason says why a server was chosen or why none was.
@@ -99,6 +108,10 @@
 	// and EstimatedRequests the number of requests estimated to be there.
 	BestCandidate     string
 	EstimatedRequests int
+	// Waiter is set if the request may wait for room at BestCandidate: for at most
+	// MaxWait, after which RetryAfter holds.
+	Waiter  *overload.Waiter
+	MaxWait time.Duration
 }
 
 // Choose picks a server for a request and counts the request as in flight
@@ -114,9 +127,9 @@
 	sel := b.newSelection(svc, r, now)
 	for draws := 0; len(sel.candidates) > 0 && draws < maxRateLimitDraws; draws++ {
 		srv := sel.pickServer()
-		reason, ok := sel.reasonToUse(srv)
-		if !ok {
-			return nil, sel.refuseFull(srv)
+		reason, refusal := b.decide(sel, srv)
+		if refusal != nil {
+			return nil, refusal
 		}
 		if b.takeFromRateLimit(srv, r.DaemonCount, now) {
 			return b.assign(srv, r, reason, now), nil
--- a/coordination/upstream/outcome.go
+++ b/coordination/upstream/outcome.go
@@ -62,6 +62,7 @@
 			latency = 0
 		}
 		srv.recordLoad(*r.Load, latency, now)
+		c.balancer.recordUsualLoad(srv, *r.Load, now)
 		if svc := c.balancer.services[srv.Service]; svc != nil && r.Load.Waiting == 0 {
 			svc.coldLatency.observe(time.Duration(float64(latency) / r.Load.workFactor()))
 		}
@@ -72,6 +73,7 @@
 		outcome = Lost
 	}
 	srv.recordOutcome(outcome, c.EstimatedRequests, now)
+	c.balancer.queue.Wake(srv.ID)
 	if (outcome == Failed || outcome == Lost) && c.balancer.servers[srv.ID] == srv {
 		c.balancer.recentlyFailed[srv.ID] = srv
 	}
--- a/coordination/upstream/set.go
+++ b/coordination/upstream/set.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"bilberrytiller.example/tiller/coordination/overload"
 	"bilberrytiller.example/tiller/state/routing"
 )
 
@@ -40,6 +41,12 @@
 	// coldPeriods is how long the servers of each service are cold after a
 	// start.
 	coldPeriods map[string]time.Duration
+	// competitions holds the state of the services whose ranks compete, and
+	// usualLoads the load that is usual for them.
+	competitions map[string]*competition
+	usualLoads   map[loadKey]*usualLoad
+	// queue holds the requests that wait for room.
+	queue overload.Queue
 	// random returns a uniformly distributed number in [0, 1).
 	random func() float64
 }
@@ -56,6 +63,8 @@
 		roundTrips:     map[string]time.Duration{},
 		recentlyFailed: map[string]*server{},
 		coldPeriods:    map[string]time.Duration{},
+		usualLoads:     map[loadKey]*usualLoad{},
+		queue:          overload.Queue{Capacity: maxWaiters},
 		random:         rand.Float64,
 	}
 }
@@ -70,6 +79,13 @@
 	}
 }
 
+// ConfigureRanks sets which ranks compete for each service.
+func (b *Balancer) ConfigureRanks(c *routing.Configuration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.configureRanks(c)
+}
+
 // Put adds or updates a server from its entry. A new incarnation starts without
 // history.
 func (b *Balancer) Put(entry routing.Backend, now time.Time) {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -20,6 +20,7 @@
 		}
 	}
 	g.balancer.Configure(c.Services)
+	g.balancer.ConfigureRanks(c)
 	g.clients.setLimits(c.Limits)
 	g.log.Info().Str("event", "configuration.in_force").Uint64("version", uint64(c.Version)).Int("services", len(c.Services)).Send()
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,6 +52,7 @@
 	upstreamClient   *upstreamhttp.Client
 	retryBudget      *budget.Budget
 	crashes          *crashMonitor
+	timeBudgets      timeBudgets
 	daemons          atomic.Int64
 	peerClient       *peer.Client
 	peerServer       *peer.Server
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,6 +24,8 @@
 	outcomes *expvar.Map
 	// sends counts sends to backend servers by outcome.
 	sends *expvar.Map
+	// refusals counts refused requests by reason and rank.
+	refusals *expvar.Map
 
 	mu      sync.Mutex
 	latency map[string]*hdrhistogram.Histogram
@@ -32,10 +34,13 @@
 func newMetrics(g *Gateway) *metrics {
 	m := &metrics{
 		root: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), sends: new(expvar.Map).Init(),
-		latency: map[string]*hdrhistogram.Histogram{},
+		refusals: new(expvar.Map).Init(),
+		latency:  map[string]*hdrhistogram.Histogram{},
 	}
 	m.root.Set("requests", m.outcomes)
 	m.root.Set("sends", m.sends)
+	m.root.Set("refusals", m.refusals)
+	m.root.Set("waiting", expvar.Func(g.waitingByRank))
 	m.root.Set("requests_in_flight", expvar.Func(func() any { return g.inFlight.Count() }))
 	m.root.Set("connections_opened", expvar.Func(func() any { return g.upstreamClient.Dials.Load() }))
 	m.root.Set("connections_reused", expvar.Func(func() any { return g.upstreamClient.Reuses.Load() }))
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -51,6 +51,8 @@
 	// by the balancer.
 	lastChoice *upstream.Choice
 	refusal    *upstream.Refusal
+	// waited is how long the request waited here for room at a server.
+	waited time.Duration
 }
 
 // sendResult is the result of one send to a backend server.
@@ -136,11 +138,7 @@
 	if d.g.crashes.isBlocked(d.req, now) {
 		return d.failureResponse(reasonCrashes, retryAfterCrashes)
 	}
-	choice, refusal := d.g.balancer.Choose(upstream.Request{
-		Service: d.req.service.Name, Key: d.req.key, Route: d.req.route, Organisation: d.req.organisation, Rank: d.req.rank, Tried: d.tried,
-		ObjectiveLeft: d.req.route.LatencyObjective - now.Sub(d.req.arrived), TimeLeft: d.req.deadline.Sub(now),
-		ColdRate: d.req.service.ColdRate, DaemonCount: d.g.daemonCount(),
-	}, now)
+	choice, refusal := d.choose(ctx)
 	if refusal != nil {
 		d.refusal = refusal
 		return d.failureResponse(string(refusal.Reason), refusal.RetryAfter)
--- a/gateway/runlog.go
+++ b/gateway/runlog.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -25,9 +26,15 @@
 		status, outcome = res.local.status, res.local.reason
 	}
 	g.metrics.observe(req.service.Name, outcome, latency)
+	if status == http.StatusServiceUnavailable && res.answer == nil {
+		g.metrics.refusals.Add(outcome+"."+rankName(req.rank), 1)
+	}
 	e := g.requestLog.newEvent("request.done", res.answer == nil).Str("id", req.id).Str("route", req.route.Name).
 		Str("service", req.service.Name).Uint64("version", uint64(req.version)).Str("key", req.key).
-		Int("status", status).Str("outcome", outcome).Int("sends", d.sends).Int("connects", d.failedConnects).Dur("ms", latency)
+		Int("status", status).Str("outcome", outcome).Int("sends", d.sends).Int("connects", d.failedConnects).Dur("ms", latency).Int("rank", req.rank)
+	if d.waited > 0 {
+		e = e.Dur("waited_ms", d.waited)
+	}
 	if outcome == reasonCrashes {
 		e = e.Str("digest", shortDigest(req.digest()))
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -46,6 +46,10 @@
 	arrived time.Time
 	// deadline is the earlier of the client's deadline and the route's timeout.
 	deadline time.Time
+	// clientDeadline is when the client gives up, and returning is set if the
+	// client seems to have been refused before.
+	clientDeadline time.Time
+	returning      bool
 }
 
 // serveClient handles one client request.
@@ -83,7 +87,8 @@
 	if resp != nil {
 		return nil, resp
 	}
-	deadline := g.requestDeadline(r, route, arrived)
+	budget := g.clientBudget(r)
+	deadline := requestDeadline(budget, route, arrived)
 	if plan := g.stopPlan.Load(); plan != nil && !plan.Admits(arrived, deadline) {
 		return nil, &localResponse{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: stoppingRetryAfter}
 	}
@@ -95,7 +100,7 @@
 	service := route.PickService(affinity.Fraction(affinity.Hash("split", id)))
 	req := &clientRequest{
 		id: id, route: route, organisation: organisation, rank: route.Rank(organisation), service: c.Services[service], version: c.Version, arrived: arrived,
-		deadline: deadline,
+		deadline: deadline, clientDeadline: arrived.Add(budget), returning: g.timeBudgets.returning(route.Name, budget, arrived),
 	}
 	req.service.Name = service
 	if route.SessionAffinity {
@@ -111,15 +116,19 @@
 	return req, nil
 }
 
-func (g *Gateway) requestDeadline(r *http.Request, route *routing.Route, arrived time.Time) time.Time {
-	timeout := defaultDeadline
+// clientBudget returns how long the client waits for its answer.
+func (g *Gateway) clientBudget(r *http.Request) time.Duration {
 	if ms, err := strconv.ParseInt(r.Header.Get(g.headers.DeadlineMs), 10, 64); err == nil && ms > 0 {
-		timeout = time.Duration(ms) * time.Millisecond
+		return time.Duration(ms) * time.Millisecond
 	}
+	return defaultDeadline
+}
+
+func requestDeadline(budget time.Duration, route *routing.Route, arrived time.Time) time.Time {
 	if route.Timeout > 0 {
-		timeout = min(timeout, route.Timeout)
+		budget = min(budget, route.Timeout)
 	}
-	return arrived.Add(timeout)
+	return arrived.Add(budget)
 }
 
 // readBody reads a request body, which must arrive completely before the
