Weigh the work of a request and the load nearby when ranks compete

Change: a report's deviation from the usual load of the region halves in 300 ms, the usual load is an average over a second. The limits by rank apply as the usual load rises from 0.8 to 1 request a slot; below, two requests a slot may be there as before. Above, a quarter of the slots is kept from each rank for the more urgent ones. A request whose object is cold at the server, and which would end past its objective there, is decided about for its home server instead.

--- a/coordination/overload/overload.go
+++ b/coordination/overload/overload.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -30,6 +31,14 @@
 	// is open to a first attempt. The rest keeps a request that was refused once
 	// from being refused again.
 	firstAttemptShare = 0.85
+	// reservedStep is the fraction of the slots that is kept, while the servers
+	// nearby have no room for all, from each rank for the more urgent ones.
+	reservedStep = 0.25
+	// easyLoad is the mean number of requests per slot below which nothing is kept.
+	easyLoad = 0.8
+	// minUrgentQueue is the number of requests per slot that the most urgent rank
+	// may find in the queue although the work then ends later than usual.
+	minUrgentQueue = 0.25
 	// maxWaitFraction is the fraction of the time left to its objective that a
 	// request may wait at the daemon. One that is refused after a longer wait is
 	// worse off than one refused at once.
@@ -37,6 +46,8 @@
 	// clientPatience is the fraction of their time left that clients wait before
 	// they return.
 	clientPatience = 1.0 / 3
+	// costlyWork is how many times the usual work makes a request costly.
+	costlyWork = 1.5
 	// minRetryAfter is the least delay of a returning request.
 	minRetryAfter = 50 * time.Millisecond
 )
@@ -106,6 +117,9 @@
 	// Overtaken is set if a request that callers lose more by waits for the same
 	// server.
 	Overtaken bool
+	// Work is the time that the server is expected to work on the request, if that
+	// is longer than ServiceTime.
+	Work time.Duration
 }
 
 // Server is the state of the server that the request would go to.
@@ -114,6 +128,9 @@
 	// them it works on at once.
 	Requests float64
 	Slots    int
+	// UsualPerSlot is the mean number of requests per slot at the servers nearby, or
+	// 0 if it is not known.
+	UsualPerSlot float64
 	// ServiceTime is the expected time that it works on a request, and RoundTrip
 	// the time on the way.
 	ServiceTime, RoundTrip time.Duration
@@ -125,9 +142,18 @@
 	return time.Duration(ahead / float64(s.Slots) * float64(s.ServiceTime))
 }
 
-// run returns the time until the answer to a request that finds a free slot.
+// run returns the time until the answer to a usual request that finds a free slot.
 func (s Server) run() time.Duration { return s.RoundTrip + s.ServiceTime }
 
+// run returns the time until the answer if the request finds a free slot at s.
+func (r Request) run(s Server) time.Duration { return s.RoundTrip + max(r.Work, s.ServiceTime) }
+
+// isCostly reports whether the work on the request takes the place of that on
+// several others although there is not enough room for all.
+func (r Request) isCostly(s Server) bool {
+	return float64(r.Work) >= costlyWork*float64(s.ServiceTime) && s.UsualPerSlot >= 1
+}
+
 // Action is what is done with a request.
 type Action int
 
@@ -144,6 +170,9 @@
 const (
 	// ReasonTooLate means that no answer is expected before the deadline.
 	ReasonTooLate Reason = "too_late"
+	// ReasonCostly means that the work would take the place of that on several
+	// other requests and would end past the objective.
+	ReasonCostly Reason = "costly"
 	// ReasonYields means that the room left is kept for requests that callers
 	// lose more by.
 	ReasonYields Reason = "yields"
@@ -163,70 +192,80 @@
 // Decide decides about a request for a server. jitter is a uniformly distributed
 // random number in [0, 1) that spreads the returns.
 func (p *Policy) Decide(r Request, s Server, jitter float64) Decision {
-	wait := s.wait()
-	limit := p.waitLimit(r, s)
+	limit := p.requestLimit(r, s)
+	// excess is how long the server takes to work off what is above the limit.
+	excess := time.Duration(max(0, s.Requests+1-limit) / float64(s.Slots) * float64(s.ServiceTime))
 	switch {
-	case s.run()+wait > r.TimeLeft:
-		return p.refuse(ReasonTooLate, r, s, limit, jitter)
-	case !r.Overtaken && (s.Requests+1 <= float64(s.Slots) || wait <= limit):
+	case r.run(s)+s.wait() > r.TimeLeft:
+		return p.refuse(ReasonTooLate, r, s, excess, jitter)
+	case r.isCostly(s) && r.run(s)+s.wait() > r.ObjectiveLeft:
+		return p.refuse(ReasonCostly, r, s, excess, jitter)
+	case !r.Overtaken && s.Requests < limit:
 		return Decision{Action: Send}
 	}
-	d := p.refuse(ReasonYields, r, s, limit, jitter)
+	d := p.refuse(ReasonYields, r, s, excess, jitter)
 	// The request can meet its objective only if it is sent so early that its
 	// wait at the server, up to the limit, is within what is left.
-	d.MaxWait = min(time.Duration(maxWaitFraction*float64(r.ObjectiveLeft)), r.ObjectiveLeft-s.run()-limit)
-	if drain := wait - limit; d.MaxWait > 0 && drain <= d.MaxWait {
+	d.MaxWait = min(time.Duration(maxWaitFraction*float64(r.ObjectiveLeft)), r.ObjectiveLeft-r.run(s)-(s.wait()-excess))
+	if d.MaxWait > 0 && excess <= d.MaxWait {
 		d.Action = Wait
 	}
 	return d
 }
 
-// waitLimit returns the longest wait at the server that a request may find and
-// add to.
-func (p *Policy) waitLimit(r Request, s Server) time.Duration {
+// requestLimit returns the number of requests at the server below which a request
+// is sent.
+func (p *Policy) requestLimit(r Request, s Server) float64 {
 	position := p.Position(r.Rank)
 	if r.BelowMinimum {
 		position = 0
 	}
-	share := 1.0
-	for range position {
-		share *= rankShare
-	}
+	share := math.Pow(rankShare, float64(position))
 	if !r.Returning {
 		share *= firstAttemptShare
 	}
-	own := r.ObjectiveLeft - s.run()
-	late := s.wait() > own
-	if late {
-		share = min(share, lateShare)
-	}
-	full := time.Duration((maxRequestsPerSlot - 1) * float64(s.ServiceTime))
-	limit := full
+	late := r.run(s)+s.wait() > r.ObjectiveLeft
+	queue := maxRequestsPerSlot - 1
 	for i, objective := range p.objectives {
 		spare := objective - s.run()
 		// A rank that cannot be in time even at a free slot loses nothing.
 		if objective > 0 && spare > 0 && (i <= position || late) {
-			limit = min(limit, spare)
+			queue = min(queue, spare.Seconds()/s.ServiceTime.Seconds())
 		}
 	}
-	return time.Duration(share * float64(limit))
+	reserved := float64(position)
+	if late {
+		share *= lateShare
+		reserved++
+	}
+	if position == 0 && !late {
+		queue = max(queue, minUrgentQueue)
+	}
+	tight := 1 + share*queue - reservedStep*reserved
+	return float64(s.Slots) * (maxRequestsPerSlot + (tight-maxRequestsPerSlot)*s.pressure())
+}
+
+// pressure returns how far the servers nearby are from having room for all, from 0
+// to 1.
+func (s Server) pressure() float64 {
+	return min(1, max(0, (s.UsualPerSlot-easyLoad)/(1-easyLoad)))
 }
 
-// refuse returns a refusal with the time to return at: when the queue is expected
-// to be short enough, if the request can be in time then. Otherwise the returns
-// are spread over the time that clients wait, the most urgent first.
-func (p *Policy) refuse(reason Reason, r Request, s Server, limit time.Duration, jitter float64) Decision {
-	drain := max(minRetryAfter, s.wait()-limit)
-	d := Decision{Action: Refuse, Reason: reason, RetryAfter: drain}
-	if spare := r.ObjectiveLeft - s.run() - limit - drain; spare > 0 && reason != ReasonTooLate {
-		d.RetryAfter += time.Duration(jitter * float64(min(spare, drain)))
+// refuse returns a refusal with the time to return at: when the server is expected
+// to have worked off the excess, if the request can be in time then. Otherwise the
+// returns are spread over the time that clients wait, the most urgent first.
+func (p *Policy) refuse(reason Reason, r Request, s Server, excess time.Duration, jitter float64) Decision {
+	excess = max(minRetryAfter, excess)
+	d := Decision{Action: Refuse, Reason: reason, RetryAfter: excess}
+	if spare := r.ObjectiveLeft - r.run(s) - s.wait(); spare > 0 && reason != ReasonTooLate {
+		d.RetryAfter += time.Duration(jitter * float64(min(spare, excess)))
 		return d
 	}
-	latest := min(time.Duration(clientPatience*float64(r.ClientTimeLeft)), r.ClientTimeLeft-s.run())
-	if latest <= drain {
+	latest := min(time.Duration(clientPatience*float64(r.ClientTimeLeft)), r.ClientTimeLeft-r.run(s))
+	if latest <= excess {
 		return d
 	}
-	slice := float64(latest-drain) / float64(p.Positions())
+	slice := float64(latest-excess) / float64(p.Positions())
 	d.RetryAfter += time.Duration((float64(p.Position(r.Rank)) + jitter) * slice)
 	return d
 }
--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -127,7 +127,7 @@
 	sel := b.newSelection(svc, r, now)
 	for draws := 0; len(sel.candidates) > 0 && draws < maxRateLimitDraws; draws++ {
 		srv := sel.pickServer()
-		reason, refusal := b.decide(sel, srv)
+		srv, reason, refusal := b.decide(sel, srv)
 		if refusal != nil {
 			return nil, refusal
 		}
@@ -195,6 +195,8 @@
 	now         time.Time
 	// candidates are the servers that may be chosen.
 	candidates []*server
+	// home is the candidate that ranks first, as of the latest pickServer.
+	home *server
 	// unhealthy are usable servers that fail too often or are too slow and are
 	// not due for a probe. They become candidates only if there are no others.
 	unhealthy []*server
@@ -253,6 +255,7 @@
 // free slot.
 func (sel *selection) pickServer() *server {
 	first := slices.MinFunc(sel.candidates, sel.compare)
+	sel.home = first
 	if sel.request.Key == "" || len(sel.candidates) < 2 {
 		return first
 	}
--- a/coordination/upstream/overload.go
+++ b/coordination/upstream/overload.go
@@ -14,10 +14,11 @@
 	maxWaiters = 64
 	// reportHalfLife is the age at which half of a reported deviation from the
 	// load that is usual in the region is still expected.
-	reportHalfLife = time.Second
+	reportHalfLife = 300 * time.Millisecond
+	usualHalfLife = time.Second
 	// minReports is the number of recent reports from which the usual load of a
 	// region is known.
-	minReports = 5.0
+	minReports = 2.0
 )
 
 // Waiter is a request that waits for room at a server.
@@ -28,6 +29,8 @@
 const (
 	ReasonTooLate = Reason(overload.ReasonTooLate)
 	ReasonYields  = Reason(overload.ReasonYields)
+	// ReasonRank means that the server's queue is short enough for the rank.
+	ReasonRank Reason = "rank"
 )
 
 // competition is the state of a service that requests of several ranks use.
@@ -44,7 +47,7 @@
 }
 
 func (u *usualLoad) decayed(now time.Time) (sum, count float64) {
-	factor := math.Exp2(-now.Sub(u.at).Seconds() / reportHalfLife.Seconds())
+	factor := math.Exp2(-now.Sub(u.at).Seconds() / usualHalfLife.Seconds())
 	return u.sum * factor, u.count * factor
 }
 
@@ -96,40 +99,59 @@
 	}
 }
 
-// decide returns why the server may get the request, or the refusal. Where ranks
-// compete, the refusal may ask the caller to wait.
-func (b *Balancer) decide(sel *selection, srv *server) (Reason, *Refusal) {
+// decide returns the server that the request goes to and why, or the refusal.
+// Where ranks compete, the server may be another than the given one, and the
+// refusal may ask the caller to wait.
+func (b *Balancer) decide(sel *selection, srv *server) (*server, Reason, *Refusal) {
 	c := b.competitions[sel.request.Service]
 	if c == nil {
 		reason, ok := sel.reasonToUse(srv)
 		if !ok {
-			return "", sel.refuseFull(srv)
+			return nil, "", sel.refuseFull(srv)
 		}
-		return reason, nil
+		return srv, reason, nil
 	}
-	requests := srv.expectedRequests(b.usualLoads[loadKey{srv.Service, srv.region}].mean(sel.now), sel.now)
 	position, positions := c.policy.Position(sel.request.Rank), c.policy.Positions()
-	d := c.policy.Decide(overload.Request{
+	d := b.decideByRank(sel, c, srv)
+	if d.Action != overload.Send && srv != sel.home {
+		srv = sel.home
+		d = b.decideByRank(sel, c, srv)
+	}
+	switch {
+	case d.Action == overload.Send:
+		c.shares.Record(position, positions, true, sel.now)
+		return srv, ReasonRank, nil
+	case d.Action == overload.Wait && !sel.request.MustNotWait:
+		w := sel.waiter(srv)
+		return nil, "", &Refusal{Reason: Reason(d.Reason), RetryAfter: d.RetryAfter, BestCandidate: srv.ID, Waiter: w, MaxWait: d.MaxWait}
+	}
+	c.shares.Record(position, positions, false, sel.now)
+	return nil, "", &Refusal{Reason: Reason(d.Reason), RetryAfter: d.RetryAfter, BestCandidate: srv.ID, EstimatedRequests: srv.estimatedRequests(sel.now)}
+}
+
+// decideByRank asks the policy about a server.
+func (b *Balancer) decideByRank(sel *selection, c *competition, srv *server) overload.Decision {
+	usual := b.usualLoads[loadKey{srv.Service, srv.region}].mean(sel.now)
+	position, positions := c.policy.Position(sel.request.Rank), c.policy.Positions()
+	return c.policy.Decide(overload.Request{
 		Rank: sel.request.Rank, ObjectiveLeft: sel.request.ObjectiveLeft, TimeLeft: sel.request.TimeLeft,
 		ClientTimeLeft: max(sel.request.TimeLeft, sel.request.ClientTimeLeft), Returning: sel.request.Returning,
 		BelowMinimum: c.shares.BelowMinimum(position, positions, sel.now), Overtaken: b.queue.Overtakes(sel.waiter(srv)),
+		Work: sel.expectedWork(srv),
 	}, overload.Server{
-		Requests: requests, Slots: srv.slots(), ServiceTime: seconds(sel.serviceTime(srv)), RoundTrip: seconds(srv.roundTrip),
+		Requests: srv.expectedRequests(usual, sel.now), Slots: srv.slots(), UsualPerSlot: usual,
+		ServiceTime: seconds(sel.serviceTime(srv)), RoundTrip: seconds(srv.roundTrip),
 	}, b.random())
-	if d.Action == overload.Send {
-		c.shares.Record(position, positions, true, sel.now)
-		if requests < float64(srv.slots()) {
-			return ReasonHasCapacity, nil
-		}
-		return ReasonQueue, nil
-	}
-	refusal := &Refusal{Reason: Reason(d.Reason), RetryAfter: d.RetryAfter, BestCandidate: srv.ID, EstimatedRequests: int(requests)}
-	if d.Action == overload.Wait && !sel.request.MustNotWait {
-		refusal.Waiter, refusal.MaxWait = sel.waiter(srv), d.MaxWait
-		return "", refusal
+}
+
+// expectedWork returns the time that the server is expected to work on the
+// request: longer if it is not the object's home, since the object is cold there.
+func (sel *selection) expectedWork(srv *server) time.Duration {
+	usual := sel.serviceTime(srv)
+	if sel.request.Key == "" || srv == sel.home && len(sel.request.Tried) == 0 {
+		return seconds(usual)
 	}
-	c.shares.Record(position, positions, false, sel.now)
-	return "", refusal
+	return seconds(max(usual, sel.coldLatency-srv.roundTrip))
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
