--- a/coordination/overload/overload.go
+++ b/coordination/overload/overload.go
@@ -234,7 +234,7 @@
 		}
 	}
 	reserved := float64(position)
-	if late {
+	if late && !r.Returning {
 		share *= lateShare
 		reserved++
 	}
--- a/coordination/upstream/overload.go
+++ b/coordination/upstream/overload.go
@@ -15,7 +15,7 @@
 	// reportHalfLife is the age at which half of a reported deviation from the
 	// load that is usual in the region is still expected.
 	reportHalfLife = 300 * time.Millisecond
-	usualHalfLife = time.Second
+	usualHalfLife  = time.Second
 	// minReports is the number of recent reports from which the usual load of a
 	// region is known.
 	minReports = 2.0
