Decide by what is known of a server, and use a free one before refusing

Cause: few objects are at each of many servers, so that some servers are full while most have free slots. A request refused at its home also went nowhere else, since the present rule had found room there.

Change: the sustained load is that of the server itself, as its answers reported it to this daemon; without reports the server is used as before. What the home does not take goes to the next server in rank if that has a free slot.

--- a/coordination/overload/overload.go
+++ b/coordination/overload/overload.go
@@ -31,10 +31,10 @@
 	// is open to a first attempt. The rest keeps a request that was refused once
 	// from being refused again.
 	firstAttemptShare = 0.85
-	// reservedStep is the fraction of the slots that is kept, while the servers
-	// nearby have no room for all, from each rank for the more urgent ones.
+	// reservedStep is the fraction of the slots that is kept, while the server has
+	// no room for all, from each rank for the more urgent ones.
 	reservedStep = 0.25
-	// easyLoad is the mean number of requests per slot below which nothing is kept.
+	// easyLoad is the number of requests per slot below which nothing is kept.
 	easyLoad = 0.8
 	// minUrgentQueue is the number of requests per slot that the most urgent rank
 	// may find in the queue although the work then ends later than usual.
@@ -128,9 +128,9 @@
 	// them it works on at once.
 	Requests float64
 	Slots    int
-	// UsualPerSlot is the mean number of requests per slot at the servers nearby, or
-	// 0 if it is not known.
-	UsualPerSlot float64
+	// Sustained is the number of requests there over the last second, or 0 if it is
+	// not known.
+	Sustained float64
 	// ServiceTime is the expected time that it works on a request, and RoundTrip
 	// the time on the way.
 	ServiceTime, RoundTrip time.Duration
@@ -151,7 +151,7 @@
 // isCostly reports whether the work on the request takes the place of that on
 // several others although there is not enough room for all.
 func (r Request) isCostly(s Server) bool {
-	return float64(r.Work) >= costlyWork*float64(s.ServiceTime) && s.UsualPerSlot >= 1
+	return float64(r.Work) >= costlyWork*float64(s.ServiceTime) && s.Sustained >= float64(s.Slots)
 }
 
 // Action is what is done with a request.
@@ -245,10 +245,9 @@
 	return float64(s.Slots) * (maxRequestsPerSlot + (tight-maxRequestsPerSlot)*s.pressure())
 }
 
-// pressure returns how far the servers nearby are from having room for all, from 0
-// to 1.
+// pressure returns how far the server is from having room for all, from 0 to 1.
 func (s Server) pressure() float64 {
-	return min(1, max(0, (s.UsualPerSlot-easyLoad)/(1-easyLoad)))
+	return min(1, max(0, (s.Sustained/float64(s.Slots)-easyLoad)/(1-easyLoad)))
 }
 
 // refuse returns a refusal with the time to return at: when the server is expected
--- a/coordination/overload/overload_test.go
+++ b/coordination/overload/overload_test.go
@@ -24,8 +24,8 @@
 	return NewPolicy([]Class{{2, 600 * ms}, {0, 500 * ms}, {5, 800 * ms}, {2, 700 * ms}})
 }
 
-func serverWith(requests, usualPerSlot float64) Server {
-	return Server{Requests: requests, Slots: 4, UsualPerSlot: usualPerSlot, ServiceTime: 240 * ms, RoundTrip: 20 * ms}
+func serverWith(requests, sustainedPerSlot float64) Server {
+	return Server{Requests: requests, Slots: 4, Sustained: 4 * sustainedPerSlot, ServiceTime: 240 * ms, RoundTrip: 20 * ms}
 }
 
 func firstAttempt(rank int) Request {
@@ -88,7 +88,7 @@
 func TestLessUrgentFindsNoMoreRoom(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := threeRanks()
-		s := serverWith(rapid.Float64Range(0, 14).Draw(t, "requests"), rapid.Float64Range(0, 3).Draw(t, "usual"))
+		s := serverWith(rapid.Float64Range(0, 14).Draw(t, "requests"), rapid.Float64Range(0, 3).Draw(t, "sustained"))
 		s.ServiceTime = time.Duration(rapid.IntRange(10, 900).Draw(t, "work")) * ms
 		objective := time.Duration(rapid.IntRange(-500, 1000).Draw(t, "objective")) * ms
 		returning, jitter := rapid.Bool().Draw(t, "returning"), rapid.Float64Range(0, 0.999).Draw(t, "jitter")
--- a/coordination/upstream/overload.go
+++ b/coordination/upstream/overload.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/overload"
@@ -12,13 +13,11 @@
 	// maxWaiters bounds the requests that wait at a daemon for room at a server.
 	// Their bodies are in memory.
 	maxWaiters = 64
-	// reportHalfLife is the age at which half of a reported deviation from the
-	// load that is usual in the region is still expected.
+	// reportHalfLife is the age at which half of what a load report differs from the
+	// sustained load is still expected, and loadHalfLife the time in which the
+	// sustained load follows half of a change.
 	reportHalfLife = 300 * time.Millisecond
-	usualHalfLife  = time.Second
-	// minReports is the number of recent reports from which the usual load of a
-	// region is known.
-	minReports = 2.0
+	loadHalfLife   = time.Second
 )
 
 // Waiter is a request that waits for room at a server.
@@ -39,33 +38,26 @@
 	shares overload.Shares
 }
 
-// usualLoad is the mean of the requests per slot that the servers of one service
-// in one region reported, recent reports counting most.
-type usualLoad struct {
-	sum, count float64
-	at         time.Time
+// sustainedLoad is the average number of requests that a server reported over about
+// loadHalfLife.
+type sustainedLoad struct {
+	average float64
+	at      time.Time
 }
 
-func (u *usualLoad) decayed(now time.Time) (sum, count float64) {
-	factor := math.Exp2(-now.Sub(u.at).Seconds() / usualHalfLife.Seconds())
-	return u.sum * factor, u.count * factor
+func (l *sustainedLoad) record(requests int, now time.Time) {
+	if l.at.IsZero() {
+		l.average, l.at = float64(requests), now
+		return
+	}
+	previous := math.Exp2(-now.Sub(l.at).Seconds() / loadHalfLife.Seconds())
+	l.average, l.at = previous*l.average+(1-previous)*float64(requests), now
 }
 
-func (u *usualLoad) add(requestsPerSlot float64, now time.Time) {
-	u.sum, u.count = u.decayed(now)
-	u.sum, u.count, u.at = u.sum+requestsPerSlot, u.count+1, now
-}
-
-// mean returns the usual number of requests per slot, or 0 if unknown.
-func (u *usualLoad) mean(now time.Time) float64 {
-	if u == nil {
-		return 0
-	}
-	sum, count := u.decayed(now)
-	if count < minReports {
-		return 0
-	}
-	return sum / count
+// expected returns the load expected now. Without new reports, it falls to 0, so
+// that a server that was full is tried again.
+func (l *sustainedLoad) expected(now time.Time) float64 {
+	return l.average * math.Exp2(-now.Sub(l.at).Seconds()/loadHalfLife.Seconds())
 }
 
 // policies returns the policy of each service that requests of several ranks use,
@@ -113,9 +105,12 @@
 	}
 	position, positions := c.policy.Position(sel.request.Rank), c.policy.Positions()
 	d := b.decideByRank(sel, c, srv)
-	if d.Action != overload.Send && srv != sel.home {
-		srv = sel.home
-		d = b.decideByRank(sel, c, srv)
+	if d.Action != overload.Send {
+		if other := sel.alternative(srv); other != nil {
+			if od := b.decideByRank(sel, c, other); od.Action == overload.Send || other == sel.home {
+				srv, d = other, od
+			}
+		}
 	}
 	switch {
 	case d.Action == overload.Send:
@@ -129,9 +124,26 @@
 	return nil, "", &Refusal{Reason: Reason(d.Reason), RetryAfter: d.RetryAfter, BestCandidate: srv.ID, EstimatedRequests: srv.estimatedRequests(sel.now)}
 }
 
+// alternative returns the server to try if the given one does not take the request:
+// the home server, or instead of that the next in rank if it has a free slot. It
+// returns nil if there is none.
+func (sel *selection) alternative(srv *server) *server {
+	if srv != sel.home {
+		return sel.home
+	}
+	if sel.request.Key == "" || len(sel.candidates) < 2 {
+		return nil
+	}
+	rest := slices.DeleteFunc(slices.Clone(sel.candidates), func(other *server) bool { return other == srv })
+	next := slices.MinFunc(rest, sel.compare)
+	if next.estimatedRequests(sel.now) >= next.slots() {
+		return nil
+	}
+	return next
+}
+
 // decideByRank asks the policy about a server.
 func (b *Balancer) decideByRank(sel *selection, c *competition, srv *server) overload.Decision {
-	usual := b.usualLoads[loadKey{srv.Service, srv.region}].mean(sel.now)
 	position, positions := c.policy.Position(sel.request.Rank), c.policy.Positions()
 	return c.policy.Decide(overload.Request{
 		Rank: sel.request.Rank, ObjectiveLeft: sel.request.ObjectiveLeft, TimeLeft: sel.request.TimeLeft,
@@ -139,7 +151,7 @@
 		BelowMinimum: c.shares.BelowMinimum(position, positions, sel.now), Overtaken: b.queue.Overtakes(sel.waiter(srv)),
 		Work: sel.expectedWork(srv),
 	}, overload.Server{
-		Requests: srv.expectedRequests(usual, sel.now), Slots: srv.slots(), UsualPerSlot: usual,
+		Requests: srv.expectedRequests(sel.now), Slots: srv.slots(), Sustained: srv.sustained.expected(sel.now),
 		ServiceTime: seconds(sel.serviceTime(srv)), RoundTrip: seconds(srv.roundTrip),
 	}, b.random())
 }
@@ -198,33 +210,14 @@
 	return b.queue.Lengths(ranks)
 }
 
-// loadKey identifies the servers of one service in one region.
-type loadKey struct{ service, region string }
-
-// recordUsualLoad adds a load report to those of its region. Only services where
-// ranks compete need it.
-func (b *Balancer) recordUsualLoad(srv *server, load Load, now time.Time) {
-	if b.competitions[srv.Service] == nil {
-		return
-	}
-	key := loadKey{srv.Service, srv.region}
-	usual := b.usualLoads[key]
-	if usual == nil {
-		usual = &usualLoad{}
-		b.usualLoads[key] = usual
-	}
-	usual.add(float64(load.Running+load.Waiting)/float64(srv.slots()), now)
-}
-
-// expectedRequests returns the expected number of requests at the server. Many
-// daemons share it, so each hears from it rarely: the older the report, the closer
-// the expectation is to what is usual in the region.
-func (s *server) expectedRequests(usualPerSlot float64, now time.Time) float64 {
-	usual := usualPerSlot * float64(s.slots())
-	expected := usual
-	if !s.report.at.IsZero() {
-		remaining := math.Exp2(-now.Sub(s.report.at).Seconds() / reportHalfLife.Seconds())
-		expected += (float64(s.report.total+s.inflight-s.report.inflight) - usual) * remaining
+// expectedRequests returns the expected number of requests at the server: the
+// older its latest report, the less differs it from the sustained load.
+func (s *server) expectedRequests(now time.Time) float64 {
+	sustained := s.sustained.expected(now)
+	if s.report.at.IsZero() {
+		return max(float64(s.inflight), sustained)
 	}
-	return max(float64(s.inflight), expected)
+	reported := float64(s.report.total + s.inflight - s.report.inflight)
+	remaining := math.Exp2(-now.Sub(s.report.at).Seconds() / reportHalfLife.Seconds())
+	return max(float64(s.inflight), sustained+(reported-sustained)*remaining)
 }
--- a/coordination/upstream/overload_test.go
+++ b/coordination/upstream/overload_test.go
@@ -30,12 +30,12 @@
 func (r overloadResult) served() float64 { return float64(r.inTime+r.late) / float64(r.total) }
 
 const (
-	overloadServers  = 24
+	overloadServers  = 48
 	overloadSlots    = 4
 	overloadWarm     = 240 * time.Millisecond
 	overloadCold     = 800 * time.Millisecond
-	overloadObjects  = 100 // objects per kind
-	overloadMemory   = 20  // objects that a server keeps warm
+	overloadObjects  = 68 // objects of all kinds
+	overloadMemory   = 20 // objects that a server keeps warm
 	overloadOneWay   = 10 * time.Millisecond
 	overloadBudget   = 4 * time.Second
 	overloadTimeout  = 1500 * time.Millisecond
@@ -143,7 +143,7 @@
 
 func (s *overloadRun) arrive(kind int) {
 	s.results[kind].total++
-	c := &overloadCall{kind: kind, key: fmt.Sprint(kind, "-", s.random.IntN(overloadObjects)), began: s.now}
+	c := &overloadCall{kind: kind, key: fmt.Sprint(kind, "-", s.random.IntN(int(s.kinds[kind].share*overloadObjects))), began: s.now}
 	s.attempt(c)
 }
 
--- a/coordination/upstream/server.go
+++ b/coordination/upstream/server.go
@@ -73,6 +73,8 @@
 		workFactor      float64
 		at              time.Time
 	}
+	// sustained is the load over several reports.
+	sustained sustainedLoad
 	// latency is the moving average, in seconds, of answers that did not wait
 	// in the server's queue, at the usual speed of its machine.
 	latency float64
@@ -153,6 +155,7 @@
 func (s *server) recordLoad(load Load, latency time.Duration, now time.Time) {
 	s.report.total, s.report.inflight, s.report.at = load.Running+load.Waiting, s.inflight, now
 	s.report.workFactor = load.workFactor()
+	s.sustained.record(s.report.total, now)
 	if load.Slots > 0 {
 		s.Slots = load.Slots
 	}
--- a/coordination/upstream/set.go
+++ b/coordination/upstream/set.go
@@ -41,10 +41,8 @@
 	// coldPeriods is how long the servers of each service are cold after a
 	// start.
 	coldPeriods map[string]time.Duration
-	// competitions holds the state of the services whose ranks compete, and
-	// usualLoads the load that is usual for them.
+	// competitions holds the state of the services whose ranks compete.
 	competitions map[string]*competition
-	usualLoads   map[loadKey]*usualLoad
 	// queue holds the requests that wait for room.
 	queue overload.Queue
 	// random returns a uniformly distributed number in [0, 1).
@@ -63,7 +61,6 @@
 		roundTrips:     map[string]time.Duration{},
 		recentlyFailed: map[string]*server{},
 		coldPeriods:    map[string]time.Duration{},
-		usualLoads:     map[loadKey]*usualLoad{},
 		queue:          overload.Queue{Capacity: maxWaiters},
 		random:         rand.Float64,
 	}
