Leave the home for a cold server only where others have room

Change: what the home refuses by rank goes to another server only while the answers of the region's servers report under two requests a slot. Reports are weighted by how rarely a server with such a load answers; shed requests do not count. Detours of the present rule stay.

--- a/coordination/overload/overload.go
+++ b/coordination/overload/overload.go
@@ -46,8 +46,9 @@
 	// clientPatience is the fraction of their time left that clients wait before
 	// they return.
 	clientPatience = 1.0 / 3
-	// costlyWork is how many times the usual work makes a request costly.
-	costlyWork = 1.5
+	// maxNearby is the number of requests per slot at the servers nearby up to which
+	// work on cold objects takes nobody's place.
+	maxNearby = 2.0
 	// minRetryAfter is the least delay of a returning request.
 	minRetryAfter = 50 * time.Millisecond
 )
@@ -120,6 +121,9 @@
 	// Work is the time that the server is expected to work on the request, if that
 	// is longer than ServiceTime.
 	Work time.Duration
+	// Overflow is set if the server is not the home of the request's object, and the
+	// home was not allowed to take the request. The object is cold there.
+	Overflow bool
 }
 
 // Server is the state of the server that the request would go to.
@@ -131,6 +135,9 @@
 	// Sustained is the number of requests there over the last second, or 0 if it is
 	// not known.
 	Sustained float64
+	// NearbyPerSlot is the mean number of requests per slot at the servers that could
+	// run the request too, or 0 if it is not known.
+	NearbyPerSlot float64
 	// ServiceTime is the expected time that it works on a request, and RoundTrip
 	// the time on the way.
 	ServiceTime, RoundTrip time.Duration
@@ -148,12 +155,6 @@
 // run returns the time until the answer if the request finds a free slot at s.
 func (r Request) run(s Server) time.Duration { return s.RoundTrip + max(r.Work, s.ServiceTime) }
 
-// isCostly reports whether the work on the request takes the place of that on
-// several others although there is not enough room for all.
-func (r Request) isCostly(s Server) bool {
-	return float64(r.Work) >= costlyWork*float64(s.ServiceTime) && s.Sustained >= float64(s.Slots)
-}
-
 // Action is what is done with a request.
 type Action int
 
@@ -170,9 +171,6 @@
 const (
 	// ReasonTooLate means that no answer is expected before the deadline.
 	ReasonTooLate Reason = "too_late"
-	// ReasonCostly means that the work would take the place of that on several
-	// other requests and would end past the objective.
-	ReasonCostly Reason = "costly"
 	// ReasonYields means that the room left is kept for requests that callers
 	// lose more by.
 	ReasonYields Reason = "yields"
@@ -198,9 +196,7 @@
 	switch {
 	case r.run(s)+s.wait() > r.TimeLeft:
 		return p.refuse(ReasonTooLate, r, s, excess, jitter)
-	case r.isCostly(s) && r.run(s)+s.wait() > r.ObjectiveLeft:
-		return p.refuse(ReasonCostly, r, s, excess, jitter)
-	case !r.Overtaken && s.Requests < limit:
+	case !r.Overtaken && s.Requests < limit && !p.isCostly(r, s):
 		return Decision{Action: Send}
 	}
 	d := p.refuse(ReasonYields, r, s, excess, jitter)
@@ -245,6 +241,16 @@
 	return float64(s.Slots) * (maxRequestsPerSlot + (tight-maxRequestsPerSlot)*s.pressure())
 }
 
+// isCostly reports whether the work on the request takes the place of that on
+// several others: its object is cold at the server, and the others nearby are full
+// too. It is borne for the most urgent requests that end in time.
+func (p *Policy) isCostly(r Request, s Server) bool {
+	if !r.Overflow || s.NearbyPerSlot < maxNearby {
+		return false
+	}
+	return p.Position(r.Rank) > 0 || r.run(s)+s.wait() > r.ObjectiveLeft
+}
+
 // pressure returns how far the server is from having room for all, from 0 to 1.
 func (s Server) pressure() float64 {
 	return min(1, max(0, (s.Sustained/float64(s.Slots)-easyLoad)/(1-easyLoad)))
--- a/coordination/upstream/outcome.go
+++ b/coordination/upstream/outcome.go
@@ -62,6 +62,9 @@
 			latency = 0
 		}
 		srv.recordLoad(*r.Load, latency, now)
+		if r.Outcome != Shed {
+			c.balancer.recordNearbyLoad(srv, *r.Load, now)
+		}
 		if svc := c.balancer.services[srv.Service]; svc != nil && r.Load.Waiting == 0 {
 			svc.coldLatency.observe(time.Duration(float64(latency) / r.Load.workFactor()))
 		}
--- a/coordination/upstream/overload.go
+++ b/coordination/upstream/overload.go
@@ -18,6 +18,10 @@
 	// sustained load follows half of a change.
 	reportHalfLife = 300 * time.Millisecond
 	loadHalfLife   = time.Second
+	// nearbyHalfLife is the half-life of load reports in the mean of a region, and
+	// minReports the number of recent reports from which it is known.
+	nearbyHalfLife = time.Second
+	minReports     = 2.0
 )
 
 // Waiter is a request that waits for room at a server.
@@ -60,6 +64,36 @@
 	return l.average * math.Exp2(-now.Sub(l.at).Seconds()/loadHalfLife.Seconds())
 }
 
+// nearbyLoad is the mean of the requests per slot that the servers of one service
+// in one region reported, recent reports counting most.
+type nearbyLoad struct {
+	sum, count float64
+	at         time.Time
+}
+
+func (u *nearbyLoad) decayed(now time.Time) (sum, count float64) {
+	factor := math.Exp2(-now.Sub(u.at).Seconds() / nearbyHalfLife.Seconds())
+	return u.sum * factor, u.count * factor
+}
+
+func (u *nearbyLoad) add(requestsPerSlot float64, now time.Time) {
+	u.sum, u.count = u.decayed(now)
+	weight := 1 / min(1, requestsPerSlot)
+	u.sum, u.count, u.at = u.sum+weight*requestsPerSlot, u.count+weight, now
+}
+
+// mean returns the number of requests per slot, or 0 if unknown.
+func (u *nearbyLoad) mean(now time.Time) float64 {
+	if u == nil {
+		return 0
+	}
+	sum, count := u.decayed(now)
+	if count < minReports {
+		return 0
+	}
+	return sum / count
+}
+
 // policies returns the policy of each service that requests of several ranks use,
 // by route or by organisation.
 func policies(c *routing.Configuration) map[string]*overload.Policy {
@@ -104,10 +138,10 @@
 		return srv, reason, nil
 	}
 	position, positions := c.policy.Position(sel.request.Rank), c.policy.Positions()
-	d := b.decideByRank(sel, c, srv)
+	d := b.decideByRank(sel, c, srv, false)
 	if d.Action != overload.Send {
 		if other := sel.alternative(srv); other != nil {
-			if od := b.decideByRank(sel, c, other); od.Action == overload.Send || other == sel.home {
+			if od := b.decideByRank(sel, c, other, other != sel.home); od.Action == overload.Send || other == sel.home {
 				srv, d = other, od
 			}
 		}
@@ -142,25 +176,32 @@
 	return next
 }
 
-// decideByRank asks the policy about a server.
-func (b *Balancer) decideByRank(sel *selection, c *competition, srv *server) overload.Decision {
+// decideByRank asks the policy about a server. overflow is set if the request
+// leaves its home only because of the policy.
+func (b *Balancer) decideByRank(sel *selection, c *competition, srv *server, overflow bool) overload.Decision {
 	position, positions := c.policy.Position(sel.request.Rank), c.policy.Positions()
 	return c.policy.Decide(overload.Request{
 		Rank: sel.request.Rank, ObjectiveLeft: sel.request.ObjectiveLeft, TimeLeft: sel.request.TimeLeft,
 		ClientTimeLeft: max(sel.request.TimeLeft, sel.request.ClientTimeLeft), Returning: sel.request.Returning,
 		BelowMinimum: c.shares.BelowMinimum(position, positions, sel.now), Overtaken: b.queue.Overtakes(sel.waiter(srv)),
-		Work: sel.expectedWork(srv),
+		Work: sel.expectedWork(srv), Overflow: overflow,
 	}, overload.Server{
 		Requests: srv.expectedRequests(sel.now), Slots: srv.slots(), Sustained: srv.sustained.expected(sel.now),
-		ServiceTime: seconds(sel.serviceTime(srv)), RoundTrip: seconds(srv.roundTrip),
+		NearbyPerSlot: b.nearbyLoads[loadKey{srv.Service, srv.region}].mean(sel.now),
+		ServiceTime:   seconds(sel.serviceTime(srv)), RoundTrip: seconds(srv.roundTrip),
 	}, b.random())
 }
 
+// findsCold reports whether the server is not the home of the request's object.
+func (sel *selection) findsCold(srv *server) bool {
+	return sel.request.Key != "" && (srv != sel.home || len(sel.request.Tried) > 0)
+}
+
 // expectedWork returns the time that the server is expected to work on the
 // request: longer if it is not the object's home, since the object is cold there.
 func (sel *selection) expectedWork(srv *server) time.Duration {
 	usual := sel.serviceTime(srv)
-	if sel.request.Key == "" || srv == sel.home && len(sel.request.Tried) == 0 {
+	if !sel.findsCold(srv) {
 		return seconds(usual)
 	}
 	return seconds(max(usual, sel.coldLatency-srv.roundTrip))
@@ -210,6 +251,24 @@
 	return b.queue.Lengths(ranks)
 }
 
+// loadKey identifies the servers of one service in one region.
+type loadKey struct{ service, region string }
+
+// recordNearbyLoad adds a load report to those of its region. Only services where
+// ranks compete need it.
+func (b *Balancer) recordNearbyLoad(srv *server, load Load, now time.Time) {
+	if b.competitions[srv.Service] == nil {
+		return
+	}
+	key := loadKey{srv.Service, srv.region}
+	nearby := b.nearbyLoads[key]
+	if nearby == nil {
+		nearby = &nearbyLoad{}
+		b.nearbyLoads[key] = nearby
+	}
+	nearby.add(float64(load.Running+load.Waiting+1)/float64(srv.slots()), now)
+}
+
 // expectedRequests returns the expected number of requests at the server: the
 // older its latest report, the less differs it from the sustained load.
 func (s *server) expectedRequests(now time.Time) float64 {
--- a/coordination/upstream/set.go
+++ b/coordination/upstream/set.go
@@ -41,8 +41,10 @@
 	// coldPeriods is how long the servers of each service are cold after a
 	// start.
 	coldPeriods map[string]time.Duration
-	// competitions holds the state of the services whose ranks compete.
+	// competitions holds the state of the services whose ranks compete, and
+	// nearbyLoads the load of their servers by region.
 	competitions map[string]*competition
+	nearbyLoads  map[loadKey]*nearbyLoad
 	// queue holds the requests that wait for room.
 	queue overload.Queue
 	// random returns a uniformly distributed number in [0, 1).
@@ -61,6 +63,7 @@
 		roundTrips:     map[string]time.Duration{},
 		recentlyFailed: map[string]*server{},
 		coldPeriods:    map[string]time.Duration{},
+		nearbyLoads:    map[loadKey]*nearbyLoad{},
 		queue:          overload.Queue{Capacity: maxWaiters},
 		random:         rand.Float64,
 	}
