Tell the region's daemons the loads of servers whose ranks compete

Change: calls to the relay and their replies carry the latest loads, six bytes a server, at most 128 servers (768 bytes) and none older than a second. Loads told by others are used by the decision alone, not for the choice of the server. Nothing is sent where no ranks compete.

--- a/coordination/upstream/overload.go
+++ b/coordination/upstream/overload.go
@@ -54,6 +54,9 @@
 		l.average, l.at = float64(requests), now
 		return
 	}
+	if !now.After(l.at) {
+		return
+	}
 	previous := math.Exp2(-now.Sub(l.at).Seconds() / loadHalfLife.Seconds())
 	l.average, l.at = previous*l.average+(1-previous)*float64(requests), now
 }
@@ -268,15 +271,3 @@
 	}
 	nearby.add(float64(load.Running+load.Waiting+1)/float64(srv.slots()), now)
 }
-
-// expectedRequests returns the expected number of requests at the server: the
-// older its latest report, the less differs it from the sustained load.
-func (s *server) expectedRequests(now time.Time) float64 {
-	sustained := s.sustained.expected(now)
-	if s.report.at.IsZero() {
-		return max(float64(s.inflight), sustained)
-	}
-	reported := float64(s.report.total + s.inflight - s.report.inflight)
-	remaining := math.Exp2(-now.Sub(s.report.at).Seconds() / reportHalfLife.Seconds())
-	return max(float64(s.inflight), sustained+(reported-sustained)*remaining)
-}
--- a/coordination/upstream/server.go
+++ b/coordination/upstream/server.go
@@ -73,7 +73,9 @@
 		workFactor      float64
 		at              time.Time
 	}
-	// sustained is the load over several reports.
+	// learned is the latest load that another daemon told, and sustained the load
+	// over several reports of any daemon.
+	learned   learnedLoad
 	sustained sustainedLoad
 	// latency is the moving average, in seconds, of answers that did not wait
 	// in the server's queue, at the usual speed of its machine.
--- a/coordination/upstream/set.go
+++ b/coordination/upstream/set.go
@@ -45,6 +45,10 @@
 	// nearbyLoads the load of their servers by region.
 	competitions map[string]*competition
 	nearbyLoads  map[loadKey]*nearbyLoad
+	// bySharedID holds the servers by the ID that messages use. selectedLoads holds
+	// the loads for calls to the relay and for replies to other daemons.
+	bySharedID    map[uint32]*server
+	selectedLoads [2]loadSelection
 	// queue holds the requests that wait for room.
 	queue overload.Queue
 	// random returns a uniformly distributed number in [0, 1).
@@ -63,6 +67,7 @@
 		roundTrips:     map[string]time.Duration{},
 		recentlyFailed: map[string]*server{},
 		coldPeriods:    map[string]time.Duration{},
+		bySharedID:     map[uint32]*server{},
 		nearbyLoads:    map[loadKey]*nearbyLoad{},
 		queue:          overload.Queue{Capacity: maxWaiters},
 		random:         rand.Float64,
@@ -185,6 +190,7 @@
 
 func (b *Balancer) addServer(srv *server) {
 	b.servers[srv.ID] = srv
+	b.bySharedID[srv.sharedID()] = srv
 	svc := b.services[srv.Service]
 	if svc == nil {
 		svc = &service{}
@@ -195,6 +201,7 @@
 
 func (b *Balancer) dropServer(srv *server) {
 	delete(b.servers, srv.ID)
+	delete(b.bySharedID, srv.sharedID())
 	delete(b.recentlyFailed, srv.ID)
 	svc := b.services[srv.Service]
 	for i, other := range svc.servers {
--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -66,6 +66,7 @@
 	startedAt     time.Time
 	breaker       circuitBreaker
 	failures      *regionalFailures
+	loads         LoadHooks
 	call          CallFunc
 
 	mu       sync.Mutex
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -139,3 +139,14 @@
 	}
 	return out
 }
+
+// BackendLoads returns the latest loads of the servers for which ranks compete, for
+// the exchange with other daemons.
+func (g *Gateway) BackendLoads(all bool, now time.Time) []upstream.SharedLoad {
+	return g.balancer.SharedLoads(all, now)
+}
+
+// ApplyBackendLoads applies loads of servers that another daemon told.
+func (g *Gateway) ApplyBackendLoads(loads []upstream.SharedLoad, fromRelay bool, now time.Time) {
+	g.balancer.ApplySharedLoads(loads, fromRelay, now)
+}
--- a/protocol/wire/objects.go
+++ b/protocol/wire/objects.go
@@ -18,6 +18,9 @@
 	// Failures are the failures of backend servers seen by the calling daemon
 	// and by the daemons that call it.
 	Failures []ServerFailures `cbor:"f,omitempty"`
+	// Loads are the latest loads of backend servers seen by the calling daemon and by
+	// the daemons that call it, as package feed encodes them.
+	Loads []byte `cbor:"l,omitempty"`
 }
 
 // ServerFailures counts the failed answers among the latest answers of a
@@ -46,6 +49,8 @@
 	// Failures are the failures of backend servers seen by all daemons of the
 	// region.
 	Failures []ServerFailures `cbor:"f,omitempty"`
+	// Loads are the latest loads of backend servers seen by the daemons of the region.
+	Loads []byte `cbor:"l,omitempty"`
 }
 
 // KindReply contains the changes of a kind.
