--- /dev/null
+++ b/gateway/overload_test.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"bilberrytiller.example/tiller/state/routing"
+)
+
+// rankedFixture returns a gateway with one server, which two routes of different
+// rank use: /x and the less urgent /low/. The server holds the requests to /held
+// until release is closed, and says that it has 16 requests until then.
+func rankedFixture(t *testing.T, objective time.Duration) (f *fixture, release func()) {
+	t.Helper()
+	urgent, low := route(true), route(true)
+	low.Name, low.PathPrefix, low.Priority = "low", "/low/", 1
+	urgent.LatencyObjective, low.LatencyObjective = objective, objective
+	f = newFixture(t, urgent, low)
+	released := make(chan struct{})
+	f.addServer(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Load", "16,0,4")
+		if r.URL.Path == "/held" {
+			<-released
+			w.Header().Set("X-Load", "0,0,4")
+		}
+		answerSigned(w, r)
+	})
+	release = sync.OnceFunc(func() { close(released) })
+	t.Cleanup(release)
+	return f, release
+}
+
+func get(t *testing.T, f *fixture, path string) *http.Response {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, f.url+path, http.NoBody)
+	if err != nil {
+		t.Error(err)
+		return nil
+	}
+	req.Host = "127.0.0.1"
+	req.Header.Set("X-Id", "a"+path)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Error(err)
+		return nil
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp
+}
+
+func waitUntil(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not after 10 s: %s", what)
+		}
+	}
+}
+
+// TestLessUrgentRequestWaitsForRoom guards against refusing a request that a server
+// has room for a moment later.
+func TestLessUrgentRequestWaitsForRoom(t *testing.T) {
+	f, release := rankedFixture(t, 40*time.Second)
+	done := make(chan struct{}, 2)
+	go func() { get(t, f, "/held"); done <- struct{}{} }()
+	waitUntil(t, "the server holds a request", func() bool { return f.received.Load() == 1 })
+	get(t, f, "/x")
+	var low *http.Response
+	go func() { low = get(t, f, "/low/x"); done <- struct{}{} }()
+	waitUntil(t, "the less urgent request waits", func() bool { return f.waitingByRank().(map[string]int)["rank_1"] == 1 })
+	release()
+	<-done
+	<-done
+	if low == nil || low.StatusCode != http.StatusOK {
+		t.Errorf("got %+v, want an answer once the server had room", low)
+	}
+	if n := f.waitingByRank().(map[string]int)["rank_1"]; n != 0 {
+		t.Errorf("%d requests wait, want none", n)
+	}
+}
+
+// TestLessUrgentRequestYields guards against a refusal without the time to return,
+// and against one that is not counted by reason and rank.
+func TestLessUrgentRequestYields(t *testing.T) {
+	f, release := rankedFixture(t, 10*time.Millisecond)
+	release()
+	get(t, f, "/x")
+	resp := get(t, f, "/low/x")
+	if resp == nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Fatalf("got %+v, want 503 with Retry-After", resp)
+	}
+	if n := f.metrics.refusals.Get("yields.rank_1"); n == nil || n.String() != "1" {
+		t.Errorf("counted %v, want one refusal", n)
+	}
+}
+
+// TestOneRankDoesNotYield guards deployments whose routes do not compete.
+func TestOneRankDoesNotYield(t *testing.T) {
+	f, release := rankedFixture(t, 10*time.Millisecond)
+	release()
+	one := route(true)
+	f.ApplyConfiguration(routing.New(2, []routing.Route{one}, map[string]routing.Service{"pay": {Name: "pay"}}, routing.ClientLimits{}))
+	get(t, f, "/x")
+	get(t, f, "/low/x")
+	if n := f.metrics.refusals.Get("yields.rank_0"); n != nil {
+		t.Errorf("%v requests yielded to none", n)
+	}
+}
+
+// TestReturningRequestIsKnownByItsBudget guards against taking a client with the
+// longest time budget for one that returns, or one with a part of it for a first
+// attempt.
+func TestReturningRequestIsKnownByItsBudget(t *testing.T) {
+	var b timeBudgets
+	now := time.Unix(1000, 0)
+	if b.returning("r", 4*time.Second, now) || !b.returning("r", 3*time.Second, now) || b.returning("other", 3*time.Second, now) {
+		t.Error("requests with the whole budget and with a part of it are not told apart")
+	}
+	if b.returning("r", time.Hour, now) || b.returning("r", 4*time.Second, now) {
+		t.Error("one odd budget makes the others look like the rest of it")
+	}
+	later := now.Add(3 * budgetInterval)
+	if b.returning("r", 3*time.Second, later); b.returning("r", 3*time.Second, later.Add(2*budgetInterval)) {
+		t.Error("a budget that no client uses any more is remembered")
+	}
+}
