--- a/coordination/overload/overload.go
+++ b/coordination/overload/overload.go
@@ -203,7 +203,8 @@
 	// The request can meet its objective only if it is sent so early that its
 	// wait at the server, up to the limit, is within what is left.
 	d.MaxWait = min(time.Duration(maxWaitFraction*float64(r.ObjectiveLeft)), r.ObjectiveLeft-r.run(s)-(s.wait()-excess))
-	if d.MaxWait > 0 && excess <= d.MaxWait {
+	// A load that is sustained makes no room within such a time.
+	if d.MaxWait > 0 && excess <= d.MaxWait && s.Sustained < limit {
 		d.Action = Wait
 	}
 	return d
