Count a run that outlives its deadline against the concurrency limit

Cause: the unit of a request with an unknown outcome was released at its deadline, while the server may work on a request that it began just before. Seen on TestConcurrencyLimitHoldsDuringPartition once (8 in flight of 6); requests that wait for a new holder keep their units and are then all begun near their deadline. Ruled out: loans and ownership counted twice (the model of TestSumStaysUnderTheLimit holds; it ends uses at the time given to the quota), loans of a killed daemon (named by daemon).

Change: a use lasts up to the service's deadline longer, which also lengthens loans and the wait of a restarted host.

--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -101,7 +101,7 @@
 			l.setLimit(rateLimitID(s.Name), units, policy)
 		}
 		if s.Limits.Concurrency > 0 {
-			l.setLimit(concurrencyLimitID(s.Name), s.Limits.Concurrency, limit.UsePolicy{MaxDuration: time.Duration(s.Class.Deadline), ExplicitRelease: true})
+			l.setLimit(concurrencyLimitID(s.Name), s.Limits.Concurrency, limit.RequestPolicy(time.Duration(s.Class.Deadline)))
 		}
 	}
 	l.setLinkLimits(l.set)
@@ -174,7 +174,7 @@
 	}
 	release = func(request.Outcome) {}
 	if q := l.activeQuota(concurrencyLimitID(req.Service)); q != nil {
-		end := req.Deadline
+		end := q.Policy().RequestEnd(req.Deadline)
 		if !l.acquireOrBorrow(ctx, q, func() bool { return q.Acquire(time.Now(), 1, end) }) {
 			return nil, l.refuse(q)
 		}
@@ -190,7 +190,7 @@
 }
 
 // releaseRequest releases the unit of a request. A request with an unknown
-// outcome may run until its deadline, so its unit is released only then.
+// outcome may run until end, so its unit is released only then.
 func (q *sharedQuota) releaseRequest(outcome request.Outcome, end time.Time) {
 	if outcome == request.OutcomeUnknown {
 		time.AfterFunc(time.Until(end), func() { q.Release(1, end) })
--- a/standin/proofs/limits_test.go
+++ b/standin/proofs/limits_test.go
@@ -27,10 +27,15 @@
 // upstream with far more slots than the limits allow to use. It returns the
 // backend server too.
 func limitFleet(t *testing.T, limits catalogue.Limits, work time.Duration) (*fleet.Fleet, *backend.Server) {
+	t.Helper()
+	return limitFleetWithDeadline(t, limits, work, 2*time.Second)
+}
+
+func limitFleetWithDeadline(t *testing.T, limits catalogue.Limits, work, deadline time.Duration) (*fleet.Fleet, *backend.Server) {
 	t.Helper()
 	opts := shortTTLFleet()
 	service := fleet.Service("lookups", request.RankLookup, true)
-	service.Class.Deadline = catalogue.Duration(2 * time.Second)
+	service.Class.Deadline = catalogue.Duration(deadline)
 	service.Limits = limits
 	opts.Services = []catalogue.Service{service}
 	opts.Upstreams = []fleet.Upstream{{
@@ -181,6 +186,26 @@
 	fleet.Eventually(t, "one host uses the whole limit", func() bool { return allDone(f.Hosts[0], concurrency) })
 }
 
+// TestConcurrencyLimitCountsAbandonedRuns guards against a limit whose units are
+// released at the deadline of a request while its backend server still works on
+// it: the server becomes slower than the deadline, so that runs are abandoned.
+func TestConcurrencyLimitCountsAbandonedRuns(t *testing.T) {
+	const concurrency = 6
+	const deadline = 400 * time.Millisecond
+	f, b := limitFleetWithDeadline(t, catalogue.Limits{Concurrency: concurrency}, 20*time.Millisecond, deadline)
+	fl := startLimitFlood(4, f.Hosts...)
+	fl.awaitAnswers(t, 40)
+	before := len(b.RecordedRuns())
+	b.SetFaults(backend.Faults{ResponseDelayMs: 600})
+	fleet.Eventually(t, "abandoned runs", func() bool { return len(b.RecordedRuns()) >= before+4*concurrency })
+	b.SetFaults(backend.Faults{})
+	fl.awaitAnswers(t, 40)
+	fl.stopAndWait()
+	if most := b.Stats().PeakConcurrency; most > concurrency {
+		t.Errorf("%d requests were in flight, want at most %d", most, concurrency)
+	}
+}
+
 // allDone sends n concurrent requests and reports whether all are answered.
 func allDone(h *fleet.Host, n int) bool {
 	var all sync.WaitGroup
