--- a/coordination/limit/limit_test.go
+++ b/coordination/limit/limit_test.go
@@ -380,3 +380,19 @@
 		t.Error("a returned unit could be acquired")
 	}
 }
+
+// A second change of the policy must not forget that uses and loans of the first,
+// longer policy are not over.
+func TestSecondPolicyChangeKeepsWait(t *testing.T) {
+	now := time.Unix(1000, 0)
+	long, short := UsePolicy{MaxDuration: time.Minute}, UsePolicy{MaxDuration: time.Second}
+	quota := NewQuota(long).WithPolicy(short, now).WithPolicy(UsePolicy{MaxDuration: 2 * time.Second}, now.Add(time.Second))
+	quota.SetOwned(1, time.Time{}, now.Add(time.Hour))
+	end := now.Add(long.LoanDuration())
+	if quota.CanAcquire(end.Add(-time.Millisecond), 1, end) {
+		t.Error("a unit can be acquired while uses of the first policy last")
+	}
+	if !quota.CanAcquire(end, 1, end.Add(time.Second)) {
+		t.Error("no unit can be acquired after uses of the first policy are over")
+	}
+}
--- a/coordination/limit/quota.go
+++ b/coordination/limit/quota.go
@@ -84,10 +84,13 @@
 
 // WithPolicy returns a quota with another policy that replaces this one. It
 // may use its owned units only after the loan duration of this quota, when the
-// uses and loans of this quota are over.
+// uses and loans of this quota, and of those that it replaced, are over.
 func (q *Quota) WithPolicy(policy UsePolicy, now time.Time) *Quota {
 	replacement := NewQuota(policy)
 	replacement.notBefore = now.Add(q.policy.LoanDuration())
+	if q.notBefore.After(replacement.notBefore) {
+		replacement.notBefore = q.notBefore
+	}
 	return replacement
 }
 
