Keep a limit's unit while a lost attempt may still run

Cause: an idempotent request whose first attempt had an unknown outcome and whose second was answered released its unit with the answer, while the first server may still work on it.

TestAnsweredRetryKeepsUnitOfLostAttempt fails without the change (seen).

--- a/daemon/route.go
+++ b/daemon/route.go
@@ -82,7 +82,7 @@
 	r := routing{req: req, tried: map[string]bool{}, answer: request.NotRunAnswer(request.ReasonNoUpstream, req.Service)}
 	for d.tryUpstreams(ctx, &r) && sleep.For(ctx, rerouteDelay) {
 	}
-	releaseLimits(r.answer.Outcome)
+	releaseLimits(r.limitOutcome())
 	d.shifts.recordServed(set, &r)
 	return r.answer
 }
@@ -98,11 +98,26 @@
 	tried map[string]bool
 	// answer is the last answer, or the one that left the outcome unknown.
 	answer request.Answer
+	// mayStillRun is true once an attempt had an unknown outcome: its server may
+	// work on it while later attempts are answered.
+	mayStillRun bool
+}
+
+// limitOutcome returns the outcome that decides when the units of limits are
+// released.
+func (r *routing) limitOutcome() request.Outcome {
+	if r.mayStillRun {
+		return request.OutcomeUnknown
+	}
+	return r.answer.Outcome
 }
 
 // recordAnswer stores the answer to an attempt. Once the outcome is unknown it
 // stays unknown until an attempt is done, because the request may have run.
 func (r *routing) recordAnswer(answer request.Answer) {
+	if answer.Outcome == request.OutcomeUnknown {
+		r.mayStillRun = true
+	}
 	if r.answer.Outcome == request.OutcomeUnknown && answer.Outcome != request.OutcomeDone {
 		return
 	}
