Recognise a request that crashes servers under light traffic, and end wrong blocks

Cause: a crash counted only if the daemon that lost the connection happened to send to the same server again within a second, which under light traffic it does not; and two servers that ended together counted as two crashes of each request that ran on both, which all daemons then refused for ten minutes, as nothing that is not sent can be answered.

Change (coordination/poison, free of I/O): the server is checked by one connection 100 ms after a loss (at most 16 at once); crashes within a second count once if the runs overlapped or servers ended that had not run the request; a blocked request gets trial runs after 10 to 20 s, and four times as long after each that fails; daemons publish that crashes no longer count.

Weighed and left out: sharing a crash among all requests that ran on the server. Requests that come once are never cleared, so that the cause would count for less the more traffic there is.

--- a/coordination/poison/losses.go
+++ b/coordination/poison/losses.go
@@ -1,6 +1,9 @@
 package poison
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// crashConfirmWindow is how soon after a server closed a connection it must
@@ -9,6 +12,8 @@
 	crashConfirmWindow = time.Second
 	// maxPendingPerServer bounds the requests kept for each server.
 	maxPendingPerServer = 64
+	// maxChecks bounds the checks of servers that are in progress at once.
+	maxChecks = 16
 )
 
 // CrashDetector keeps the requests whose connections a server closed before it
@@ -16,38 +21,69 @@
 // concurrent use.
 type CrashDetector struct {
 	pending map[string][]lostRequest
+	// checking are the servers that are being checked.
+	checking map[string]bool
 }
 
+// A lostRequest was sent to a server at began, which closed the connection at at.
 type lostRequest struct {
-	digest Digest
-	at     time.Time
+	digest    Digest
+	began, at time.Time
 }
 
 // NewCrashDetector returns a detector without pending requests.
-func NewCrashDetector() *CrashDetector { return &CrashDetector{pending: map[string][]lostRequest{}} }
+func NewCrashDetector() *CrashDetector {
+	return &CrashDetector{pending: map[string][]lostRequest{}, checking: map[string]bool{}}
+}
 
-// ConnectionLost records that a server closed a request's connection.
-func (c *CrashDetector) ConnectionLost(server string, d Digest, now time.Time) {
-	if pending := c.pending[server]; len(pending) < maxPendingPerServer {
-		c.pending[server] = append(pending, lostRequest{d, now})
+// ConnectionLost records that a server closed the connection of a request that was
+// sent to it at began. It reports
+// whether the caller should check soon whether the server accepts connections, as
+// the next request to it may come too late to tell; EndCheck must follow then.
+func (c *CrashDetector) ConnectionLost(server string, d Digest, began, now time.Time) (check bool) {
+	pending := slices.DeleteFunc(c.pending[server], func(l lostRequest) bool { return now.Sub(l.at) > crashConfirmWindow })
+	if len(pending) < maxPendingPerServer {
+		pending = append(pending, lostRequest{d, began, now})
 	}
+	c.pending[server] = pending
+	if c.checking[server] || len(c.checking) >= maxChecks {
+		return false
+	}
+	c.checking[server] = true
+	return true
 }
 
+// EndCheck records that a check of a server has ended.
+func (c *CrashDetector) EndCheck(server string) { delete(c.checking, server) }
+
 // ServerAnswered records that a server is up, which discards its pending
 // requests.
 func (c *CrashDetector) ServerAnswered(server string) { delete(c.pending, server) }
 
-// ServerDown returns the requests that a server was running when it crashed,
-// given that it accepts no connection now. It returns each request once.
-func (c *CrashDetector) ServerDown(server string, now time.Time) []Digest {
-	var crashed []Digest
+// RequestAnswered discards a request that has been answered by a server since
+// another one closed its connection.
+func (c *CrashDetector) RequestAnswered(d Digest) {
+	for server, pending := range c.pending {
+		c.pending[server] = slices.DeleteFunc(pending, func(l lostRequest) bool { return l.digest == d })
+		if len(c.pending[server]) == 0 {
+			delete(c.pending, server)
+		}
+	}
+}
+
+// ServerDown returns the crashes of the requests that a server was running, given
+// that it accepts no connection now. It returns each request once. The crashes
+// have no expiry yet.
+func (c *CrashDetector) ServerDown(server string, now time.Time) []Crash {
+	var crashes []Crash
 	for _, lost := range c.pending[server] {
-		if now.Sub(lost.at) <= crashConfirmWindow {
-			crashed = append(crashed, lost.digest)
+		known := slices.ContainsFunc(crashes, func(c Crash) bool { return c.Digest == lost.digest })
+		if now.Sub(lost.at) <= crashConfirmWindow && !known {
+			crashes = append(crashes, Crash{Digest: lost.digest, ID: server, Began: lost.began, At: lost.at})
 		}
 	}
 	delete(c.pending, server)
-	return crashed
+	return crashes
 }
 
 // Empty reports whether no request is pending.
--- a/coordination/poison/losses_test.go
+++ b/coordination/poison/losses_test.go
@@ -9,9 +9,9 @@
 	start := time.Unix(1000, 0)
 	one, two := Digest{1}, Digest{2}
 	detector := NewCrashDetector()
-	detector.ConnectionLost("i-1", one, start)
-	detector.ConnectionLost("i-1", two, start)
-	detector.ConnectionLost("i-2", one, start)
+	detector.ConnectionLost("i-1", one, start, start)
+	detector.ConnectionLost("i-1", two, start, start)
+	detector.ConnectionLost("i-2", one, start, start)
 	detector.ServerAnswered("i-2")
 	if got := detector.ServerDown("i-2", start.Add(time.Millisecond)); len(got) != 0 {
 		t.Errorf("server that answered after the loss: got %d requests, want 0", len(got))
@@ -22,7 +22,7 @@
 	if got := detector.ServerDown("i-1", start.Add(2*time.Millisecond)); len(got) != 0 {
 		t.Errorf("server reported down again: got %d requests, want 0", len(got))
 	}
-	detector.ConnectionLost("i-3", one, start)
+	detector.ConnectionLost("i-3", one, start, start)
 	if got := detector.ServerDown("i-3", start.Add(crashConfirmWindow+1)); len(got) != 0 {
 		t.Errorf("server that went down long after the loss: got %d requests, want 0", len(got))
 	}
--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -8,6 +8,10 @@
 // request that is answered is cleared of its crashes, since it ran without one.
 // Common requests that happened to share a server with the cause are therefore
 // soon unrestricted again. Crashes expire.
+//
+// Where copies are not known to run one at a time, crashes in quick succession
+// may have one cause that is not the request, such as the loss of a data centre.
+// Admit counts them as one, and lets a blocked request run on trial now and then.
 package poison
 
 import (
@@ -44,25 +48,40 @@
 type Crash struct {
 	Digest Digest
 	// ID distinguishes the crash from others of the same request.
-	ID      string
-	Expires time.Time
+	ID string
+	// Began is when the server got the request, At when it closed the connection.
+	Began, At time.Time
+	Expires   time.Time
+	// Cleared is set if the crash no longer counts, since the request was answered
+	// later.
+	Cleared bool
 }
 
 // Tracker records the crashes known to a daemon. It is safe for concurrent use.
 type Tracker struct {
+	// daemon decides when this daemon may run a blocked request on trial.
+	daemon  string
 	mu      sync.Mutex
 	crashes map[Digest]map[string]crashState
+	// trials is when the last trial run of a blocked request began.
+	trials map[Digest]time.Time
+	// servers is when each server crashed, whatever it was running.
+	servers map[string]time.Time
 }
 
 // crashState is the state of one crash. A cleared crash is kept until it
 // expires, so that a late copy of the crash report does not count again.
 type crashState struct {
-	expires time.Time
-	cleared bool
+	began, at, expires time.Time
+	cleared            bool
 }
 
-// NewTracker returns a tracker without crashes.
-func NewTracker() *Tracker { return &Tracker{crashes: map[Digest]map[string]crashState{}} }
+// NewTracker returns the tracker of a daemon, without crashes.
+func NewTracker(daemon string) *Tracker {
+	return &Tracker{
+		daemon: daemon, crashes: map[Digest]map[string]crashState{}, trials: map[Digest]time.Time{}, servers: map[string]time.Time{},
+	}
+}
 
 // Empty reports whether no crash is recorded, so that callers need not compute
 // a digest. Cleared and expired crashes count until the next call of
@@ -74,7 +93,8 @@
 }
 
 // RecordCrash records a crash and reports whether it was new. It does nothing
-// if the crash is known or expired, or if too many requests are tracked.
+// if the crash is known or expired, or if too many requests are tracked. A crash
+// in the future, as another daemon's clock may have it, counts as one of now.
 func (t *Tracker) RecordCrash(c Crash, now time.Time) bool {
 	return t.record(c, now, false)
 }
@@ -103,7 +123,18 @@
 	if known, ok := crashes[c.ID]; ok && (known.cleared || !cleared) {
 		return false
 	}
-	crashes[c.ID] = crashState{expires: c.Expires, cleared: cleared}
+	at := c.At
+	if at.IsZero() || at.After(now) {
+		at = now
+	}
+	expires := c.Expires
+	if latest := now.Add(maxCrashTTL); expires.After(latest) {
+		expires = latest
+	}
+	crashes[c.ID] = crashState{began: c.Began, at: at, expires: expires, cleared: cleared}
+	if _, known := t.servers[c.ID]; !known {
+		t.servers[c.ID] = at
+	}
 	return true
 }
 
@@ -123,10 +154,15 @@
 func (t *Tracker) ActiveCrashes(d Digest, now time.Time) []Crash {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.active(d, now)
+}
+
+// active returns the crashes that count against a request. The caller holds t.mu.
+func (t *Tracker) active(d Digest, now time.Time) []Crash {
 	var active []Crash
 	for id, c := range t.crashes[d] {
 		if !c.cleared && now.Before(c.expires) {
-			active = append(active, Crash{Digest: d, ID: id, Expires: c.expires})
+			active = append(active, Crash{Digest: d, ID: id, Began: c.began, At: c.at, Expires: c.expires})
 		}
 	}
 	return active
@@ -134,6 +170,11 @@
 
 // removeExpired removes the expired crashes.
 func (t *Tracker) removeExpired(now time.Time) {
+	for server, at := range t.servers {
+		if now.Sub(at) > maxCrashTTL {
+			delete(t.servers, server)
+		}
+	}
 	for d, crashes := range t.crashes {
 		for id, c := range crashes {
 			if !now.Before(c.expires) {
@@ -142,6 +183,7 @@
 		}
 		if len(crashes) == 0 {
 			delete(t.crashes, d)
+			delete(t.trials, d)
 		}
 	}
 }
--- a/coordination/poison/poison_test.go
+++ b/coordination/poison/poison_test.go
@@ -19,7 +19,7 @@
 }
 
 func TestSecondCrashBlocks(t *testing.T) {
-	tr := NewTracker()
+	tr := NewTracker("")
 	wantVerdict(t, tr, 1, start, Allowed)
 	tr.RecordCrash(newCrash(1, "a"), start)
 	tr.RecordCrash(newCrash(1, "a"), start)
@@ -30,7 +30,7 @@
 }
 
 func TestClearedCrashIsNotRecordedAgain(t *testing.T) {
-	tr := NewTracker()
+	tr := NewTracker("")
 	tr.RecordCrash(newCrash(1, "a"), start)
 	for _, c := range tr.ActiveCrashes(Digest{1}, start) {
 		tr.ClearCrash(c, start)
@@ -43,7 +43,7 @@
 }
 
 func TestCrashesExpire(t *testing.T) {
-	tr := NewTracker()
+	tr := NewTracker("")
 	tr.RecordCrash(newCrash(1, "a"), start)
 	tr.RecordCrash(newCrash(1, "b"), start)
 	wantVerdict(t, tr, 1, start.Add(CrashTTL), Allowed)
--- a/daemon/poison.go
+++ b/daemon/poison.go
@@ -43,7 +43,7 @@
 }
 
 func newSuspects() *suspects {
-	return &suspects{tracker: poison.NewTracker(), locks: map[poison.Digest]*suspectLock{}}
+	return &suspects{tracker: poison.NewTracker(""), locks: map[poison.Digest]*suspectLock{}}
 }
 
 // lock acquires the lock of a request and returns the function that releases
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -17,9 +19,15 @@
 	"bilberrytiller.example/tiller/state/routing"
 )
 
-// maxSharedCrashes bounds how many of the latest crashes that it observed a daemon
-// reports to other daemons.
-const maxSharedCrashes = 32
+const (
+	// maxSharedCrashes bounds how many of the latest crashes that it observed, and
+	// of those that it cleared, a daemon reports to other daemons.
+	maxSharedCrashes = 32
+	// crashCheckDelay is the time between the loss of a connection and the check of
+	// its server. A process that ends may still accept connections meanwhile.
+	crashCheckDelay   = 100 * time.Millisecond
+	crashCheckTimeout = time.Second
+)
 
 // crashMonitor tracks the requests on which backend servers crashed, as
 // observed by all daemons, so that a request that crashes every server it
@@ -27,43 +35,52 @@
 type crashMonitor struct {
 	log     zerolog.Logger
 	tracker *poison.Tracker
+	// connect opens a connection to an address.
+	connect func(ctx context.Context, addr string) (time.Duration, error)
 
 	mu       sync.Mutex
 	detector *poison.CrashDetector
-	// observed are the latest crashes observed by this daemon, oldest first.
-	observed []poison.Crash
-	// changed receives a value when this daemon observes a crash.
+	// observed are the latest crashes observed by this daemon, and cleared those that
+	// an answer cleared here, oldest first.
+	observed, cleared []poison.Crash
+	// changed receives a value when other daemons should hear of a change.
 	changed chan struct{}
 }
 
-func newCrashMonitor(log zerolog.Logger) *crashMonitor {
-	return &crashMonitor{log: log, tracker: poison.NewTracker(), detector: poison.NewCrashDetector(), changed: make(chan struct{}, 1)}
+func newCrashMonitor(daemon string, log zerolog.Logger, connect func(context.Context, string) (time.Duration, error)) *crashMonitor {
+	return &crashMonitor{
+		log: log, tracker: poison.NewTracker(daemon), connect: connect, detector: poison.NewCrashDetector(), changed: make(chan struct{}, 1),
+	}
 }
 
 // CrashesChanged returns a channel that receives a value when this daemon
-// observes a crash. Values are coalesced.
+// observes a crash or ends the block of a request. Values are coalesced.
 func (g *Gateway) CrashesChanged() <-chan struct{} { return g.crashes.changed }
 
-// Crashes returns the latest crashes observed by this daemon.
+// Crashes returns the latest crashes that this daemon observed or cleared.
 func (g *Gateway) Crashes() []poison.Crash {
 	g.crashes.mu.Lock()
 	defer g.crashes.mu.Unlock()
-	return append([]poison.Crash(nil), g.crashes.observed...)
+	return slices.Concat(g.crashes.observed, g.crashes.cleared)
 }
 
-// MergeCrashes records crashes observed by another daemon.
+// MergeCrashes records crashes that another daemon observed or cleared.
 func (g *Gateway) MergeCrashes(all []poison.Crash) {
 	for _, c := range all {
+		if c.Cleared {
+			g.crashes.tracker.ClearCrash(c, time.Now())
+			continue
+		}
 		if g.crashes.tracker.RecordCrash(c, time.Now()) {
 			g.crashes.logCrash(c)
 		}
 	}
 }
 
-// isBlocked reports whether a request is blocked because too many servers
-// crashed on it.
-func (c *crashMonitor) isBlocked(req *clientRequest, now time.Time) bool {
-	return !c.tracker.Empty() && c.tracker.Verdict(req.digest(), now) == poison.Blocked
+// mayRun reports whether a request may be sent to a server. It is false if too many
+// servers crashed on it, unless this is a trial run.
+func (c *crashMonitor) mayRun(req *clientRequest, now time.Time) bool {
+	return c.tracker.Empty() || c.tracker.Admit(req.digest(), now)
 }
 
 // recordResult updates the crash state from the result of a send. A server that
@@ -75,23 +92,66 @@
 	case outcome == upstream.Answered || outcome == upstream.Failed:
 		c.recordAnswer(req, server, now)
 	case outcome == upstream.Lost && isConnectionClosed(err):
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.detector.ConnectionLost(server, req.digest(), now)
-	case outcome == upstream.Unreachable && (errors.Is(err, syscall.ECONNREFUSED) || isConnectionClosed(err)):
+		c.recordLoss(req, res, server, now)
+	case outcome == upstream.Unreachable && isRefused(err):
 		c.recordServerDown(server, now)
 	}
 }
 
+// recordLoss records that a server closed the connection of a request, and checks
+// the server soon.
+func (c *crashMonitor) recordLoss(req *clientRequest, res sendResult, server string, now time.Time) {
+	addr, began := res.choice.Backend.Address, now.Add(-res.exchange.Result.Latency)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.detector.ConnectionLost(server, req.digest(), began, now) {
+		time.AfterFunc(crashCheckDelay, func() { c.check(addr, server) })
+	}
+}
+
+// check connects to a server to find out whether it crashed.
+func (c *crashMonitor) check(addr, server string) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	_, err := c.connect(ctx, addr)
+	if isRefused(err) {
+		c.recordServerDown(server, time.Now())
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.detector.EndCheck(server)
+	if err == nil {
+		c.detector.ServerAnswered(server)
+	}
+}
+
+// recordAnswer clears the crashes attributed to a request that was answered. Other
+// daemons hear at once of a block that has ended and of a crash that this daemon
+// observed; what it clears of others' crashes is published with the next change, so
+// that a crash costs few calls.
 func (c *crashMonitor) recordAnswer(req *clientRequest, server string, now time.Time) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.detector.ServerAnswered(server)
-	c.mu.Unlock()
+	if !c.detector.Empty() {
+		c.detector.RequestAnswered(req.digest())
+	}
 	if c.tracker.Empty() {
 		return
 	}
-	for _, crash := range c.tracker.ActiveCrashes(req.digest(), now) {
+	digest := req.digest()
+	wasBlocked, observed := c.tracker.IsBlocked(digest, now), len(c.observed)
+	for _, crash := range c.tracker.ActiveCrashes(digest, now) {
 		c.tracker.ClearCrash(crash, now)
+		c.observed = slices.DeleteFunc(c.observed, func(o poison.Crash) bool { return o.Digest == digest && o.ID == crash.ID })
+		crash.Cleared = true
+		c.cleared = lastCrashes(append(c.cleared, crash))
+	}
+	if wasBlocked {
+		c.log.Info().Str("event", "request.unblocked").Str("digest", shortDigest(digest)).Str("backend", server).Send()
+	}
+	if wasBlocked || len(c.observed) < observed {
+		c.notify()
 	}
 }
 
@@ -100,24 +160,29 @@
 func (c *crashMonitor) recordServerDown(server string, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	digests := c.detector.ServerDown(server, now)
-	for _, digest := range digests {
-		crash := poison.Crash{Digest: digest, ID: server, Expires: now.Add(poison.CrashTTL)}
+	crashes := c.detector.ServerDown(server, now)
+	for _, crash := range crashes {
+		crash = c.tracker.WithExpiry(crash)
 		if c.tracker.RecordCrash(crash, now) {
 			c.logCrash(crash)
-			c.observed = append(c.observed, crash)
+			c.observed = lastCrashes(append(c.observed, crash))
 		}
 	}
-	if len(digests) == 0 {
-		return
+	if len(crashes) > 0 {
+		c.notify()
 	}
-	c.observed = c.observed[max(0, len(c.observed)-maxSharedCrashes):]
+}
+
+// notify lets the daemon's entry be published.
+func (c *crashMonitor) notify() {
 	select {
 	case c.changed <- struct{}{}:
 	default:
 	}
 }
 
+func lastCrashes(all []poison.Crash) []poison.Crash { return all[max(0, len(all)-maxSharedCrashes):] }
+
 // logCrash logs that a crash was attributed to a request.
 func (c *crashMonitor) logCrash(crash poison.Crash) {
 	c.log.Warn().Str("event", "request.crashed_server").Str("digest", shortDigest(crash.Digest)).Str("backend", crash.ID).Send()
@@ -142,6 +207,11 @@
 	return false
 }
 
+// isRefused reports whether err means that a server accepts no connection.
+func isRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || isConnectionClosed(err)
+}
+
 // digest identifies a request by its service and content.
 func (r *clientRequest) digest() poison.Digest {
 	m := &r.message
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -133,7 +133,7 @@
 	if !now.Before(d.req.deadline) {
 		return d.timeoutResponse()
 	}
-	if d.g.crashes.isBlocked(d.req, now) {
+	if !d.g.crashes.mayRun(d.req, now) {
 		return d.failureResponse(reasonCrashes, retryAfterCrashes)
 	}
 	choice, refusal := d.g.balancer.Choose(upstream.Request{
@@ -248,8 +248,7 @@
 	// retryAfterFailure is the Retry-After of a request that no server ran.
 	retryAfterFailure = 100 * time.Millisecond
 	// retryAfterCrashes is the Retry-After of a request that is blocked because
-	// servers crashed on it. It is long, since a retry is refused until the crash
-	// records expire.
+	// servers crashed on it. It is long, since most retries are refused too.
 	retryAfterCrashes = time.Second
 	// retryAfterShed is the Retry-After of a request shed by servers that had
 	// free slots.
