Do not keep lost requests whose servers can no longer be judged

Cause: a loss at a server that neither answers nor refuses stayed pending, so that a digest was computed for each answered request from then on (and, before checks, further losses at the server were not recorded from the 64th on).

TestAnsweredAndOldLossesAreDiscarded fails without either condition (seen).

--- a/coordination/poison/losses.go
+++ b/coordination/poison/losses.go
@@ -31,6 +31,9 @@
 	began, at time.Time
 }
 
+// isOld reports whether it is too late to tell whether the server crashed.
+func (l lostRequest) isOld(now time.Time) bool { return now.Sub(l.at) > crashConfirmWindow }
+
 // NewCrashDetector returns a detector without pending requests.
 func NewCrashDetector() *CrashDetector {
 	return &CrashDetector{pending: map[string][]lostRequest{}, checking: map[string]bool{}}
@@ -41,7 +44,7 @@
 // whether the caller should check soon whether the server accepts connections, as
 // the next request to it may come too late to tell; EndCheck must follow then.
 func (c *CrashDetector) ConnectionLost(server string, d Digest, began, now time.Time) (check bool) {
-	pending := slices.DeleteFunc(c.pending[server], func(l lostRequest) bool { return now.Sub(l.at) > crashConfirmWindow })
+	pending := slices.DeleteFunc(c.pending[server], func(l lostRequest) bool { return l.isOld(now) })
 	if len(pending) < maxPendingPerServer {
 		pending = append(pending, lostRequest{d, began, now})
 	}
@@ -61,11 +64,12 @@
 func (c *CrashDetector) ServerAnswered(server string) { delete(c.pending, server) }
 
 // RequestAnswered discards a request that has been answered by a server since
-// another one closed its connection.
-func (c *CrashDetector) RequestAnswered(d Digest) {
+// another one closed its connection, and all whose servers can no longer be judged.
+func (c *CrashDetector) RequestAnswered(d Digest, now time.Time) {
 	for server, pending := range c.pending {
-		c.pending[server] = slices.DeleteFunc(pending, func(l lostRequest) bool { return l.digest == d })
-		if len(c.pending[server]) == 0 {
+		pending = slices.DeleteFunc(pending, func(l lostRequest) bool { return l.digest == d || l.isOld(now) })
+		c.pending[server] = pending
+		if len(pending) == 0 {
 			delete(c.pending, server)
 		}
 	}
@@ -78,7 +82,7 @@
 	var crashes []Crash
 	for _, lost := range c.pending[server] {
 		known := slices.ContainsFunc(crashes, func(c Crash) bool { return c.Digest == lost.digest })
-		if now.Sub(lost.at) <= crashConfirmWindow && !known {
+		if !lost.isOld(now) && !known {
 			crashes = append(crashes, Crash{Digest: lost.digest, ID: server, Began: lost.began, At: lost.at})
 		}
 	}
--- a/coordination/poison/losses_test.go
+++ b/coordination/poison/losses_test.go
@@ -30,3 +30,26 @@
 		t.Error("detector still has pending requests")
 	}
 }
+
+// A request that another server answered meanwhile crashes none, and losses that
+// can no longer be judged must not be kept.
+func TestAnsweredAndOldLossesAreDiscarded(t *testing.T) {
+	start := time.Unix(1000, 0)
+	one, two := Digest{1}, Digest{2}
+	detector := NewCrashDetector()
+	if !detector.ConnectionLost("i-1", one, start, start) {
+		t.Error("first loss: no check is due, want one")
+	}
+	if detector.ConnectionLost("i-1", two, start, start) {
+		t.Error("second loss while the server is checked: another check is due, want none")
+	}
+	detector.RequestAnswered(one, start)
+	if got := detector.ServerDown("i-1", start); len(got) != 1 || got[0].Digest != two {
+		t.Errorf("got crashes %+v, want one of the request that was not answered", got)
+	}
+	detector.ConnectionLost("i-2", one, start, start)
+	detector.RequestAnswered(two, start.Add(crashConfirmWindow+1))
+	if !detector.Empty() {
+		t.Error("an old loss is kept")
+	}
+}
--- a/coordination/poison/model_test.go
+++ b/coordination/poison/model_test.go
@@ -162,7 +162,7 @@
 		delete(s.running, r)
 		d.detector.ServerAnswered(s.name(i))
 		if !m.earlier {
-			d.detector.RequestAnswered(digest)
+			d.detector.RequestAnswered(digest, m.now)
 		}
 		m.clear(d, digest)
 	})
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -134,7 +134,7 @@
 	defer c.mu.Unlock()
 	c.detector.ServerAnswered(server)
 	if !c.detector.Empty() {
-		c.detector.RequestAnswered(req.digest())
+		c.detector.RequestAnswered(req.digest(), now)
 	}
 	if c.tracker.Empty() {
 		return
