Count the time before a dispatch is read against its deadline

Cause: a holder counted the time that remains from when it read a call. One that had been paused for less than its lease began queued requests after the deadline, when their units of a limit may have been released.

Change: a dispatch carries the latest time that the holder's clock may have shown when it was sent. The estimate errs by the time that the connection took to open, and never takes time from a request that was read at once. Clock returns both bounds; that of keyed dispatches is as before.

TestTimeBeforeReadingCountsAgainstDeadline fails without the subtraction, and TestClockBoundsEnclosePeersClock without the lag (seen).

--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -35,17 +35,20 @@
 // request has a key, the attempt is sent again to the same incarnation when its
 // connection is lost. The holder runs the attempt only once.
 func (d *Daemon) dispatchToHolder(ctx context.Context, holder membership.Member, in *wire.Dispatch, req *request.Request) (*wire.RunReply, error) {
-	if req.Key == "" {
-		return peer.CallWithGrace[wire.RunReply](ctx, d.peerClient, holder.Peer, wire.TypeDispatch, in, settleTimeoutOf(req))
-	}
-	sent, err := d.peerClient.Clock(ctx, holder.Peer)
+	clock, err := d.peerClient.Clock(ctx, holder.Peer)
 	if err != nil {
 		return nil, err
 	}
-	in.AttemptID, in.SentAt = rand.Text(), sent
+	read := time.Now()
+	if req.Key == "" {
+		in.Request, in.SentBefore = wire.NewRequest(req, read), clock.Latest
+		return peer.CallWithGrace[wire.RunReply](ctx, d.peerClient, holder.Peer, wire.TypeDispatch, in, settleTimeoutOf(req))
+	}
+	in.AttemptID, in.SentAt = rand.Text(), clock.Earliest
 	var lost error
 	for range 1 + maxResends {
-		in.Request = wire.NewRequest(req, time.Now())
+		now := time.Now()
+		in.Request, in.SentBefore = wire.NewRequest(req, now), clock.Latest+now.Sub(read)
 		out, err := peer.CallWithGrace[wire.RunReply](ctx, d.peerClient, holder.Peer, wire.TypeDispatch, in, settleTimeoutOf(req))
 		if err == nil {
 			return out, nil
@@ -67,7 +70,7 @@
 // answerDispatch runs a request that a peer has sent to this daemon as the
 // holder of an upstream.
 func (d *Daemon) answerDispatch(ctx context.Context, _ string, in *wire.Dispatch) (*wire.RunReply, error) {
-	answer := d.dispatchAttempt(ctx, in, in.Request.ToRequest(time.Now()))
+	answer := d.dispatchAttempt(ctx, in, in.ToRequest(d.peerServer.Clock(), time.Now()))
 	load := d.heldUpstreams.load(in.Upstream)
 	return &wire.RunReply{Answer: answer, Load: wire.Load{
 		InUse: load.InUse, Waiting: load.Waiting, MeanServiceTime: load.ServiceTime, Warm: load.Connected, Unreachable: load.Failing,
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -94,10 +94,25 @@
 	// SentAt is the sender's estimate of the time since the receiver started, just
 	// before the first copy was sent. It is never ahead of the receiver's clock.
 	SentAt time.Duration `cbor:"sent,omitempty"`
+	// SentBefore is the sender's estimate of the time since the receiver started,
+	// just before this copy was sent. It is never behind the receiver's clock. It is 0
+	// if the sender gives none.
+	SentBefore time.Duration `cbor:"sentb,omitempty"`
 	// Resent says that the receiver may already have an earlier copy.
 	Resent bool `cbor:"again,omitempty"`
 }
 
+// ToRequest converts the request of a dispatch that was read at the given time, when
+// the receiver's clock showed clock. The time that the dispatch waited to be read, as
+// at a receiver that was paused, is gone from the time until the deadline.
+func (d *Dispatch) ToRequest(clock time.Duration, now time.Time) *request.Request {
+	req := d.Request.ToRequest(now)
+	if waited := clock - d.SentBefore; d.SentBefore > 0 && waited > 0 {
+		req.Deadline = req.Deadline.Add(-waited)
+	}
+	return req
+}
+
 // Rank returns the rank of the request.
 func (r *Run) Rank() request.Rank { return r.Request.Request.Rank }
 
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -104,16 +104,15 @@
 	}
 }
 
-// Clock estimates the clock of the peer at addr. The estimate is never ahead of
-// the peer's clock; it lags by at most the time that the connection took to open.
-// Clock opens a connection if there is none, and returns an error that wraps
-// ErrNotSent if that fails.
-func (c *Client) Clock(ctx context.Context, addr netip.AddrPort) (time.Duration, error) {
+// Clock returns the bounds of the clock of the peer at addr, which differ by the time
+// that the connection took to open. Clock opens a connection if there is none, and
+// returns an error that wraps ErrNotSent if that fails.
+func (c *Client) Clock(ctx context.Context, addr netip.AddrPort) (ClockBounds, error) {
 	conn, err := c.connect(ctx, addr)
 	if err != nil {
-		return 0, fmt.Errorf("%w: %w", ErrNotSent, err)
+		return ClockBounds{}, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return conn.clock.estimate(time.Now()), nil
+	return conn.clock.bounds(time.Now()), nil
 }
 
 // Disconnect closes the connection to addr, so that the next call opens a new one.
@@ -159,6 +158,7 @@
 	defer context.AfterFunc(c.closing, cancel)()
 	header := http.Header{}
 	header.Set(HeaderAuth, c.auth.Token(time.Now()))
+	began := time.Now()
 	ws, resp, err := websocket.Dial(ctx, "ws://"+addr.String()+Path, &websocket.DialOptions{
 		HTTPClient:      c.http,
 		HTTPHeader:      header,
@@ -167,7 +167,7 @@
 	if err != nil {
 		return nil, clockReading{}, fmt.Errorf("dial peer %s: %w", addr, err)
 	}
-	clock, err := parseClock(resp, time.Now())
+	clock, err := parseClock(resp, began, time.Now())
 	if err != nil {
 		_ = ws.CloseNow()
 		return nil, clockReading{}, fmt.Errorf("dial peer %s: %w", addr, err)
