--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -26,6 +26,8 @@
 	CrashTTL = 10 * time.Minute
 	// maxRequests bounds the number of tracked requests.
 	maxRequests = 10_000
+	// maxServers bounds the number of servers whose crashes are remembered.
+	maxServers = 10_000
 )
 
 // Digest identifies a request by its service and content.
@@ -132,7 +134,7 @@
 		expires = latest
 	}
 	crashes[c.ID] = crashState{began: c.Began, at: at, expires: expires, cleared: cleared}
-	if _, known := t.servers[c.ID]; !known {
+	if _, known := t.servers[c.ID]; !known && len(t.servers) < maxServers {
 		t.servers[c.ID] = at
 	}
 	return true
