Accept no answer whose status line is not of HTTP/1

Cause: http.ReadResponse takes any three digits as a status and any version, and nothing checked them. 600 and 999 were passed on to clients, HTTP/2.0 200 counted as success, and 000 made net/http refuse the status and close the client's connection; the own interface told its callers done (MIXED).

Ruled out: passing such an answer on as 502 of the server, since the bytes belong to no protocol, and trusting its promise that nothing ran.

Change: internal/httpstatus says what a status line of HTTP/1 is; both clients of backend servers ask it. Any other answer is lost, its connection closed.

--- a/standin/proofs/answers_test.go
+++ b/standin/proofs/answers_test.go
@@ -142,6 +142,9 @@
 		"broken chunk":      responseHead + "Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n",
 		"shed with 200":     responseHead + "Tiller-Shed: true\r\nContent-Length: 0\r\n\r\n",
 		"not HTTP":          "nonsense\r\n\r\n",
+		"status 000":        strings.Replace(responseHead, "200", "000", 1) + "Content-Length: 0\r\n\r\n",
+		"status 999":        strings.Replace(responseHead, "200", "999", 1) + "Content-Length: 0\r\n\r\n",
+		"HTTP/2.0":          strings.Replace(responseHead, "HTTP/1.1", "HTTP/2.0", 1) + "Content-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := rawbackend.Start(t, answer)
--- a/transport/backendhttp/client.go
+++ b/transport/backendhttp/client.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"bilberrytiller.example/tiller/internal/httplimit"
+	"bilberrytiller.example/tiller/internal/httpstatus"
 	"bilberrytiller.example/tiller/protocol/backendapi"
 	"bilberrytiller.example/tiller/state/request"
 )
@@ -288,6 +289,9 @@
 }
 
 func parseAnswer(req *request.Request, resp *http.Response) request.Answer {
+	if err := httpstatus.Check(resp); err != nil {
+		return request.UnknownAnswer(request.ReasonBadAnswer, err.Error())
+	}
 	if err := checkRequestID(req, resp); err != nil {
 		return request.UnknownAnswer(request.ReasonBadAnswer, err.Error())
 	}
--- a/transport/upstreamhttp/conn.go
+++ b/transport/upstreamhttp/conn.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"bilberrytiller.example/tiller/coordination/upstream"
+	"bilberrytiller.example/tiller/internal/httpstatus"
 )
 
 const (
@@ -161,7 +162,10 @@
 		if err := c.head.end(err); err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if err := httpstatus.Check(resp); err != nil {
+			return nil, fmt.Errorf("read answer: %w", err)
+		}
+		if httpstatus.IsInterim(resp) {
 			continue
 		}
 		if matches(n, r, resp) {
