Keep room for urgent ranks in proportion to what they send

Ruled out: leaving the decision out where one rank has most requests, as the others then wait behind it.

Tests seen red without either condition.

--- a/coordination/overload/overload.go
+++ b/coordination/overload/overload.go
@@ -31,6 +31,9 @@
 	// is open to a first attempt. The rest keeps a request that was refused once
 	// from being refused again.
 	firstAttemptShare = 0.85
+	// fullDemand is the fraction of all requests from which a rank has all that is kept
+	// for it. Less is kept for one that sends fewer.
+	fullDemand = 0.25
 	// reservedStep is the fraction of the slots that is kept, while the server has
 	// no room for all, from each rank for the more urgent ones.
 	reservedStep = 0.25
@@ -111,6 +114,9 @@
 	// ClientTimeLeft is the time until the client gives up. It is TimeLeft or
 	// more.
 	ClientTimeLeft time.Duration
+	// Demand holds the fraction of all requests that each rank sends, the most urgent
+	// first, or nothing if it is not known.
+	Demand []float64
 	// Returning is set if the request was refused before.
 	Returning bool
 	// BelowMinimum is set if the rank is served less than its guaranteed minimum.
@@ -217,7 +223,8 @@
 	if r.BelowMinimum {
 		position = 0
 	}
-	share := math.Pow(rankShare, float64(position))
+	ahead := r.ahead(position)
+	share := math.Pow(rankShare, ahead)
 	if !r.Returning {
 		share *= firstAttemptShare
 	}
@@ -230,7 +237,7 @@
 			queue = min(queue, spare.Seconds()/s.ServiceTime.Seconds())
 		}
 	}
-	reserved := float64(position)
+	reserved := ahead
 	if late && !r.Returning {
 		share *= lateShare
 		reserved++
@@ -242,6 +249,20 @@
 	return float64(s.Slots) * (maxRequestsPerSlot + (tight-maxRequestsPerSlot)*s.pressure())
 }
 
+// ahead returns the number of ranks that are more urgent than the one at a position. One
+// that sends few requests counts in part.
+func (r Request) ahead(position int) float64 {
+	ahead := 0.0
+	for i := range position {
+		if i >= len(r.Demand) {
+			ahead++
+			continue
+		}
+		ahead += min(1, r.Demand[i]/fullDemand)
+	}
+	return ahead
+}
+
 // isCostly reports whether the work on the request takes the place of that on
 // several others: its object is cold at the server, and the others nearby are full
 // too. It is borne for the most urgent requests that end in time.
--- a/coordination/overload/overload_test.go
+++ b/coordination/overload/overload_test.go
@@ -205,3 +205,37 @@
 		t.Error("refusals of a minute ago still count")
 	}
 }
+
+// TestRareUrgentRankKeepsLittleRoom guards against room that is kept for an urgent rank
+// which hardly sends any requests, while less urgent ones are refused.
+func TestRareUrgentRankKeepsLittleRoom(t *testing.T) {
+	s := serverWith(5, 1.2)
+	r := firstAttempt(2)
+	if d := threeRanks().Decide(r, s, 0.5); d.Action == Send {
+		t.Fatalf("unknown demand: %+v, want room kept for the urgent rank", d)
+	}
+	r.Demand = []float64{0.4, 0.3, 0.3}
+	if d := threeRanks().Decide(r, s, 0.5); d.Action == Send {
+		t.Errorf("four in ten requests are urgent: %+v, want room kept for them", d)
+	}
+	r.Demand = []float64{0.006, 0.4, 0.594}
+	if d := threeRanks().Decide(r, s, 0.5); d.Action != Send {
+		t.Errorf("six in a thousand requests are urgent: %+v, want the request sent", d)
+	}
+}
+
+// TestDemandIsKnownFromSomeRequests guards against fractions of a few requests.
+func TestDemandIsKnownFromSomeRequests(t *testing.T) {
+	var s Shares
+	now := time.Unix(1000, 0)
+	for i := range 9 {
+		s.Record(i%3, 3, i%2 == 0, now)
+	}
+	if got := s.Demand(3, now); got != nil {
+		t.Errorf("demand is %v after 9 requests, want unknown", got)
+	}
+	s.Record(0, 3, false, now)
+	if got := s.Demand(3, now); !slices.Equal(got, []float64{0.4, 0.3, 0.3}) {
+		t.Errorf("demand is %v, want 0.4, 0.3 and 0.3", got)
+	}
+}
--- a/coordination/overload/shares.go
+++ b/coordination/overload/shares.go
@@ -14,6 +14,9 @@
 	// minCounted is the least number of requests of a rank from which its share
 	// is known.
 	minCounted = 2.0
+	// minOffered is the least number of requests of all ranks from which the fraction of
+	// each is known.
+	minOffered = 10.0
 )
 
 // Shares counts which share of the requests of each rank is sent. The zero value
@@ -47,6 +50,24 @@
 	}
 }
 
+// Demand returns the fraction of all requests that was offered at each position, or
+// nothing if there were too few.
+func (s *Shares) Demand(positions int, now time.Time) []float64 {
+	s.decay(positions, now)
+	total := 0.0
+	for _, offered := range s.offered {
+		total += offered
+	}
+	if total < minOffered {
+		return nil
+	}
+	demand := make([]float64, len(s.offered))
+	for i, offered := range s.offered {
+		demand[i] = offered / total
+	}
+	return demand
+}
+
 // BelowMinimum reports whether the requests at a position are sent less than the
 // guaranteed minimum.
 func (s *Shares) BelowMinimum(position, positions int, now time.Time) bool {
