Follow a store that is restored from an older copy

Cause: the store's revisions go back and are given out again, and the feed, the relays and the caches refused everything until the revision had passed the old one; seen with real processes, a version acknowledged after the restoration was in force on no machine 5 s later.

The era that the store tells in all its answers now goes with each revision: in the cache, its history, lists and watches, and the calls and replies of the relays. - A watch answered in a later era, or from a position of an earlier one, leads to a new list, also if the store has the revision again. Metric store_era.

Tests: signatures of the existing ones follow the new types.

--- a/coordination/objects/cache.go
+++ b/coordination/objects/cache.go
@@ -24,19 +24,20 @@
 type kind struct {
 	objects map[string]Object
 	events  []change
-	// eventsAfter is the revision after which all events are retained.
-	eventsAfter, revision int64
+	// eventsAfter is the position after which all events are retained. It is of the
+	// same era as position.
+	eventsAfter, position Position
 	// confirmed is the latest time at which the store is known to have held
 	// exactly this state.
 	confirmed time.Time
 }
 
-// change is an event and the store's revision up to which the cache had advanced
+// change is an event and the store's position up to which the cache had advanced
 // when it applied the event. The revision of the event's object cannot be used
 // instead, since in a deletion it is that of the object's last change before.
 type change struct {
-	event         Event
-	storeRevision int64
+	event Event
+	at    Position
 }
 
 // NewCache returns an empty cache.
@@ -44,16 +45,16 @@
 	return &Cache{kinds: map[string]*kind{}, updated: make(chan struct{})}
 }
 
-// Revision returns the revision of a kind's cached state, or false if the kind
+// Position returns the position of a kind's cached state, or false if the kind
 // is not cached.
-func (c *Cache) Revision(name string) (int64, bool) {
+func (c *Cache) Position(name string) (Position, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.kinds[name]
 	if k == nil {
-		return 0, false
+		return Position{}, false
 	}
-	return k.revision, true
+	return k.position, true
 }
 
 // Age returns how long ago the store was known to hold a kind's cached state,
@@ -68,15 +69,15 @@
 	return now.Sub(k.confirmed), true
 }
 
-// Replace replaces the cached state of a kind. It returns false and changes
-// nothing if the list is older than the cached state.
-func (c *Cache) Replace(name string, all []Object, revision int64, confirmed time.Time) bool {
+// Replace replaces the cached state of a kind by a list at a position. It returns
+// false and changes nothing if the list is older than the cached state.
+func (c *Cache) Replace(name string, all []Object, at Position, confirmed time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if old := c.kinds[name]; old != nil && revision < old.revision {
+	if old := c.kinds[name]; old != nil && at.Before(old.position) {
 		return false
 	}
-	k := &kind{objects: make(map[string]Object, len(all)), eventsAfter: revision, revision: revision, confirmed: confirmed}
+	k := &kind{objects: make(map[string]Object, len(all)), eventsAfter: at, position: at, confirmed: confirmed}
 	if old := c.kinds[name]; old != nil && old.confirmed.After(confirmed) {
 		k.confirmed = old.confirmed
 	}
@@ -88,35 +89,37 @@
 	return true
 }
 
-// Apply applies the changes between two revisions. It returns false and changes
-// nothing if the cached state is not at revision from.
-func (c *Cache) Apply(name string, events []Event, from, to int64, confirmed time.Time) bool {
+// Apply applies the changes between two positions of one era. It returns false and
+// changes nothing if the cached state is not at position from.
+func (c *Cache) Apply(name string, events []Event, from, to Position, confirmed time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.kinds[name]
-	if k == nil || k.revision != from {
+	if k == nil || k.position != from || to.Era != from.Era {
 		return false
 	}
 	if confirmed.After(k.confirmed) {
 		k.confirmed = confirmed
 	}
-	k.revision = max(k.revision, to)
+	if to.After(k.position) {
+		k.position = to
+	}
 	for _, e := range events {
-		k.apply(e, k.revision)
+		k.apply(e)
 	}
 	c.notify()
 	return true
 }
 
-func (k *kind) apply(e Event, storeRevision int64) {
+func (k *kind) apply(e Event) {
 	if e.Deleted {
 		delete(k.objects, e.Object.Name)
 	} else {
 		k.objects[e.Object.Name] = e.Object
 	}
-	k.events = append(k.events, change{e, storeRevision})
+	k.events = append(k.events, change{e, k.position})
 	if excess := len(k.events) - maxEvents; excess > 0 {
-		k.eventsAfter = k.events[excess-1].storeRevision
+		k.eventsAfter = k.events[excess-1].at
 		k.events = slices.Delete(k.events, 0, excess)
 	}
 }
@@ -134,43 +137,46 @@
 	return c.updated
 }
 
-// List returns all objects of a kind, sorted by name, and the revision of the
+// List returns all objects of a kind, sorted by name, and the position of the
 // list.
-func (c *Cache) List(name string) ([]Object, int64, error) {
+func (c *Cache) List(name string) ([]Object, Position, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.kinds[name]
 	if k == nil {
-		return nil, 0, ErrUnknownKind
+		return nil, Position{}, ErrUnknownKind
 	}
 	all := make([]Object, 0, len(k.objects))
 	for _, o := range k.objects {
 		all = append(all, o)
 	}
 	slices.SortFunc(all, func(a, b Object) int { return strings.Compare(a.Name, b.Name) })
-	return all, k.revision, nil
+	return all, k.position, nil
 }
 
-// ChangesSince returns the changes of a kind after a revision, and the revision
-// up to which they reach. It returns ErrHistoryGone if some of them are no
-// longer retained.
-func (c *Cache) ChangesSince(name string, revision int64) ([]Event, int64, error) {
+// ChangesSince returns the changes of a kind after a position, and the position up
+// to which they reach. It returns ErrHistoryGone if some of them are no longer
+// retained, which is also so for a position of an earlier era, and ErrOlderEra if
+// the position is of a later era than the cached state.
+func (c *Cache) ChangesSince(name string, after Position) ([]Event, Position, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.kinds[name]
 	switch {
 	case k == nil:
-		return nil, 0, ErrUnknownKind
-	case revision < k.eventsAfter:
-		return nil, 0, ErrHistoryGone
-	case revision >= k.revision:
-		return nil, revision, nil
+		return nil, Position{}, ErrUnknownKind
+	case after.Era > k.position.Era:
+		return nil, k.position, ErrOlderEra
+	case after.Before(k.eventsAfter):
+		return nil, Position{}, ErrHistoryGone
+	case !after.Before(k.position):
+		return nil, after, nil
 	}
 	var events []Event
 	for _, applied := range k.events {
-		if applied.storeRevision > revision {
+		if applied.at.After(after) {
 			events = append(events, applied.event)
 		}
 	}
-	return events, k.revision, nil
+	return events, k.position, nil
 }
--- a/coordination/objects/objects.go
+++ b/coordination/objects/objects.go
@@ -18,6 +18,9 @@
 	ErrConflict = errors.New("conflict")
 	// ErrUnavailable means that the store did not carry out the operation.
 	ErrUnavailable = errors.New("store is unavailable")
+	// ErrOlderEra means that data is of an earlier era of the store than what is
+	// known already. It counts for nothing.
+	ErrOlderEra = errors.New("data is of an earlier era of the store")
 	// ErrUnknownKind means that the cache has no state of a kind yet.
 	ErrUnknownKind = errors.New("kind is not cached yet")
 )
--- a/coordination/relay/members.go
+++ b/coordination/relay/members.go
@@ -1,6 +1,10 @@
 package relay
 
-import "time"
+import (
+	"time"
+
+	"bilberrytiller.example/tiller/coordination/objects"
+)
 
 // ExpiryTracker finds daemon entries that are no longer renewed. It is not safe
 // for concurrent use.
@@ -10,9 +14,9 @@
 	renewals map[string]renewal
 }
 
-// renewal is the last observed change of an entry, identified by its revision.
+// renewal is the last observed change of an entry, identified by its position.
 type renewal struct {
-	revision int64
+	position objects.Position
 	at       time.Time
 }
 
@@ -22,12 +26,13 @@
 	return &ExpiryTracker{ttl: ttl, renewals: map[string]renewal{}}
 }
 
-// Observe records the revision of an entry. A new revision counts as a renewal.
-func (t *ExpiryTracker) Observe(id string, revision int64, now time.Time) {
-	if old, ok := t.renewals[id]; ok && old.revision == revision {
+// Observe records the position of an entry's last change. A new position counts as
+// a renewal; so does a new era, since the store may have lost the renewals before.
+func (t *ExpiryTracker) Observe(id string, position objects.Position, now time.Time) {
+	if old, ok := t.renewals[id]; ok && old.position == position {
 		return
 	}
-	t.renewals[id] = renewal{revision, now}
+	t.renewals[id] = renewal{position, now}
 }
 
 // Remove removes an entry from the tracker.
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"bilberrytiller.example/tiller/coordination/objects"
 )
 
 var now = time.Unix(1000, 0)
@@ -128,13 +130,24 @@
 
 func TestEntriesWithoutRenewalExpire(t *testing.T) {
 	tracker := NewExpiryTracker(time.Minute)
-	tracker.Observe("a", 1, now)
-	tracker.Observe("b", 2, now)
-	tracker.Observe("c", 3, now)
+	tracker.Observe("a", objects.Position{Revision: 1}, now)
+	tracker.Observe("b", objects.Position{Revision: 2}, now)
+	tracker.Observe("c", objects.Position{Revision: 3}, now)
 	tracker.Remove("c")
-	tracker.Observe("b", 4, now.Add(50*time.Second))
-	tracker.Observe("a", 1, now.Add(50*time.Second))
+	tracker.Observe("b", objects.Position{Revision: 4}, now.Add(50*time.Second))
+	tracker.Observe("a", objects.Position{Revision: 1}, now.Add(50*time.Second))
 	if got := tracker.Expired(now.Add(70 * time.Second)); !slices.Equal(got, []string{"a"}) {
 		t.Errorf("%v expired, want [a]", got)
 	}
 }
+
+// TestNewEraCountsAsRenewal guards against a daemon whose entry is deleted since the
+// store, restored from an older copy, lost its renewals.
+func TestNewEraCountsAsRenewal(t *testing.T) {
+	tracker := NewExpiryTracker(time.Minute)
+	tracker.Observe("a", objects.Position{Revision: 4}, now)
+	tracker.Observe("a", objects.Position{Era: 1, Revision: 4}, now.Add(50*time.Second))
+	if got := tracker.Expired(now.Add(70 * time.Second)); len(got) > 0 {
+		t.Errorf("%v expired 20 s into the new era", got)
+	}
+}
--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -2,7 +2,7 @@
 //
 // The objects come from the store, by a list followed by watches, or through a
 // relay, another daemon that already has them. The replica survives an outage
-// of the store, and it never returns to an older revision.
+// of the store, and it never returns to an older position.
 package feed
 
 import (
@@ -19,11 +19,12 @@
 
 // Store is the source of the objects.
 type Store interface {
-	// List returns all objects of a kind and the revision to watch from.
-	List(ctx context.Context, kind string) ([]objects.Object, int64, error)
-	// Watch returns the changes of a kind after a revision, and the revision to
-	// continue from. It waits up to wait for a change.
-	Watch(ctx context.Context, kind string, revision int64, wait time.Duration) ([]objects.Event, int64, error)
+	// List returns all objects of a kind and the position to watch from.
+	List(ctx context.Context, kind string) ([]objects.Object, objects.Position, error)
+	// Watch returns the changes of a kind after a position, and the position to
+	// continue from, which is of the same era. It waits up to wait for a change. The
+	// error wraps objects.ErrHistoryGone if the store is in a later era.
+	Watch(ctx context.Context, kind string, after objects.Position, wait time.Duration) ([]objects.Event, objects.Position, error)
 }
 
 // Subscription describes a kind of objects to follow and the callbacks that
@@ -36,10 +37,11 @@
 	// MaxWatchTimeout is the longest time that a watch waits for a change. The wait
 	// is shorter if MaxAge requires it.
 	MaxWatchTimeout time.Duration
-	// OnList receives all objects of the kind.
-	OnList func(all []objects.Object)
-	// OnEvent receives a single change.
-	OnEvent func(e objects.Event)
+	// OnList receives all objects of the kind and the position of the list, whose era
+	// is never earlier than that of the last one.
+	OnList func(all []objects.Object, at objects.Position)
+	// OnEvent receives a single change and the position up to which it is one.
+	OnEvent func(e objects.Event, at objects.Position)
 	// OnStoreUnavailable and OnStoreAvailable are called when the store stops
 	// answering and when it answers again, or a relay takes over. Both may be
 	// nil.
@@ -119,16 +121,16 @@
 }
 
 // apply applies a list or a set of changes to the cache and passes it to the
-// subscription. The parameters from and to are the revisions before and after the
-// changes, or to alone is the revision of the list; confirmed is when the data
-// matched the store. Data that does not follow on from the cached revision is
+// subscription. The parameters from and to are the positions before and after the
+// changes, or to alone is the position of the list; confirmed is when the data
+// matched the store. Data that does not follow on from the cached position is
 // ignored.
-func (r *Replica) apply(sub Subscription, full bool, all []objects.Object, events []objects.Event, from, to int64, confirmed time.Time) {
+func (r *Replica) apply(sub Subscription, full bool, all []objects.Object, events []objects.Event, from, to objects.Position, confirmed time.Time) {
 	r.applyMu.Lock()
 	defer r.applyMu.Unlock()
 	if full {
 		if r.cache.Replace(sub.Kind, all, to, confirmed) {
-			sub.OnList(all)
+			sub.OnList(all, to)
 		}
 		return
 	}
@@ -136,7 +138,7 @@
 		return
 	}
 	for _, e := range events {
-		sub.OnEvent(e)
+		sub.OnEvent(e, to)
 	}
 }
 
--- a/gateway/feed/feed_test.go
+++ b/gateway/feed/feed_test.go
@@ -26,6 +26,7 @@
 // some daemons, slow, or without its history.
 type fakeStore struct {
 	mu          sync.Mutex
+	era         int64
 	revision    int64
 	objects     map[string]objects.Object
 	events      []objects.Event
@@ -98,9 +99,9 @@
 	}
 }
 
-func (c *storeClient) List(ctx context.Context, kind string) ([]objects.Object, int64, error) {
+func (c *storeClient) List(ctx context.Context, kind string) ([]objects.Object, objects.Position, error) {
 	if err := c.respond(ctx); err != nil {
-		return nil, 0, err
+		return nil, objects.Position{}, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -110,32 +111,33 @@
 			all = append(all, o)
 		}
 	}
-	return all, c.revision, nil
+	return all, objects.Position{Era: c.era, Revision: c.revision}, nil
 }
 
-func (c *storeClient) Watch(ctx context.Context, kind string, revision int64, wait time.Duration) ([]objects.Event, int64, error) {
+func (c *storeClient) Watch(ctx context.Context, kind string, after objects.Position, wait time.Duration) ([]objects.Event, objects.Position, error) {
 	end := time.Now().Add(wait)
 	for {
 		if err := c.respond(ctx); err != nil {
-			return nil, 0, err
+			return nil, objects.Position{}, err
 		}
 		c.mu.Lock()
 		c.calls--
 		if c.partitioned && c.silent {
 			c.mu.Unlock()
 			time.Sleep(time.Until(end) + watchSlack)
-			return nil, 0, errUnreachable
+			return nil, objects.Position{}, errUnreachable
 		}
-		events, at, compacted := c.eventsAfter(kind, revision)
+		events, at, compacted := c.eventsAfter(kind, after.Revision)
+		era := c.era
 		c.mu.Unlock()
-		if compacted {
-			return nil, 0, objects.ErrHistoryGone
+		if compacted || era != after.Era {
+			return nil, objects.Position{}, objects.ErrHistoryGone
 		}
 		if len(events) > 0 || !time.Now().Before(end) || ctx.Err() != nil {
 			c.mu.Lock()
 			c.calls++
 			c.mu.Unlock()
-			return events, at, ctx.Err()
+			return events, objects.Position{Era: era, Revision: at}, ctx.Err()
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -171,7 +173,7 @@
 func watchedKind(kind string, watchTimeout time.Duration) Subscription {
 	return Subscription{
 		Kind: kind, MaxAge: watchTimeout + time.Second, MaxWatchTimeout: watchTimeout,
-		OnList: func([]objects.Object) {}, OnEvent: func(objects.Event) {},
+		OnList: func([]objects.Object, objects.Position) {}, OnEvent: func(objects.Event, objects.Position) {},
 	}
 }
 
@@ -473,7 +475,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		fleet.done.Go(func() { replica.Run(ctx) })
 		time.Sleep(5 * time.Second)
-		if _, known := replica.cache.Revision(changingKind); !known {
+		if _, known := replica.cache.Position(changingKind); !known {
 			t.Error("a daemon started during an outage got no objects from its seed")
 		}
 		cancel()
--- a/gateway/feed/follow.go
+++ b/gateway/feed/follow.go
@@ -105,7 +105,7 @@
 // fetch lists the kind, or watches it once: for a while if the last call
 // succeeded, else only for the changes that the store has already.
 func (w *watcher) fetch(ctx context.Context) error {
-	from, hasCopy := w.replica.cache.Revision(w.sub.Kind)
+	from, hasCopy := w.replica.cache.Position(w.sub.Kind)
 	if !hasCopy || !w.listed {
 		return w.list(ctx, from)
 	}
@@ -121,16 +121,17 @@
 	return nil
 }
 
-func (w *watcher) list(ctx context.Context, knownRevision int64) error {
+func (w *watcher) list(ctx context.Context, known objects.Position) error {
 	sent := time.Now()
-	all, revision, err := w.replica.store.List(ctx, w.sub.Kind)
+	all, at, err := w.replica.store.List(ctx, w.sub.Kind)
 	if err != nil {
 		return err
 	}
-	if revision < knownRevision {
-		return fmt.Errorf("%w: listed revision %d is older than cached revision %d", objects.ErrUnavailable, revision, knownRevision)
+	if at.Before(known) {
+		return fmt.Errorf("%w: listed era %d, revision %d is older than cached era %d, revision %d",
+			objects.ErrUnavailable, at.Era, at.Revision, known.Era, known.Revision)
 	}
-	w.replica.apply(w.sub, true, all, nil, 0, revision, sent)
+	w.replica.apply(w.sub, true, all, nil, objects.Position{}, at, sent)
 	w.listed = true
 	return nil
 }
--- a/gateway/feed/relay.go
+++ b/gateway/feed/relay.go
@@ -98,7 +98,8 @@
 // waited for it.
 func hasNews(call *wire.ObjectsCall, reply *wire.ObjectsReply, waited time.Duration) bool {
 	for i, k := range reply.Kinds {
-		if k.Full || k.Unknown || len(k.Events) > 0 || call.Kinds[i].Age+waited >= k.Age+relayPollTimeout {
+		isBehind := k.Era < call.Kinds[i].Era
+		if k.Full || k.Unknown || isBehind || len(k.Events) > 0 || call.Kinds[i].Age+waited >= k.Age+relayPollTimeout {
 			return true
 		}
 	}
@@ -113,15 +114,24 @@
 		return reply
 	}
 	reply.Age, reply.Unconfirmed = age, r.isUnconfirmed(k.Kind)
-	var err error
+	at, _ := r.cache.Position(k.Kind)
+	after := objects.Position{Era: k.Era, Revision: k.Revision}
+	if !k.HasEra {
+		// With era 0, such a caller would get the whole list with each reply.
+		after.Era = at.Era
+	}
+	err := objects.ErrHistoryGone
 	if k.HasRevision {
-		reply.Events, reply.Revision, err = r.cache.ChangesSince(k.Kind, k.Revision)
+		reply.Events, at, err = r.cache.ChangesSince(k.Kind, after)
 	}
-	if !k.HasRevision || err != nil {
+	switch {
+	case errors.Is(err, objects.ErrOlderEra):
+		err = nil
+	case err != nil:
 		reply.Full = true
-		reply.Objects, reply.Revision, err = r.cache.List(k.Kind)
+		reply.Objects, at, err = r.cache.List(k.Kind)
 	}
-	reply.Unknown = err != nil
+	reply.Era, reply.Revision, reply.Unknown = at.Era, at.Revision, err != nil
 	return reply
 }
 
@@ -231,7 +241,7 @@
 
 func (r *Replica) hasAllKinds() bool {
 	for _, sub := range r.subscriptions {
-		if _, known := r.cache.Revision(sub.Kind); !known {
+		if _, known := r.cache.Position(sub.Kind); !known {
 			return false
 		}
 	}
@@ -250,9 +260,9 @@
 	defer cancel()
 	call := &wire.ObjectsCall{Wait: relayPollTimeout, Failures: r.failures.subtreeTotal(time.Now())}
 	for _, sub := range r.subscriptions {
-		revision, known := r.cache.Revision(sub.Kind)
+		at, known := r.cache.Position(sub.Kind)
 		age, _ := r.cache.Age(sub.Kind, time.Now())
-		call.Kinds = append(call.Kinds, wire.KindCall{Kind: sub.Kind, Revision: revision, HasRevision: known, Age: age})
+		call.Kinds = append(call.Kinds, wire.KindCall{Kind: sub.Kind, Era: at.Era, HasEra: true, Revision: at.Revision, HasRevision: known, Age: age})
 	}
 	reply, err := r.call(ctx, addr, call)
 	if err != nil {
@@ -277,11 +287,12 @@
 			errs = append(errs, fmt.Errorf("%w: kind %s", objects.ErrUnknownKind, k.Kind))
 			continue
 		}
-		r.apply(sub, k.Full, k.Objects, k.Events, call.Kinds[i].Revision, k.Revision, time.Now().Add(-k.Age))
+		from := objects.Position{Era: call.Kinds[i].Era, Revision: call.Kinds[i].Revision}
+		r.apply(sub, k.Full, k.Objects, k.Events, from, objects.Position{Era: k.Era, Revision: k.Revision}, time.Now().Add(-k.Age))
 		if !isRelay {
 			continue
 		}
-		err := checkFresh(sub, k)
+		err := r.checkFresh(sub, k)
 		r.setSupplied(sub.Kind, err == nil)
 		errs = append(errs, err)
 	}
@@ -289,8 +300,11 @@
 }
 
 // checkFresh returns an error that wraps ErrStale if a relay's copy of a kind is
-// too old or has lost its source.
-func checkFresh(sub Subscription, k wire.KindReply) error {
+// too old, has lost its source or is of an earlier era than the daemon's own.
+func (r *Replica) checkFresh(sub Subscription, k wire.KindReply) error {
+	if own, _ := r.cache.Position(sub.Kind); k.Era < own.Era {
+		return fmt.Errorf("%w: %w: kind %s of era %d, want %d", ErrStale, objects.ErrOlderEra, k.Kind, k.Era, own.Era)
+	}
 	if k.Unconfirmed {
 		return fmt.Errorf("%w: it lost its own source of kind %s", ErrStale, k.Kind)
 	}
--- a/gateway/feed/staleness_test.go
+++ b/gateway/feed/staleness_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"bilberrytiller.example/tiller/coordination/objects"
 	"bilberrytiller.example/tiller/coordination/relay"
 )
 
@@ -93,7 +94,7 @@
 
 type madeChange struct {
 	at       time.Time
-	revision int64
+	position objects.Position
 }
 
 func playFaults(t *testing.T, seed uint64, zones []string) {
@@ -112,7 +113,7 @@
 		}
 		if p.rng.IntN(8) == 0 {
 			s.put(fmt.Sprint("o", len(p.changes)))
-			p.changes = append(p.changes, madeChange{time.Now(), s.revision})
+			p.changes = append(p.changes, madeChange{time.Now(), objects.Position{Era: s.era, Revision: s.revision}})
 		}
 		p.observeReachability()
 		p.check()
@@ -172,10 +173,10 @@
 // longer than changeBound.
 func (p *faultPlay) check() {
 	now := time.Now()
-	due := int64(0)
+	var due objects.Position
 	for _, c := range p.changes {
 		if now.Sub(c.at) > changeBound {
-			due = c.revision
+			due = c.position
 		}
 	}
 	for _, m := range p.fleet.members {
@@ -183,8 +184,8 @@
 		if since.IsZero() || now.Sub(since) < stableWindow {
 			continue
 		}
-		if got, _ := p.fleet.replica(m.Address).cache.Revision(changingKind); got < due {
-			p.t.Fatalf("%s has revision %d, want %d or later: it reaches the store since %s", m.ID, got, due, now.Sub(since))
+		if got, _ := p.fleet.replica(m.Address).cache.Position(changingKind); got.Before(due) {
+			p.t.Fatalf("%s has %v, want %v or later: it reaches the store since %s", m.ID, got, due, now.Sub(since))
 		}
 	}
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -29,6 +29,10 @@
 // Run.
 func (g *Gateway) SetConfigurationAge(age func() time.Duration) { g.configurationAge = age }
 
+// SetStoreEra sets the function that returns the era of the platform's store. It is
+// for the metrics, and must be set before Run.
+func (g *Gateway) SetStoreEra(era func() int64) { g.storeEra = era }
+
 // SetEvacuation starts or ends the evacuation of a zone.
 func (g *Gateway) SetEvacuation(zone string, on bool) {
 	g.balancer.SetEvacuated(zone, on, time.Now())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,14 +47,16 @@
 	// configurationAge returns how long ago the configuration was known to be
 	// current.
 	configurationAge func() time.Duration
-	backends         *backendRegistry
-	balancer         *upstream.Balancer
-	upstreamClient   *upstreamhttp.Client
-	retryBudget      *budget.Budget
-	crashes          *crashMonitor
-	daemons          atomic.Int64
-	peerClient       *peer.Client
-	peerServer       *peer.Server
+	// storeEra returns how often the platform's store was restored.
+	storeEra       func() int64
+	backends       *backendRegistry
+	balancer       *upstream.Balancer
+	upstreamClient *upstreamhttp.Client
+	retryBudget    *budget.Budget
+	crashes        *crashMonitor
+	daemons        atomic.Int64
+	peerClient     *peer.Client
+	peerServer     *peer.Server
 
 	clients  *clientServer
 	inFlight inflight.Counter
@@ -81,6 +83,7 @@
 		retryBudget:    budget.New(settings.RetryLimits),
 	}
 	g.configurationAge = func() time.Duration { return 0 }
+	g.storeEra = func() int64 { return 0 }
 	g.settings.Store(&settings)
 	// The platform gives daemons no shared secret; see docs/QUESTIONS.md.
 	auth := peer.NewAuth(settings.HostID, nil)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -40,6 +40,7 @@
 	m.root.Set("connections_opened", expvar.Func(func() any { return g.upstreamClient.Dials.Load() }))
 	m.root.Set("connections_reused", expvar.Func(func() any { return g.upstreamClient.Reuses.Load() }))
 	m.root.Set("latency_ms", expvar.Func(m.quantiles))
+	m.root.Set("store_era", expvar.Func(func() any { return g.storeEra() }))
 	m.root.Set("daemons", expvar.Func(func() any { return g.daemonCount() }))
 	return m
 }
--- a/protocol/wire/objects.go
+++ b/protocol/wire/objects.go
@@ -33,6 +33,10 @@
 type KindCall struct {
 	Kind     string `cbor:"k"`
 	Revision int64  `cbor:"r"`
+	// Era is the store's era of Revision. HasEra is set by daemons that know eras. The
+	// revision of another one is taken as one of the replying daemon's era.
+	Era    int64 `cbor:"e,omitempty"`
+	HasEra bool  `cbor:"h,omitempty"`
 	// HasRevision says that the calling daemon knows the kind up to Revision.
 	HasRevision bool `cbor:"n,omitempty"`
 	// Age is the time since the calling daemon's copy was last confirmed to match
@@ -59,6 +63,9 @@
 	Objects  []objects.Object `cbor:"o,omitempty"`
 	Events   []objects.Event  `cbor:"e,omitempty"`
 	Revision int64            `cbor:"r"`
+	// Era is the store's era of Revision. If it is lower than that of the call, the
+	// replying daemon has nothing to tell.
+	Era int64 `cbor:"j,omitempty"`
 	// Age is the time since the copy was last confirmed to match the store.
 	Age time.Duration `cbor:"a"`
 	// Unconfirmed says that the replying daemon has no relay, and that its last
