Play the restoration of a store from an older copy

The emulated store can be copied and restored: revisions go back and are given out again, a watch from one that it does not have gets 410, and the era, told in all answers, rises by one. Answers can be late, with the era in which they were made. Each gateway of a test cluster has its own path to the store, and the operator and the servers of a cluster can write again what was lost.

--- a/standin/objectstore/store.go
+++ b/standin/objectstore/store.go
@@ -1,6 +1,6 @@
 // Package objectstore emulates the operators' object store: kinds with
-// revisions, paged lists, watches, conditional writes, history compaction and
-// outages.
+// revisions, paged lists, watches, conditional writes, history compaction,
+// outages, and restoration from an older copy.
 package objectstore
 
 import (
@@ -33,6 +33,8 @@
 	DropWriteResponses bool `json:"lost"`
 	// SuppressEvents makes watches return no changes.
 	SuppressEvents bool `json:"deaf"`
+	// LateMs delays each answer, in milliseconds, after it was made.
+	LateMs int `json:"late_ms"`
 }
 
 // Object is the JSON form of an object.
@@ -61,20 +63,63 @@
 
 // Store is an emulated store. It is safe for concurrent use.
 type Store struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	content
+	// era is how often the store was restored from a copy.
+	era     int64
+	faults  Faults
+	calls   int64
+	changed chan struct{}
+}
+
+// content is what a copy of the store holds.
+type content struct {
 	revision int64
 	kinds    map[string]map[string]Object
 	events   []event
 	// compactedRevision is the oldest revision from which a watch can start.
 	compactedRevision int64
-	faults            Faults
-	calls             int64
-	changed           chan struct{}
 }
 
+// Copy is a copy of a store's content.
+type Copy struct{ content content }
+
 // New returns an empty store.
 func New() *Store {
-	return &Store{revision: 1, compactedRevision: 1, kinds: map[string]map[string]Object{}, changed: make(chan struct{})}
+	return &Store{content: content{revision: 1, compactedRevision: 1, kinds: map[string]map[string]Object{}}, changed: make(chan struct{})}
+}
+
+func (c content) clone() content {
+	kinds := make(map[string]map[string]Object, len(c.kinds))
+	for kind, all := range c.kinds {
+		kinds[kind] = maps.Clone(all)
+	}
+	c.kinds, c.events = kinds, slices.Clone(c.events)
+	return c
+}
+
+// Copy returns a copy of the store's content, from which Restore can restore it.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.clone()}
+}
+
+// Restore replaces the store's content by that of a copy, which begins a new era.
+// Revisions go back to that of the copy and are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.content = c.content.clone()
+	s.era++
+	s.notifyWatchers()
+}
+
+// Names returns the names of the objects of a kind, sorted.
+func (s *Store) Names(kind string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.kinds[kind]))
 }
 
 // SetFaults replaces the set of active faults.
@@ -162,24 +207,25 @@
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/objects/"), "/")
 	s.mu.Lock()
 	s.calls++
-	faults := s.faults
+	faults, era := s.faults, s.era
 	s.mu.Unlock()
 	switch {
 	case faults.Unresponsive:
 		<-r.Context().Done()
 		return
 	case faults.Down:
-		w.WriteHeader(http.StatusServiceUnavailable)
+		writeResponse(w, era, http.StatusServiceUnavailable, nil)
 		return
 	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
-		s.watch(w, r, kind)
+		s.watch(w, r, kind, time.Duration(faults.LateMs)*time.Millisecond)
 		return
 	}
-	status, body := s.handle(r, kind, name)
+	status, body, era := s.handle(r, kind, name)
+	time.Sleep(time.Duration(faults.LateMs) * time.Millisecond)
 	if faults.DropWriteResponses && r.Method != http.MethodGet {
 		panic(http.ErrAbortHandler)
 	}
-	writeResponse(w, status, body)
+	writeResponse(w, era, status, body)
 }
 
 func (s *Store) serveFaults(w http.ResponseWriter, r *http.Request) {
@@ -195,7 +241,11 @@
 // deep, which encoding/json would not write.
 const Deep = "(deeply nested value)"
 
-func writeResponse(w http.ResponseWriter, status int, body any) {
+// eraHeader is the header of all answers that holds the store's era.
+const eraHeader = "Store-Era"
+
+func writeResponse(w http.ResponseWriter, era int64, status int, body any) {
+	w.Header().Set(eraHeader, strconv.FormatInt(era, 10))
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	if body == nil {
@@ -210,9 +260,15 @@
 	_, _ = w.Write(bytes.ReplaceAll(text, []byte(strconv.Quote(Deep)), []byte(deep)))
 }
 
-func (s *Store) handle(r *http.Request, kind, name string) (int, any) {
+// handle carries out a call and returns its answer and the era of it.
+func (s *Store) handle(r *http.Request, kind, name string) (status int, body any, era int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	status, body = s.carryOut(r, kind, name)
+	return status, body, s.era
+}
+
+func (s *Store) carryOut(r *http.Request, kind, name string) (int, any) {
 	switch r.Method {
 	case http.MethodGet:
 		return s.read(kind, name, r.URL.Query().Get("after"))
@@ -266,7 +322,7 @@
 	return http.StatusOK, s.put(kind, o)
 }
 
-func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string, late time.Duration) {
 	after, err := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
 	waitMs, waitErr := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
 	if err != nil || waitErr != nil {
@@ -276,15 +332,16 @@
 	timer := time.NewTimer(min(maxWatchTimeout, time.Duration(waitMs)*time.Millisecond))
 	defer timer.Stop()
 	for {
-		events, revision, changed, status := s.eventsAfter(kind, after)
+		events, revision, era, changed, status := s.eventsAfter(kind, after)
 		if status != http.StatusOK || len(events) > 0 {
-			writeResponse(w, status, map[string]any{"events": events, "current_rev": revision})
+			time.Sleep(late)
+			writeResponse(w, era, status, map[string]any{"events": events, "current_rev": revision})
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			writeResponse(w, http.StatusOK, map[string]any{"events": []event{}, "current_rev": revision})
+			writeResponse(w, era, http.StatusOK, map[string]any{"events": []event{}, "current_rev": revision})
 			return
 		case <-r.Context().Done():
 			return
@@ -292,24 +349,24 @@
 	}
 }
 
-// eventsAfter returns the changes of a kind after a revision, the revision of
-// the store, a channel that is closed at the next change, and the status of
+// eventsAfter returns the changes of a kind after a revision, the revision and the era
+// of the store, a channel that is closed at the next change, and the status of
 // the answer.
-func (s *Store) eventsAfter(kind string, after int64) (events []event, revision int64, changed <-chan struct{}, status int) {
+func (s *Store) eventsAfter(kind string, after int64) (events []event, revision, era int64, changed <-chan struct{}, status int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.faults.Down, s.faults.Unresponsive:
-		return nil, 0, s.changed, http.StatusServiceUnavailable
+		return nil, 0, s.era, s.changed, http.StatusServiceUnavailable
 	case s.faults.SuppressEvents:
-		return nil, after, s.changed, http.StatusOK
-	case after < s.compactedRevision:
-		return nil, s.revision, s.changed, http.StatusGone
+		return nil, after, s.era, s.changed, http.StatusOK
+	case after < s.compactedRevision, after > s.revision:
+		return nil, s.revision, s.era, s.changed, http.StatusGone
 	}
 	for _, e := range s.events {
 		if e.kind == kind && e.revision > after {
 			events = append(events, e)
 		}
 	}
-	return events, s.revision, s.changed, http.StatusOK
+	return events, s.revision, s.era, s.changed, http.StatusOK
 }
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -20,6 +20,7 @@
 
 	"bilberrytiller.example/standin/objectstore"
 	"bilberrytiller.example/standin/originserver"
+	"bilberrytiller.example/standin/relay"
 )
 
 // Cluster is a test cluster of an object store, backend servers and gateways on
@@ -36,6 +37,8 @@
 	mu       sync.Mutex
 	gateways []*gateway
 	origins  map[string]origin
+	// version is the latest version of the configuration.
+	version int
 	// ports holds the ports given to gateways.
 	ports map[int]bool
 }
@@ -52,8 +55,10 @@
 	name         string
 	ports        [6]int
 	settingsPath string
-	cmd          *exec.Cmd
-	exited       chan error
+	// storePath forwards the gateway's connections to the store.
+	storePath *relay.Relay
+	cmd       *exec.Cmd
+	exited    chan error
 }
 
 // NewCluster starts a test cluster with an object store only. program is the path
@@ -87,6 +92,8 @@
 		"service_name": service, "address": address, "zone": "z1", "config_version": "v1", "slots": o.Slots,
 		"state": "ready", "cold_left": "0ms", "sequence": 1, "born": time.Now().UnixMilli(),
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.origins[o.ID] = origin{server, entry}
 	return c.Store.Put("servers", o.ID, entry)
 }
@@ -123,6 +130,8 @@
 
 // SetDraining changes the entry of a backend server, which goes on serving.
 func (c *Cluster) SetDraining(id string, draining bool) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	entry := c.origins[id].entry
 	entry["state"] = "ready"
 	if draining {
@@ -146,6 +155,9 @@
 		}
 	}
 	service := map[string]any{"health_path": "/health", "max_conns": 330, "cold_start": "3s", "cold_per_s": 22.0}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version = version
 	return c.Store.Put("config", "main", map[string]any{
 		"config_version": fmt.Sprint("r", version),
 		"routes":         map[string]any{"a": route("/look/", "idempotent", "look"), "b": route("/pay/", "non_idempotent", "pay"), fmt.Sprint("c", version): route(VersionPath(version), "idempotent", "look")},
@@ -168,6 +180,11 @@
 		}
 		g.ports[i] = port
 	}
+	storePath, err := relay.New("127.0.0.1", c.storeAddress)
+	if err != nil {
+		return 0, err
+	}
+	g.storePath = storePath
 	g.settingsPath = filepath.Join(c.dir, g.name+".toml")
 	c.gateways = append(c.gateways, g)
 	return n, c.writeSettings()
@@ -211,7 +228,7 @@
 	}
 	for _, g := range c.gateways {
 		text := fmt.Sprintf(settingsTemplate, g.name, g.ports[4], g.ports[5], strings.Join(seeds, ", "),
-			g.ports[0], g.ports[1], g.ports[2], g.ports[3], c.storeAddress)
+			g.ports[0], g.ports[1], g.ports[2], g.ports[3], g.storePath.Addr())
 		if err := replaceFile(g.settingsPath, text); err != nil {
 			return err
 		}
@@ -321,6 +338,9 @@
 		<-g.exited
 		g.exited <- nil
 	}
+	for _, g := range c.gateways {
+		g.storePath.Close()
+	}
 	for _, s := range c.servers {
 		_ = s.Close()
 	}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -19,6 +19,7 @@
 
 	"bilberrytiller.example/standin/objectstore"
 	"bilberrytiller.example/standin/originserver"
+	"bilberrytiller.example/standin/relay"
 )
 
 var (
@@ -168,7 +169,8 @@
 
 // TestSoak injects a seeded sequence of faults, which may overlap, into gateways
 // under load, and into servers that send bytes without end. It checks that no payment runs twice, no request refused with 503
-// runs, and no client receives the response to another request.
+// runs, no client receives the response to another request, and that the gateways follow
+// the store at the end, also if it was restored from older copies.
 func TestSoak(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSeed(t, seed) })
@@ -184,15 +186,23 @@
 		go func() { results <- sendLoad(cluster, seed, c, gateways, stop) }()
 	}
 	random := rand.New(rand.NewPCG(seed, 2))
+	d := &storeDrills{copies: []objectstore.Copy{cluster.Store.Copy()}}
 	for range *faultCount {
-		injectFault(t, cluster, random, gateways)
+		injectFault(t, cluster, random, gateways, d)
 		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
 	}
 	cluster.Store.SetFaults(objectstore.Faults{})
+	must(t, cluster.Rewrite())
 	for n := range gateways {
+		cluster.SetStorePath(n, relay.Disconnect)
+		cluster.SetStorePath(n, relay.Pass)
 		waitReady(t, cluster, n)
 		checkMemory(t, cluster, n)
 	}
+	time.Sleep(storeRecovery)
+	must(t, cluster.Configure(2))
+	time.Sleep(configBound)
+	checkInForce(t, cluster, gateways, 2)
 	close(stop)
 	answered := 0
 	for range clients {
@@ -245,10 +255,10 @@
 // injectFault injects or clears one random fault. Killed and paused gateways
 // are started or resumed before it returns; faults of the store last until a
 // later call changes them.
-func injectFault(t *testing.T, cluster *Cluster, random *rand.Rand, gateways int) {
+func injectFault(t *testing.T, cluster *Cluster, random *rand.Rand, gateways int, d *storeDrills) {
 	t.Helper()
 	n := random.IntN(gateways)
-	switch random.IntN(9) {
+	switch random.IntN(13) {
 	case 0:
 		sendSignal(t, cluster, n, syscall.SIGKILL)
 		_ = cluster.AwaitExit(n)
@@ -271,6 +281,34 @@
 		cluster.SetEndlessRate(0.1)
 	case 8:
 		cluster.SetEndlessRate(0)
+	case 9:
+		d.copies = append(d.copies, cluster.Store.Copy())
+		must(t, cluster.SetDraining(fmt.Sprint("i-look", random.IntN(2)), random.IntN(2) == 0))
+	case 10:
+		d.restore(t, cluster, random)
+	case 11:
+		cluster.SetStorePath(n, []relay.Mode{relay.Blackhole, relay.Disconnect}[random.IntN(2)])
+	case 12:
+		cluster.SetStorePath(n, relay.Disconnect)
+		cluster.SetStorePath(n, relay.Pass)
+	}
+}
+
+// storeRecovery is how long after an outage of the store changes may be late.
+const storeRecovery = 3 * time.Second
+
+// storeDrills are the copies of the store from which it is restored.
+type storeDrills struct{ copies []objectstore.Copy }
+
+// restore restores the store from one of the last copies. The writers write again at
+// once, after a while, or only at the end.
+func (d *storeDrills) restore(t *testing.T, cluster *Cluster, random *rand.Rand) {
+	t.Helper()
+	last := d.copies[max(0, len(d.copies)-3):]
+	cluster.Store.Restore(last[random.IntN(len(last))])
+	if random.IntN(3) > 0 {
+		time.Sleep(time.Duration(random.IntN(800)) * time.Millisecond)
+		must(t, cluster.Rewrite())
 	}
 }
 
