--- a/standin/soak/drill_test.go
+++ b/standin/soak/drill_test.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,6 +22,8 @@
 	rewriteDelay = time.Second
 	// pagedEntries is more than a page of a list.
 	pagedEntries = 60
+	// evacuatedZone is a data centre without servers that is evacuated.
+	evacuatedZone = "z9"
 	// lostWrites is how many revisions the copy is behind.
 	lostWrites = 300
 )
@@ -80,6 +85,7 @@
 	must(t, cluster.Configure(2))
 	must(t, cluster.SetDraining("i-look0", true))
 	cluster.RemoveServer("i-pay0")
+	must(t, cluster.Store.Put("evacuations", evacuatedZone, map[string]any{}))
 	time.Sleep(max(configBound, drainBound))
 	checkInForce(t, cluster, gateways, 2)
 
@@ -94,12 +100,14 @@
 	sendDuring(t, cluster, gateways, rewriteDelay)
 	checkInForce(t, cluster, gateways, 2)
 	must(t, cluster.Rewrite())
+	must(t, cluster.Store.Put("evacuations", evacuatedZone, map[string]any{}))
 	sendDuring(t, cluster, gateways, rewriteDelay)
 	for _, id := range []string{"i-look0", "i-pay0"} {
 		if n := len(slices.DeleteFunc(cluster.Runs.TimesOf(id), restored.After)); n > 0 {
 			t.Errorf("%s began %d requests after the store was restored", id, n)
 		}
 	}
+	checkEvacuated(t, cluster, gateways)
 	d.after(cluster)
 	must(t, cluster.Configure(3))
 	time.Sleep(configBound)
@@ -107,6 +115,19 @@
 	eventually(t, "each gateway has written its entry again", func() bool { return len(cluster.Store.Names("tillers")) == gateways })
 }
 
+// checkEvacuated checks that each gateway began the evacuation and has not ended it.
+func checkEvacuated(t *testing.T, cluster *Cluster, gateways int) {
+	t.Helper()
+	for n := range gateways {
+		text, err := os.ReadFile(filepath.Join(cluster.dir, cluster.gateways[n].name+".log"))
+		must(t, err)
+		log := string(text)
+		if !strings.Contains(log, "zone="+evacuatedZone+" on=true") || strings.Contains(log, "zone="+evacuatedZone+" on=false") {
+			t.Errorf("gateway %d has not kept the evacuation in force", n)
+		}
+	}
+}
+
 // checkInForce checks that a version of the configuration, and not the one before it, is in
 // force on all gateways.
 func checkInForce(t *testing.T, cluster *Cluster, gateways, version int) {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -300,10 +300,16 @@
 // storeDrills are the copies of the store from which it is restored.
 type storeDrills struct{ copies []objectstore.Copy }
 
-// restore restores the store from one of the last copies. The writers write again at
-// once, after a while, or only at the end.
+// restore restores the store from one of the last copies, after writes that it loses. The
+// writers write again after a while, or only at the end.
 func (d *storeDrills) restore(t *testing.T, cluster *Cluster, random *rand.Rand) {
 	t.Helper()
+	for i := range lostWrites {
+		must(t, cluster.Store.Put("noise", "n", i))
+	}
+	must(t, cluster.Rewrite())
+	// The gateways must have seen what is lost.
+	time.Sleep(drillOutage)
 	last := d.copies[max(0, len(d.copies)-3):]
 	cluster.Store.Restore(last[random.IntN(len(last))])
 	if random.IntN(3) > 0 {
