--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -110,6 +110,12 @@
 	return age
 }
 
+// Era returns the store's era of a kind's copy, or 0 if there is no copy.
+func (r *Replica) Era(kind string) int64 {
+	at, _ := r.cache.Position(kind)
+	return at.Era
+}
+
 // Run keeps the replica up to date until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/gateway/feed/staleness_test.go
+++ b/gateway/feed/staleness_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -72,14 +73,62 @@
 	playSeeds(t, *faultSeeds/15, slices.Concat(slices.Repeat([]string{"z1"}, 50), slices.Repeat([]string{"z2"}, 50)))
 }
 
+// TestReachableDaemonFollowsRestoredStore does the same with a store that is also restored
+// from older copies. At the end, all daemons must have exactly its state.
+func TestReachableDaemonFollowsRestoredStore(t *testing.T) {
+	zones := slices.Concat(slices.Repeat([]string{"z1"}, 9), slices.Repeat([]string{"z2"}, 3))
+	for seed := range *faultSeeds / 3 {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playFaults(t, seed, zones, true) })
+		})
+	}
+}
+
 func playSeeds(t *testing.T, seeds uint64, zones []string) {
 	for seed := range seeds {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playFaults(t, seed, zones) })
+			synctest.Test(t, func(t *testing.T) { playFaults(t, seed, zones, false) })
 		})
 	}
 }
 
+// copyOf returns a function that restores the store to what it holds now.
+func copyOf(s *fakeStore) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	revision, all := s.revision, maps.Clone(s.objects)
+	return func() { s.restoreTo(revision, maps.Clone(all)) }
+}
+
+// checkHoldsStore reports each daemon whose copy is not the store's state.
+func (p *faultPlay) checkHoldsStore() {
+	p.store.mu.Lock()
+	defer p.store.mu.Unlock()
+	for _, m := range p.fleet.members {
+		all, at, err := p.fleet.replica(m.Address).cache.List(changingKind)
+		got := map[string]objects.Object{}
+		for _, o := range all {
+			got[o.Name] = o
+		}
+		same := func(a, b objects.Object) bool { return a.Revision == b.Revision }
+		if err != nil || at.Era != p.store.era || !maps.EqualFunc(got, p.store.objects, same) {
+			p.t.Errorf("%s has %d objects at %v (%v), want the store's %d at era %d", m.ID, len(got), at, err, len(p.store.objects), p.store.era)
+		}
+	}
+}
+
+// endFaults ends all faults and lets the daemons catch up.
+func (p *faultPlay) endFaults() {
+	p.fleet.setUnresponsive()
+	p.store.mu.Lock()
+	p.store.down = false
+	for _, c := range p.fleet.clients {
+		c.partitioned = false
+	}
+	p.store.mu.Unlock()
+	time.Sleep(stableWindow + changeBound)
+}
+
 // faultPlay is a run of random faults on a fleet.
 type faultPlay struct {
 	t     *testing.T
@@ -97,18 +146,26 @@
 	position objects.Position
 }
 
-func playFaults(t *testing.T, seed uint64, zones []string) {
+func playFaults(t *testing.T, seed uint64, zones []string, restores bool) {
 	s := newFakeStore()
 	s.delay = 10 * time.Millisecond
 	p := &faultPlay{t: t, rng: rand.New(rand.NewPCG(seed, 0)), store: s, reachableSince: map[string]time.Time{}}
 	p.fleet = startFleetWithKinds(t, s, boundedKinds(), zones...)
 	defer p.fleet.stop()
 	end := time.Now().Add(60 * time.Second)
+	copies := []func(){copyOf(s)}
 	nextFault := time.Now().Add(5 * time.Second)
 	for time.Now().Before(end) {
 		time.Sleep(50 * time.Millisecond)
 		if time.Now().After(nextFault) {
-			p.fault()
+			switch {
+			case !restores || p.rng.IntN(3) > 0:
+				p.fault()
+			case p.rng.IntN(2) == 0:
+				copies = append(copies, copyOf(s))
+			default:
+				copies[p.rng.IntN(len(copies))]()
+			}
 			nextFault = time.Now().Add(time.Duration(p.rng.IntN(2500)) * time.Millisecond)
 		}
 		if p.rng.IntN(8) == 0 {
@@ -118,6 +175,10 @@
 		p.observeReachability()
 		p.check()
 	}
+	if restores {
+		p.endFaults()
+		p.checkHoldsStore()
+	}
 }
 
 // fault begins or ends one fault.
