Restore the store while servers drain and the configuration changes

TestRestorationIsUnnoticed restores the store from copies of the last seconds during the changes and drains of the planned work. A lock keeps restorations out of the time from a change until it must be in force; TestPlannedWorkIsUnnoticed takes it too, without contention, and checks what it did.

--- a/standin/soak/drill_test.go
+++ b/standin/soak/drill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -115,6 +116,75 @@
 	eventually(t, "each gateway has written its entry again", func() bool { return len(cluster.Store.Names("tillers")) == gateways })
 }
 
+// TestRestorationIsUnnoticed restores the store again and again from copies of the last
+// seconds, while the configuration changes and servers drain. No version may go back, no
+// server that has been draining for long enough may get a request, and each request that
+// ran must be answered.
+func TestRestorationIsUnnoticed(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { playRestorations(t, seed) })
+	}
+}
+
+func playRestorations(t *testing.T, seed uint64) {
+	cluster := startGateways(t, *plannedGateways, originserver.Options{Slots: 16, Work: 20 * time.Millisecond})
+	p := &plannedWork{t: t, cluster: cluster, seed: seed, stop: make(chan struct{}), running: map[int]bool{}, version: 1}
+	for n := range *plannedGateways {
+		p.running[n] = true
+	}
+	p.working.Go(func() { p.changeConfiguration(p.random(1000)) })
+	p.working.Go(func() { p.drainServers(p.random(1001)) })
+	p.working.Go(func() { p.restoreStore(p.random(1004)) })
+	answers := make(chan int, *plannedClients)
+	for c := range *plannedClients {
+		go func() { answers <- p.client(c, p.random(2000+c)) }()
+	}
+	time.Sleep(2 * *plannedDuration)
+	close(p.stop)
+	p.working.Wait()
+	answered := 0
+	for range *plannedClients {
+		answered += <-answers
+	}
+	if answered == 0 {
+		t.Error("no request was answered with status 200")
+	}
+}
+
+// restoreStore restores the store from copies made at random times, with the changes of
+// the operator and the servers written again a while later.
+func (p *plannedWork) restoreStore(random *rand.Rand) {
+	copies := []objectstore.Copy{p.cluster.Store.Copy()}
+	for p.pause(random, 2*time.Second) {
+		copies = append(copies, p.cluster.Store.Copy())
+		if random.IntN(2) == 0 {
+			p.drill(random, copies[max(0, len(copies)-4):])
+		}
+	}
+}
+
+func (p *plannedWork) drill(random *rand.Rand, copies []objectstore.Copy) {
+	p.changing.Lock()
+	defer p.changing.Unlock()
+	p.cluster.Store.SetFaults(objectstore.Faults{Down: true})
+	time.Sleep(time.Duration(random.Int64N(int64(drillOutage))))
+	p.cluster.Store.Restore(copies[random.IntN(len(copies))])
+	p.cluster.Store.SetFaults(objectstore.Faults{LateMs: random.IntN(100)})
+	time.Sleep(time.Duration(random.Int64N(int64(rewriteDelay))))
+	p.checkVersions()
+	if err := p.cluster.Rewrite(); err != nil {
+		p.t.Error(err)
+	}
+	time.Sleep(storeRecovery)
+	p.checkVersions()
+}
+
+func (p *plannedWork) checkVersions() {
+	for n := range *plannedGateways {
+		p.checkVersion(n)
+	}
+}
+
 // checkEvacuated checks that each gateway began the evacuation and has not ended it.
 func checkEvacuated(t *testing.T, cluster *Cluster, gateways int) {
 	t.Helper()
--- a/standin/soak/planned_test.go
+++ b/standin/soak/planned_test.go
@@ -59,6 +59,10 @@
 	stop    chan struct{}
 	working sync.WaitGroup
 
+	// changing is read-locked from a change until it must be in force, and locked while
+	// the store is restored.
+	changing sync.RWMutex
+
 	// mu guards running and version.
 	mu sync.Mutex
 	// running holds the gateways that are ready and have not been told to stop.
@@ -176,28 +180,34 @@
 // last version is in force on all gateways that ran all the while.
 func (p *plannedWork) changeConfiguration(random *rand.Rand) {
 	for p.pause(random, 2*time.Second) {
-		for range 1 + random.IntN(5) {
-			p.version++
-			if err := p.cluster.Configure(p.version); err != nil {
-				p.t.Error(err)
-			}
-			p.pause(random, 300*time.Millisecond)
-		}
-		if err := p.cluster.Configure(p.version + 1); err != nil {
-			p.t.Error(err)
-		}
+		p.changeSeries(random)
+	}
+}
+
+func (p *plannedWork) changeSeries(random *rand.Rand) {
+	p.changing.RLock()
+	defer p.changing.RUnlock()
+	for range 1 + random.IntN(5) {
 		p.version++
-		var before []int
-		for n := range *plannedGateways {
-			if p.isRunning(n) {
-				before = append(before, n)
-			}
+		if err := p.cluster.Configure(p.version); err != nil {
+			p.t.Error(err)
 		}
-		time.Sleep(configBound)
-		for _, n := range before {
-			p.checkVersion(n)
+		p.pause(random, 300*time.Millisecond)
+	}
+	if err := p.cluster.Configure(p.version + 1); err != nil {
+		p.t.Error(err)
+	}
+	p.version++
+	var before []int
+	for n := range *plannedGateways {
+		if p.isRunning(n) {
+			before = append(before, n)
 		}
 	}
+	time.Sleep(configBound)
+	for _, n := range before {
+		p.checkVersion(n)
+	}
 }
 
 func (p *plannedWork) checkVersion(n int) {
@@ -212,10 +222,12 @@
 func (p *plannedWork) drainServers(random *rand.Rand) {
 	for p.pause(random, 3*time.Second) {
 		id := p.randomServer(random)
+		p.changing.RLock()
 		if err := p.cluster.SetDraining(id, true); err != nil {
 			p.t.Error(err)
 		}
 		time.Sleep(drainBound)
+		p.changing.RUnlock()
 		drained := time.Now()
 		p.pause(random, 2*time.Second)
 		for _, at := range p.cluster.Runs.TimesOf(id) {
