Keep routes closed when the last organisation is removed, and other review findings

With an empty table of organisations, nobody needed a key, the key went on to the server and the client's own word for its organisation passed. Routes stay closed now unless the table is missing.

TestRemovedOrganisationsLeaveRoutesClosed and TestMissingRouteIsDeniedAtAnyAge were seen red without their conditions.

--- a/gateway/identity.go
+++ b/gateway/identity.go
@@ -28,7 +28,9 @@
 	h.Del(authorizationHeader)
 	h.Del(g.headers.Organisation)
 	if organisation == nil && !route.Public {
-		return nil, g.denial(http.StatusUnauthorized, "unknown_key", c)
+		resp := g.denial(http.StatusUnauthorized, "unknown_key", c)
+		resp.needsKey = resp.status == http.StatusUnauthorized
+		return nil, resp
 	}
 	return organisation, nil
 }
@@ -50,10 +52,12 @@
 
 // denial returns the response to a request that the configuration does not allow. If
 // the configuration is so old that a later one may allow the request, the client is
-// told to come back instead.
+// told to come back instead. That is so only where the configuration has organisations or
+// the store was restored from an older copy.
 func (g *Gateway) denial(status int, reason string, c *routing.Configuration) *localResponse {
 	maxAge := g.settings.Load().MaxDenialAge
-	if maxAge > 0 && g.configurationAge() > maxAge {
+	isNeeded := c.HasOrganisations() || g.storeEra() > 0
+	if isNeeded && maxAge > 0 && g.configurationAge() > maxAge {
 		return &localResponse{
 			status: http.StatusServiceUnavailable, reason: "configuration_old", retryAfter: oldConfigurationRetryAfter, version: c.Version,
 		}
--- a/gateway/identity_test.go
+++ b/gateway/identity_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -92,14 +93,51 @@
 	settings := *f.settings.Load()
 	settings.MaxDenialAge = time.Second
 	f.settings.Store(&settings)
-	for age, want := range map[time.Duration]int{time.Second: http.StatusUnauthorized, time.Second + 1: http.StatusServiceUnavailable} {
-		f.SetConfigurationAge(func() time.Duration { return age })
-		if got := f.callWith(t, http.Header{}); got != want {
-			t.Errorf("configuration is %s old: got status %d, want %d", age, got, want)
+	for _, c := range []struct {
+		age    time.Duration
+		host   string
+		status int
+	}{
+		{time.Second, "127.0.0.1", http.StatusUnauthorized}, {time.Second + 1, "127.0.0.1", http.StatusServiceUnavailable},
+		{time.Second, "unknown", http.StatusNotFound}, {time.Second + 1, "unknown", http.StatusServiceUnavailable},
+	} {
+		f.SetConfigurationAge(func() time.Duration { return c.age })
+		w := httptest.NewRecorder()
+		r := httptest.NewRequest(http.MethodPost, "/x", nil)
+		r.Host = c.host
+		f.serveClient(w, r)
+		if asked := w.Header().Get("WWW-Authenticate") == "Bearer"; asked != (c.status == http.StatusUnauthorized) {
+			t.Errorf("status %d: asked for a key is %t", w.Code, asked)
+		}
+		if w.Code != c.status || (w.Header().Get("Retry-After") != "") != (c.status == http.StatusServiceUnavailable) {
+			t.Errorf("configuration is %s old, host %s: got status %d and Retry-After %q, want %d", c.age, c.host, w.Code, w.Header().Get("Retry-After"), c.status)
 		}
 	}
 }
 
+// TestMissingRouteIsDeniedAtAnyAge guards deployments without organisations against a
+// change of the answer to unknown paths.
+func TestMissingRouteIsDeniedAtAnyAge(t *testing.T) {
+	f := newFixture(t, route(true))
+	settings := *f.settings.Load()
+	settings.MaxDenialAge = time.Second
+	f.settings.Store(&settings)
+	f.SetConfigurationAge(func() time.Duration { return time.Hour })
+	deny := func() int {
+		w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/x", nil)
+		r.Host = "unknown"
+		f.serveClient(w, r)
+		return w.Code
+	}
+	if got := deny(); got != http.StatusNotFound {
+		t.Errorf("got status %d, want 404", got)
+	}
+	f.SetStoreEra(func() int64 { return 1 })
+	if got := deny(); got != http.StatusServiceUnavailable {
+		t.Errorf("after the store was restored: got status %d, want 503", got)
+	}
+}
+
 // TestRegionsOfRouteAndOrganisationBothBind guards against a request that runs in a
 // region which only one of them allows.
 func TestRegionsOfRouteAndOrganisationBothBind(t *testing.T) {
@@ -121,3 +159,24 @@
 		}
 	}
 }
+
+// TestPriorityOfOrganisationComesFirst guards against requests that are ranked by their
+// route although their organisation has a priority.
+func TestPriorityOfOrganisationComesFirst(t *testing.T) {
+	r := route(true)
+	r.Priority = 5
+	f := newKeyedFixture(t, r)
+	urgent := 0
+	for _, c := range []struct {
+		priority *int
+		want     int
+	}{{nil, 5}, {&urgent, 0}} {
+		f.configuration.Load().Organisation("shop").Priority = c.priority
+		h := httptest.NewRequest(http.MethodPost, "/x", nil)
+		h.Host, h.Header = "127.0.0.1", http.Header{"X-Id": {"a1"}, "Authorization": {"Bearer k-1"}}
+		req, refusal := f.parseRequest(httptest.NewRecorder(), h)
+		if refusal != nil || req.rank != c.want {
+			t.Errorf("got request %+v and refusal %+v, want rank %d", req, refusal, c.want)
+		}
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -169,6 +169,8 @@
 type localResponse struct {
 	status int
 	reason string
+	// needsKey says that the request needs the key of an organisation.
+	needsKey bool
 	// retryAfter is the delay after which the client may retry. It is set only if
 	// the request has not run.
 	retryAfter time.Duration
@@ -184,6 +186,9 @@
 		seconds := math.Ceil(resp.retryAfter.Seconds()*100) / 100
 		w.Header().Set(g.headers.RetryAfter, strconv.FormatFloat(seconds, 'f', 2, 64))
 	}
+	if resp.needsKey {
+		w.Header().Set("WWW-Authenticate", keyScheme)
+	}
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(resp.status)
 }
--- a/state/routing/organisation.go
+++ b/state/routing/organisation.go
@@ -57,8 +57,9 @@
 	return nil
 }
 
-// HasOrganisations reports whether requests carry keys of organisations.
-func (c *Configuration) HasOrganisations() bool { return len(c.organisations) > 0 }
+// HasOrganisations reports whether requests carry keys of organisations. It stays true
+// when the last organisation is removed, so that its keys are denied from then on.
+func (c *Configuration) HasOrganisations() bool { return c.organisations != nil }
 
 // Organisation returns the organisation with the given name, or nil.
 func (c *Configuration) Organisation(name string) *Organisation { return c.organisations[name] }
