Name two large hosts or none, and other review findings

A single large host was the only name for its data centre, and with more than eight equal ones the others got no clients. A host without a capacity made alike hosts seem unequal. Daemons that passed a status to each other made it younger by the time on the way, so that a dead host was named for up to 3.6 s. Full large hosts were named and left out again 26 times in a minute, as their load falls with the answer; each change makes clients drop connections.

Change: two to eight large hosts; hosts without a capacity do not count; statuses carry the host's own time of day; a full host stays away for 10 s, and for twice as long the next time. The status is that of the link, and says so.

--- a/coordination/entry/entry.go
+++ b/coordination/entry/entry.go
@@ -22,6 +22,8 @@
 const (
 	// MaxHosts is the maximum number of large hosts of a data centre.
 	MaxHosts = 8
+	// minHosts is the minimum number, so that the loss of one leaves clients another.
+	minHosts = 2
 	// minAdvantage is how many times the capacity of a host the large ones must have
 	// for that host to name them in its own place.
 	minAdvantage = 4
@@ -34,10 +36,18 @@
 	// statusTTL is how long a host is taken to be alive after it was heard of. What a
 	// daemon reports takes up to 300 ms on each of three levels of the tree up and down.
 	statusTTL = 1500 * time.Millisecond
-	// maxUtilisation is the fraction of its capacity from which a host is no longer
-	// named, and minUtilisation the one below which it is named again.
-	maxUtilisation = 0.85
-	minUtilisation = 0.6
+	// maxLinkUse is the fraction of its link in use from which a host is no longer named,
+	// and minLinkUse the one below which it may be named again.
+	maxLinkUse = 0.85
+	minLinkUse = 0.6
+	// minAbsence is how long such a host is not named. Its load falls as soon as it is not,
+	// and clients drop connections with each change of the answer, so the time doubles with
+	// each absence, up to maxAbsence, until the host was named for maxAbsence.
+	minAbsence = 10 * time.Second
+	maxAbsence = 2 * time.Minute
+	// maxClockStep is how long a host whose clock was set back is taken to repeat earlier
+	// statuses.
+	maxClockStep = 10 * time.Second
 )
 
 // Host is an entry host of the daemon's own data centre.
@@ -52,10 +62,22 @@
 	ID string
 	// Ready is false while the host accepts no new clients.
 	Ready bool
-	// Utilisation is the fraction of the host's capacity in use.
-	Utilisation float64
-	// At is when the host was in this state.
+	// LinkUse is the fraction of the host's network link in use.
+	LinkUse float64
+	// At is when the host was in this state. Daemons that pass it on lose the time on the
+	// way.
 	At time.Time
+	// Stamp is the host's own time of day when it was in this state, in nanoseconds since
+	// 1970. It orders the statuses of one host.
+	Stamp int64
+}
+
+// absence is the time for which an overloaded host is not named.
+type absence struct {
+	active bool
+	// since is the start of the absence or, if it is over, of the presence after it.
+	since  time.Time
+	length time.Duration
 }
 
 // Selector selects the hosts to name. It is not safe for concurrent use.
@@ -63,24 +85,26 @@
 	self     Host
 	large    []string
 	statuses map[string]Status
-	// overloaded holds the hosts that have reached maxUtilisation and not been below
-	// minUtilisation since.
-	overloaded map[string]bool
+	// acceptedAt is when the status of each host was accepted.
+	acceptedAt map[string]time.Time
+	absences   map[string]absence
 }
 
 // NewSelector returns the selector of a daemon on the host self.
 func NewSelector(self Host) *Selector {
-	return &Selector{self: self, statuses: map[string]Status{}, overloaded: map[string]bool{}}
+	return &Selector{self: self, statuses: map[string]Status{}, acceptedAt: map[string]time.Time{}, absences: map[string]absence{}}
 }
 
 // SetHosts sets the hosts of the daemon's data centre, with or without its own.
 func (s *Selector) SetHosts(all []Host) {
-	all = append(slices.DeleteFunc(slices.Clone(all), func(h Host) bool { return h.ID == s.self.ID }), s.self)
+	all = slices.DeleteFunc(slices.Clone(all), func(h Host) bool { return h.ID == s.self.ID || h.Capacity <= 0 })
+	all = append(all, s.self)
 	s.large = largeHosts(all)
 	for id := range s.statuses {
 		if !slices.Contains(s.large, id) {
 			delete(s.statuses, id)
-			delete(s.overloaded, id)
+			delete(s.acceptedAt, id)
+			delete(s.absences, id)
 		}
 	}
 }
@@ -93,13 +117,13 @@
 	var ids []string
 	for _, h := range all {
 		total += h.Capacity
-		if h.Capacity >= largeFraction*all[0].Capacity && len(ids) < MaxHosts {
+		if h.Capacity >= largeFraction*all[0].Capacity {
 			ids = append(ids, h.ID)
 			large += h.Capacity
 		}
 	}
 	smallest := all[len(all)-1].Capacity
-	if large < minShare*total || all[0].Capacity < minAdvantage*smallest {
+	if len(ids) < minHosts || len(ids) > MaxHosts || large < minShare*total || all[0].Capacity < minAdvantage*smallest {
 		return nil
 	}
 	slices.Sort(ids)
@@ -110,19 +134,31 @@
 // their statuses.
 func (s *Selector) Tiered() bool { return len(s.large) > 0 }
 
-// Observe records the status of a host. An older status than the one known is ignored,
-// as is that of a host that is not large.
-func (s *Selector) Observe(st Status) {
-	if old, ok := s.statuses[st.ID]; ok && !st.At.After(old.At) || !slices.Contains(s.large, st.ID) {
+// Observe records the status of a host. One that the host sent before the status that is
+// known is ignored, as is that of a host that is not large.
+func (s *Selector) Observe(st Status, now time.Time) {
+	old, known := s.statuses[st.ID]
+	isOlder := known && st.Stamp <= old.Stamp && now.Sub(s.acceptedAt[st.ID]) <= maxClockStep
+	if isOlder || !slices.Contains(s.large, st.ID) {
 		return
 	}
 	s.statuses[st.ID] = st
+	s.acceptedAt[st.ID] = now
+	s.absences[st.ID] = s.absences[st.ID].next(st.LinkUse, now)
+}
+
+// next returns the absence after a status.
+func (a absence) next(linkUse float64, now time.Time) absence {
+	elapsed := now.Sub(a.since)
 	switch {
-	case st.Utilisation >= maxUtilisation:
-		s.overloaded[st.ID] = true
-	case st.Utilisation < minUtilisation:
-		delete(s.overloaded, st.ID)
+	case a.active && elapsed >= a.length && linkUse < minLinkUse:
+		return absence{since: now, length: a.length}
+	case a.active || linkUse < maxLinkUse:
+		return a
+	case a.length == 0 || elapsed > maxAbsence:
+		return absence{active: true, since: now, length: minAbsence}
 	}
+	return absence{active: true, since: now, length: min(2*a.length, maxAbsence)}
 }
 
 // Statuses returns the statuses of the large hosts that are known to be alive, sorted
@@ -142,7 +178,7 @@
 func (s *Selector) Select(now time.Time) []string {
 	var ids []string
 	for _, st := range s.Statuses(now) {
-		if st.Ready && !s.overloaded[st.ID] {
+		if st.Ready && !s.absences[st.ID].active {
 			ids = append(ids, st.ID)
 		}
 	}
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -70,19 +70,20 @@
 }
 
 func (g *Gateway) observeOwnHost(now time.Time) {
-	own := entry.Status{ID: g.self.ID, Ready: g.Ready(), Utilisation: g.directory.load.utilisation(), At: now}
+	own := entry.Status{ID: g.self.ID, Ready: g.Ready(), LinkUse: g.directory.load.utilisation(), At: now, Stamp: time.Now().UnixNano()}
 	g.directory.mu.Lock()
 	defer g.directory.mu.Unlock()
-	g.directory.selector.Observe(own)
+	g.directory.selector.Observe(own, now)
 }
 
 // ObserveHosts applies the statuses that another daemon of the data centre knows.
 func (g *Gateway) ObserveHosts(all []entry.Status) {
+	now := time.Now()
 	g.directory.mu.Lock()
 	defer g.directory.mu.Unlock()
 	for _, st := range all {
 		if st.ID != g.self.ID {
-			g.directory.selector.Observe(st)
+			g.directory.selector.Observe(st, now)
 		}
 	}
 }
--- a/gateway/directory_test.go
+++ b/gateway/directory_test.go
@@ -27,11 +27,11 @@
 		t.Errorf("named %v before a large host was heard of, want only the own", got)
 	}
 	now := time.Now()
-	g.ObserveHosts([]entry.Status{{ID: "large-1", Ready: true, At: now}, {ID: "large-2", Ready: true, At: now}, {ID: "far", Ready: true, At: now}})
+	g.ObserveHosts([]entry.Status{{ID: "large-1", Ready: true, At: now, Stamp: 1}, {ID: "large-2", Ready: true, At: now, Stamp: 1}, {ID: "far", Ready: true, At: now, Stamp: 1}})
 	if got := named(); !slices.Equal(got, []string{"10.0.0.1:1", "10.0.0.2:1"}) {
 		t.Errorf("named %v, want the large hosts of the data centre", got)
 	}
-	g.ObserveHosts([]entry.Status{{ID: "large-1", At: now.Add(time.Millisecond)}})
+	g.ObserveHosts([]entry.Status{{ID: "large-1", At: now.Add(time.Millisecond), Stamp: 2}})
 	if got := named(); !slices.Equal(got, []string{"10.0.0.2:1"}) {
 		t.Errorf("named %v, want the large host that is not stopping", got)
 	}
--- a/gateway/feed/hosts.go
+++ b/gateway/feed/hosts.go
@@ -51,7 +51,7 @@
 	all := make([]entry.Status, 0, len(x.Hosts))
 	for _, h := range x.Hosts[:min(len(x.Hosts), entry.MaxHosts)] {
 		all = append(all, entry.Status{
-			ID: h.ID, Ready: !h.NotReady, Utilisation: float64(h.UtilisationPercent) / 100,
+			ID: h.ID, Ready: !h.NotReady, LinkUse: float64(h.LinkPercent) / 100, Stamp: h.Stamp,
 			At: received.Add(-time.Duration(h.AgeMs) * time.Millisecond),
 		})
 	}
@@ -73,7 +73,7 @@
 	x := &wire.HostExchange{}
 	for _, st := range all {
 		x.Hosts = append(x.Hosts, wire.HostStatus{
-			ID: st.ID, NotReady: !st.Ready, UtilisationPercent: uint16(min(1000, 100*st.Utilisation)),
+			ID: st.ID, NotReady: !st.Ready, LinkPercent: uint16(min(1000, 100*st.LinkUse)), Stamp: st.Stamp,
 			AgeMs: uint32(max(0, now.Sub(st.At).Milliseconds())),
 		})
 	}
--- a/gateway/feed/hosts_test.go
+++ b/gateway/feed/hosts_test.go
@@ -44,12 +44,12 @@
 		r.SetMembers(c.members)
 		r.SetHostHooks(HostHooks{
 			Known: func(now time.Time) ([]entry.Status, bool) {
-				selector.Observe(entry.Status{ID: m.ID, Ready: true, Utilisation: 0.3, At: now})
+				selector.Observe(entry.Status{ID: m.ID, Ready: true, LinkUse: 0.3, At: now, Stamp: now.UnixNano()}, now)
 				return selector.Statuses(now), selector.Tiered()
 			},
 			Observe: func(all []entry.Status) {
 				for _, st := range all {
-					selector.Observe(st)
+					selector.Observe(st, time.Now())
 				}
 			},
 		})
--- a/protocol/wire/objects.go
+++ b/protocol/wire/objects.go
@@ -32,8 +32,10 @@
 type HostStatus struct {
 	ID       string `cbor:"i"`
 	NotReady bool   `cbor:"n,omitempty"`
-	// UtilisationPercent is the part of the host's capacity that is in use.
-	UtilisationPercent uint16 `cbor:"u,omitempty"`
+	// LinkPercent is the part of the host's network link that is in use.
+	LinkPercent uint16 `cbor:"u,omitempty"`
+	// Stamp is the host's own time of day in nanoseconds since 1970.
+	Stamp int64 `cbor:"s"`
 	// AgeMs is the time since the host was in this state, in milliseconds.
 	AgeMs uint32 `cbor:"a,omitempty"`
 }
