Test a gateway under the pressure of clients that do not behave

A new package runs a gateway as a process with 64 MB of memory, 400 descriptors (ulimit -n) and bodies of at most 4 MiB, and sends it crowds: 32 clients with bodies, which exceed the memory together, or 600 connections, which exceed the descriptors. Each form goes in turn to a path with a route, one without, the readiness path, the directory and the address for other gateways. Beside each crowd one ordinary request must be answered; the peak memory must stay within 64 MB, and open sockets within the 200 that the reserve for files leaves. Crowds and bounds are fixed here, before the product is changed.

--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,12 @@
 # known_red is the list of tests in KNOWN-RED.txt, which are skipped.
 known_red := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|' -)
 
+skip_known_red := $(if $(known_red),-skip '^($(known_red))$$')
+
+# The tests of pressure measure a process's memory, so they run apart from the others.
 test:
-	go test -count=1 -timeout 20m $(if $(known_red),-skip '^($(known_red))$$') work
+	go test -count=1 -timeout 20m $(skip_known_red) $$(go list work | grep -v /standin/pressure$$)
+	go test -count=1 -timeout 20m $(skip_known_red) bilberrytiller.example/standin/pressure
 
 lint:
 	test -z "$$(gofmt -l cmd cli coordination daemon gateway internal platform protocol standin state transport | tee /dev/stderr)"
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -38,8 +38,20 @@
 	origins  map[string]origin
 	// ports holds the ports given to gateways.
 	ports map[int]bool
+	// machine is nil if the settings state no limits of the machines.
+	machine *Machine
 }
 
+// Machine are the limits of the machine on which a gateway runs.
+type Machine struct {
+	MemoryMB, MaxFDs int
+	// MaxBodyBytes is the limit of request bodies in the configuration.
+	MaxBodyBytes int
+}
+
+// defaultMaxBodyBytes is the limit of request bodies unless a Machine states another.
+const defaultMaxBodyBytes = 65536
+
 // origin is a backend server and its entry in the store.
 type origin struct {
 	server *originserver.Server
@@ -99,6 +111,35 @@
 	}
 }
 
+// SetMachine sets the limits of the machines. It must be called before Configure and
+// AddGateway.
+func (c *Cluster) SetMachine(m Machine) { c.machine = &m }
+
+// PID returns the process ID of a gateway.
+func (c *Cluster) PID(n int) int { return c.gateways[n].cmd.Process.Pid }
+
+// Exited reports whether the process of a gateway has exited by itself, and with which
+// error.
+func (c *Cluster) Exited(n int) (exited bool, err error) {
+	select {
+	case err := <-c.gateways[n].exited:
+		c.gateways[n].exited <- err
+		return true, err
+	default:
+		return false, nil
+	}
+}
+
+// Addresses returns the addresses of a gateway for clients, the readiness check, the
+// directory and other gateways.
+func (c *Cluster) Addresses(n int) []string {
+	var addresses []string
+	for _, port := range c.gateways[n].ports[:4] {
+		addresses = append(addresses, fmt.Sprint("127.0.0.1:", port))
+	}
+	return addresses
+}
+
 // ErrNoPeakMemory means that the system does not tell the peak memory of a process.
 var ErrNoPeakMemory = errors.New("no peak memory of the process")
 
@@ -145,12 +186,16 @@
 			"priority": 0, "service_name": service, "max_attempts": 2, "session_affinity": true, "allowed_regions": []string{},
 		}
 	}
+	maxBodyBytes := defaultMaxBodyBytes
+	if c.machine != nil {
+		maxBodyBytes = c.machine.MaxBodyBytes
+	}
 	service := map[string]any{"health_path": "/health", "max_conns": 330, "cold_start": "3s", "cold_per_s": 22.0}
 	return c.Store.Put("config", "main", map[string]any{
 		"config_version": fmt.Sprint("r", version),
 		"routes":         map[string]any{"a": route("/look/", "idempotent", "look"), "b": route("/pay/", "non_idempotent", "pay"), fmt.Sprint("c", version): route(VersionPath(version), "idempotent", "look")},
 		"services":       map[string]any{"look": service, "pay": service},
-		"limits":         map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
+		"limits":         map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBodyBytes, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
 	})
 }
 
@@ -212,6 +257,9 @@
 	for _, g := range c.gateways {
 		text := fmt.Sprintf(settingsTemplate, g.name, g.ports[4], g.ports[5], strings.Join(seeds, ", "),
 			g.ports[0], g.ports[1], g.ports[2], g.ports[3], c.storeAddress)
+		if c.machine != nil {
+			text += fmt.Sprintf(machineTemplate, c.machine.MemoryMB, c.machine.MaxFDs)
+		}
 		if err := replaceFile(g.settingsPath, text); err != nil {
 			return err
 		}
@@ -251,6 +299,14 @@
 address = %q
 `
 
+const machineTemplate = `[limits]
+cpu_share = 1.0
+cores = 1
+link_mbps = 1000.0
+memory_mb = %d
+max_fds = %d
+`
+
 // Start starts the process of a gateway that is not running.
 func (c *Cluster) Start(n int) error {
 	g := c.gateways[n]
@@ -266,6 +322,9 @@
 func (c *Cluster) startWithOutput(n int, output *os.File) error {
 	g := c.gateways[n]
 	g.cmd = exec.Command(c.program, "gateway")
+	if c.machine != nil {
+		g.cmd = exec.Command("sh", "-c", `ulimit -n "$0" && exec "$@"`, fmt.Sprint(c.machine.MaxFDs), c.program, "gateway")
+	}
 	g.cmd.Env = append(os.Environ(), "BILBERRYTILLER_NODE_FILE="+g.settingsPath)
 	g.cmd.Stdout, g.cmd.Stderr = output, output
 	if err := g.cmd.Start(); err != nil {
