Decide about the memory of a daemon from one budget of bytes

Bodies were read without a sum: bodies of legal size ended a process. coordination/memory is free of I/O: bodies reserve as their bytes come, large ones leave room for small ones, both for answers, and whoever stands still gives up first. Nothing uses it yet.

Seen red without the mechanism: TestLargeBodiesLeaveRoom (large share 1), TestStalledHolderGivesUp (no revocation), TestAllMemoryIsReleased (release that keeps the bytes).

--- /dev/null
+++ b/coordination/memory/memory_test.go
@@ -0,0 +1,97 @@
+package memory
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const mb = 1 << 20
+
+var start = time.Unix(1000, 0)
+
+func hold(b *Budget, n int64) (*Holder, error) {
+	h := b.Hold(start, func() {})
+	return h, h.Grow(n, start)
+}
+
+// TestLargeBodiesLeaveRoom guards against large bodies that use up the memory of small
+// ones, and bodies that use up that of answers.
+func TestLargeBodiesLeaveRoom(t *testing.T) {
+	b := New(10 * mb)
+	if _, err := hold(b, 7*mb+mb/2); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := hold(b, mb); !errors.Is(err, ErrShortage) {
+		t.Errorf("large body: got %v, want ErrShortage", err)
+	}
+	small := 0
+	for ; small < 1000; small++ {
+		if _, err := hold(b, SmallBytes); err != nil {
+			break
+		}
+	}
+	if small != 16 {
+		t.Errorf("got room for %d small bodies, want 16", small)
+	}
+	if !b.Answers(func() time.Time { return start }).TryAcquire(mb) {
+		t.Error("an answer finds no memory")
+	}
+}
+
+// TestStalledHolderGivesUp guards against bodies that stop short of their end and keep the
+// memory from others.
+func TestStalledHolderGivesUp(t *testing.T) {
+	b := New(10 * mb)
+	revoked := map[string]bool{}
+	grow := func(name string, at time.Time) error {
+		return b.Hold(at, func() { revoked[name] = true }).Grow(3*mb, at)
+	}
+	later := start.Add(StallTime / 2)
+	if err := errors.Join(grow("oldest", start), grow("younger", later)); err != nil {
+		t.Fatal(err)
+	}
+	if err := grow("early", start.Add(StallTime-1)); !errors.Is(err, ErrShortage) || len(revoked) > 0 {
+		t.Errorf("got %v and revoked %v, want ErrShortage and none", err, revoked)
+	}
+	if err := grow("late", start.Add(2*StallTime)); !errors.Is(err, ErrShortage) || !revoked["oldest"] || revoked["younger"] {
+		t.Errorf("got %v and revoked %v, want ErrShortage and only the oldest", err, revoked)
+	}
+}
+
+// TestAllMemoryIsReleased guards against a budget that shrinks with use, and one that is
+// exceeded by bodies.
+func TestAllMemoryIsReleased(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New(10 * mb)
+		var holders []*Holder
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			if len(holders) > 0 && rapid.Bool().Draw(t, "release") {
+				i := rapid.IntRange(0, len(holders)-1).Draw(t, "holder")
+				holders[i].Release()
+				continue
+			}
+			h := b.Hold(start, func() {})
+			holders = append(holders, h)
+			_ = h.Grow(rapid.Int64Range(1, 4*mb).Draw(t, "bytes"), start)
+			if used := b.Usage().UsedBytes; used > 10*mb {
+				t.Fatalf("%d bytes are in use", used)
+			}
+		}
+		for _, h := range holders {
+			h.Release()
+		}
+		if used := b.Usage().UsedBytes; used != 0 {
+			t.Errorf("%d bytes are in use after all releases", used)
+		}
+	})
+}
+
+// TestNoLimit checks a deployment that states no memory.
+func TestNoLimit(t *testing.T) {
+	if _, err := hold(New(0), 1<<40); err != nil {
+		t.Error(err)
+	}
+}
