--- a/internal/httpstop/httpstop.go
+++ b/internal/httpstop/httpstop.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"bilberrytiller.example/tiller/coordination/connlimit"
 	"bilberrytiller.example/tiller/internal/sleep"
 )
 
@@ -54,7 +55,8 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked := &conn{Conn: accepted, accepted: time.Now()}
+	now := time.Now()
+	tracked := &conn{Conn: accepted, accepted: now, waits: connlimit.Conn{Phase: connlimit.Head, Since: now}}
 	l.conns.mu.Lock()
 	defer l.conns.mu.Unlock()
 	l.conns.open[tracked] = true
@@ -111,6 +113,8 @@
 	// has been read.
 	used, idle bool
 	closed     bool
+	// waits is what the connection waits for.
+	waits connlimit.Conn
 }
 
 func (c *conn) setState(state http.ConnState) {
@@ -118,6 +122,11 @@
 	defer c.mu.Unlock()
 	c.used = c.used || state != http.StateNew
 	c.idle = state == http.StateIdle
+	if c.idle {
+		c.waits = connlimit.Conn{Phase: connlimit.Idle, Since: time.Now()}
+	} else if c.waits.Phase == connlimit.Idle {
+		c.waits = connlimit.Conn{Phase: connlimit.Head, Since: time.Now()}
+	}
 }
 
 // Read reads from the connection. What arrived before the connection was closed, but was
@@ -131,6 +140,9 @@
 	}
 	if n > 0 {
 		c.idle = false
+		if c.waits.Phase == connlimit.Idle {
+			c.waits = connlimit.Conn{Phase: connlimit.Head, Since: time.Now()}
+		}
 	}
 	return n, err
 }
