Keep bodies and connections within the memory and descriptors of the machine

Bodies were read whole, in buffers that grew by copying, and copied once more for each send; a client that did not read its answer kept it for ever; one failed accept ended the service of clients while the gateway was ready.

Bodies are kept once, in pieces that are reserved before they are read, and each send writes them from there. Answers that wait for their client and connections count in the same budget. What does not fit is refused with 503; who stands still gives up first. Each listener accepts up to its limit: idle connections make room, temporary errors of accept are waited out, a lasting one ends the gateway with its error. Large answers wait up to 1 s for memory, since their requests have run.

Without memory and descriptors in the settings (the platform passes none yet) there is no budget, and the limit of the process alone counts.

TestClientsAreServedAfterAcceptErrors and TestLastingAcceptErrorEndsService were seen red (timed out) without the check for temporary errors, TestNewConnectionsDisplaceIdleOnes without CloseOne, TestConnectionLimit without the limit and with connections counted twice at their close, TestLargeAnswerWaitsForMemory without the wait. The existing tests of clientServer get a gateway as a second argument, that of appendRequest its new name; what they check is unchanged.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -40,6 +40,9 @@
 // apply to new connections; open connections keep the limits they started with.
 type clientServer struct {
 	handler http.Handler
+	accept  acceptor
+	// occupy counts the memory of connections.
+	occupy func(connections int64)
 
 	mu      sync.Mutex
 	limits  routing.ClientLimits
@@ -68,8 +71,21 @@
 	accepted *httpstop.Conns
 }
 
-func newClientServer(handler http.Handler) *clientServer {
-	return &clientServer{handler: handler, servers: map[*http.Server]*handoffListener{}, drained: make(chan struct{})}
+func newClientServer(handler http.Handler, g *Gateway) *clientServer {
+	c := &clientServer{handler: handler, servers: map[*http.Server]*handoffListener{}, drained: make(chan struct{}), occupy: g.occupyMemory}
+	c.accept = acceptor{name: "client", limit: g.connLimits.Clients, conns: c.conns, g: g}
+	return c
+}
+
+// conns returns the connections of all servers.
+func (c *clientServer) conns() []*httpstop.Conns {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var conns []*httpstop.Conns
+	for _, h := range c.servers {
+		conns = append(conns, h.accepted)
+	}
+	return conns
 }
 
 // setLimits sets the limits of new connections.
@@ -95,12 +111,17 @@
 		ReadHeaderTimeout: cmp.Or(c.limits.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       cmp.Or(c.limits.IdleTimeout, defaultIdleTimeout) + idleGrace,
 		MaxHeaderBytes:    cmp.Or(c.limits.HeaderBytes, defaultHeaderBytes),
+		ConnContext:       httpstop.ConnContext,
 	}
 	h.accepted = httpstop.Track(s)
 	track := s.ConnState
 	s.ConnState = func(conn net.Conn, state http.ConnState) {
 		track(conn, state)
-		if state == http.StateClosed && h.openConns.Add(-1) == 0 {
+		if state != http.StateClosed {
+			return
+		}
+		c.occupy(-1)
+		if h.openConns.Add(-1) == 0 {
 			c.removeIfUnused(s)
 		}
 	}
@@ -164,10 +185,13 @@
 		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil
 		}
+		if err != nil && c.accept.recover(err) {
+			continue
+		}
 		if err != nil {
-			return err
+			return fmt.Errorf("accept clients: %w", err)
 		}
-		if !c.handOff(conn) {
+		if !c.accept.admit() || !c.handOff(conn) {
 			_ = conn.Close()
 		}
 	}
@@ -187,6 +211,7 @@
 		h.openConns.Add(1)
 		select {
 		case h.conns <- conn:
+			c.occupy(1)
 			return true
 		case <-h.closed:
 			h.openConns.Add(-1)
--- a/gateway/clients_test.go
+++ b/gateway/clients_test.go
@@ -25,7 +25,7 @@
 // that connected and sent before a stop, but whose connections were not
 // accepted yet.
 func TestDrainServesQueuedConnections(t *testing.T) {
-	c := newClientServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	c := newClientServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), newTestGateway(t))
 	l := listen(t)
 	var queued []net.Conn
 	for range 20 {
@@ -59,7 +59,7 @@
 // TestDrainEndsWhileClientsKeepConnecting guards against a stop that never ends
 // because the accept queue is never empty.
 func TestDrainEndsWhileClientsKeepConnecting(t *testing.T) {
-	c := newClientServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	c := newClientServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), newTestGateway(t))
 	l := listen(t)
 	go func() {
 		for {
@@ -125,7 +125,7 @@
 }
 
 func TestLimitsApplyToNewConnectionsOnly(t *testing.T) {
-	c := newClientServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	c := newClientServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), newTestGateway(t))
 	address := startClientServer(t, c)
 	long := "X-Long: " + strings.Repeat("x", 20<<10) + "\r\n"
 	old := dial(t, address)
@@ -142,7 +142,7 @@
 }
 
 func TestSlowHeaderClosesOnlyItsConnection(t *testing.T) {
-	c := newClientServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	c := newClientServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), newTestGateway(t))
 	address := startClientServer(t, c)
 	c.setLimits(routing.ClientLimits{HeaderTimeout: 20 * time.Millisecond})
 	slow := dial(t, address)
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -145,5 +145,5 @@
 // digest identifies a request by its service and content.
 func (r *clientRequest) digest() poison.Digest {
 	m := &r.message
-	return request.Digest(m.Body, r.service.Name, m.Method, m.Host, m.Target, r.key)
+	return request.DigestPieces(m.Body, r.service.Name, m.Method, m.Host, m.Target, r.key)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,8 +17,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"bilberrytiller.example/tiller/coordination/budget"
+	"bilberrytiller.example/tiller/coordination/connlimit"
+	"bilberrytiller.example/tiller/coordination/memory"
 	"bilberrytiller.example/tiller/coordination/shutdown"
 	"bilberrytiller.example/tiller/coordination/upstream"
+	"bilberrytiller.example/tiller/internal/httpstop"
 	"bilberrytiller.example/tiller/internal/inflight"
 	"bilberrytiller.example/tiller/internal/sleep"
 	"bilberrytiller.example/tiller/state/routing"
@@ -32,6 +35,10 @@
 	// platform and from other daemons.
 	internalHeaderTimeout  = 10 * time.Second
 	internalMaxHeaderBytes = 16 << 10
+	// internalTimeout limits how long such a request is read, and how long its answer is
+	// written. Neither applies to connections between daemons.
+	internalTimeout     = 10 * time.Second
+	internalIdleTimeout = 2 * time.Minute
 )
 
 // Gateway serves client requests on one host.
@@ -56,8 +63,10 @@
 	peerClient       *peer.Client
 	peerServer       *peer.Server
 
-	clients  *clientServer
-	inFlight inflight.Counter
+	memory     *memory.Budget
+	connLimits connlimit.Limits
+	clients    *clientServer
+	inFlight   inflight.Counter
 	// stopPlan is nil until the gateway is stopping.
 	stopPlan atomic.Pointer[shutdown.Plan]
 }
@@ -91,7 +100,8 @@
 	g.metrics = newMetrics(g)
 	g.metrics.root.Add("log_lines_left_out", 0)
 	g.requestLog = newRequestLogger(g.log, func() { g.metrics.root.Add("log_lines_left_out", 1) })
-	g.clients = newClientServer(http.HandlerFunc(g.serveClient))
+	g.setUpLimits(&settings)
+	g.clients = newClientServer(http.HandlerFunc(g.serveClient), g)
 	return g, nil
 }
 
@@ -119,16 +129,21 @@
 	}
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
+	limitRuntimeMemory(g.settings.Load().MemoryBytes)
+	// A listener that fails for good ends the gateway.
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
 	var group errgroup.Group
-	group.Go(func() error { return g.clients.serve(clientListener) })
+	group.Go(func() error { defer stop(); return g.clients.serve(clientListener) })
 	for _, s := range servers {
-		group.Go(func() error { return serveInternal(s) })
+		group.Go(func() error { defer stop(); return serveInternal(s) })
 	}
 	group.Go(func() error { g.upstreamClient.Sweep(background, g.balancer.Addresses); return nil })
 	group.Go(func() error { g.backends.runExpiry(background); return nil })
 	group.Go(func() error { g.measureRoundTrips(background); return nil })
 	g.log.Info().Str("event", "gateway.start").Str("incarnation", g.self.Incarnation).
 		Str("client", g.self.ClientAddress).Str("zone", g.self.Zone).Send()
+	g.logLimits()
 	<-ctx.Done()
 	g.stop(clientListener)
 	for _, s := range servers {
@@ -183,26 +198,39 @@
 		return nil, nil, err
 	}
 	endpoints := []struct {
-		address string
-		handler http.Handler
+		name, address string
+		handler       http.Handler
 	}{
-		{s.ReadyListen, h.Ready},
-		{s.DirectoryListen, h.Directory},
-		{s.PeerListen, g.peerServer},
-		{s.MetricsListen, g.metrics.handler()},
+		{"ready", s.ReadyListen, h.Ready},
+		{"directory", s.DirectoryListen, h.Directory},
+		{"peer", s.PeerListen, g.peerServer},
+		{"metrics", s.MetricsListen, g.metrics.handler()},
 	}
 	for _, e := range endpoints {
 		l, err := g.listenOn(ctx, e.address)
 		if err != nil {
 			return nil, nil, err
 		}
-		internal = append(internal, internalServer{newServer(e.handler), l})
+		internal = append(internal, g.newServer(e.name, e.handler, l))
 	}
 	return clientListener, internal, nil
 }
 
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: internalHeaderTimeout, MaxHeaderBytes: internalMaxHeaderBytes}
+// newServer returns a server of internal requests, whose connections are limited.
+func (g *Gateway) newServer(name string, h http.Handler, l net.Listener) internalServer {
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: internalHeaderTimeout, ReadTimeout: internalTimeout, WriteTimeout: internalTimeout,
+		IdleTimeout: internalIdleTimeout, MaxHeaderBytes: internalMaxHeaderBytes, ConnContext: httpstop.ConnContext,
+	}
+	conns := httpstop.Track(s)
+	a := &acceptor{name: name, limit: g.connLimits.Internal, conns: func() []*httpstop.Conns { return []*httpstop.Conns{conns} }, g: g}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !httpstop.Enter(r.Context(), connlimit.Serving) {
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	})
+	return internalServer{s, conns.Listener(&boundedListener{l, a})}
 }
 
 func serveInternal(s internalServer) error {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -45,3 +45,9 @@
 	}
 	return l.log.Info().Str("event", event)
 }
+
+// maxLoggedBytes limits what a log line has of a client's text, which may be as long as
+// the header.
+const maxLoggedBytes = 256
+
+func clip(text string) string { return text[:min(len(text), maxLoggedBytes)] }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -39,6 +39,11 @@
 	m.root.Set("requests_in_flight", expvar.Func(func() any { return g.inFlight.Count() }))
 	m.root.Set("connections_opened", expvar.Func(func() any { return g.upstreamClient.Dials.Load() }))
 	m.root.Set("connections_reused", expvar.Func(func() any { return g.upstreamClient.Reuses.Load() }))
+	m.root.Set("connections_to_servers", expvar.Func(func() any { return g.upstreamClient.OpenConns() }))
+	m.root.Set("memory", expvar.Func(func() any { return g.memory.Usage() }))
+	for _, name := range []string{"accept_errors", "connections_displaced", "connections_refused", "answers_unread"} {
+		m.root.Add(name, 0)
+	}
 	m.root.Set("latency_ms", expvar.Func(m.quantiles))
 	m.root.Set("daemons", expvar.Func(func() any { return g.daemonCount() }))
 	return m
--- a/gateway/runlog.go
+++ b/gateway/runlog.go
@@ -10,7 +10,7 @@
 
 // logSend logs a send whose outcome is not a successful answer.
 func (d *dispatcher) logSend(res sendResult) {
-	d.g.requestLog.newEvent("send.ended", true).Str("id", d.req.id).Str("backend", res.choice.Backend.ID).
+	d.g.requestLog.newEvent("send.ended", true).Str("id", clip(d.req.id)).Str("backend", res.choice.Backend.ID).
 		Str("address", res.choice.Backend.Address).Stringer("outcome", res.exchange.Result.Outcome).
 		Str("chosen_for", string(res.choice.Reason)).Int("held", res.choice.EstimatedRequests).AnErr("error", res.exchange.Err).Send()
 }
@@ -25,8 +25,8 @@
 		status, outcome = res.local.status, res.local.reason
 	}
 	g.metrics.observe(req.service.Name, outcome, latency)
-	e := g.requestLog.newEvent("request.done", res.answer == nil).Str("id", req.id).Str("route", req.route.Name).
-		Str("service", req.service.Name).Uint64("version", uint64(req.version)).Str("key", req.key).
+	e := g.requestLog.newEvent("request.done", res.answer == nil).Str("id", clip(req.id)).Str("route", req.route.Name).
+		Str("service", req.service.Name).Uint64("version", uint64(req.version)).Str("key", clip(req.key)).
 		Int("status", status).Str("outcome", outcome).Int("sends", d.sends).Int("connects", d.failedConnects).Dur("ms", latency)
 	if outcome == reasonCrashes {
 		e = e.Str("digest", shortDigest(req.digest()))
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -22,6 +22,10 @@
 	// Capacity is the capacity of the host in cores: the cores that it may use, or
 	// those that its network link can keep busy if they are fewer.
 	Capacity float64
+	// MemoryBytes is the memory that the process may use, and MaxDescriptors the number of
+	// descriptors that it may open. Zero means that the limit is not known.
+	MemoryBytes    int64
+	MaxDescriptors int
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
 	// MaxDirectoryTTL is the longest time for which clients may cache a directory
--- a/transport/upstreamhttp/client.go
+++ b/transport/upstreamhttp/client.go
@@ -11,6 +11,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"slices"
@@ -46,11 +47,15 @@
 	names  HeaderNames
 	dialer net.Dialer
 	// bodyMemory is what large bodies that are being read may use together.
-	bodyMemory *semaphore.Weighted
+	bodyMemory BodyMemory
 
 	mu   sync.Mutex
 	idle map[string][]*conn
 
+	// maxConns limits the open connections. Zero means no limit.
+	maxConns  int64
+	openConns atomic.Int64
+
 	// Dials counts the connection attempts, Reuses the requests sent on idle
 	// connections.
 	Dials, Reuses atomic.Int64
@@ -67,6 +72,21 @@
 	}
 }
 
+// SetBodyMemory sets the memory for large bodies of answers. It must be called before the
+// first request.
+func (c *Client) SetBodyMemory(m BodyMemory) { c.bodyMemory = m }
+
+// SetMaxConns limits the open connections; 0 means no limit. It must be called before the
+// first request.
+func (c *Client) SetMaxConns(n int) { c.maxConns = int64(n) }
+
+// ErrTooManyConns means that a request was not sent, because the limit of open
+// connections is reached and all of them are in use.
+var ErrTooManyConns = errors.New("all connections to servers are in use")
+
+// OpenConns returns the number of open connections.
+func (c *Client) OpenConns() int64 { return c.openConns.Load() }
+
 // Exchange is the outcome of one request to a backend server.
 type Exchange struct {
 	// Answer is nil unless a complete, valid answer was received.
@@ -84,7 +104,7 @@
 	cn, roundTrip, err := c.getConn(ctx, addr, r)
 	if err != nil {
 		outcome := upstream.Unreachable
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(err, ErrTooManyConns) {
 			outcome = upstream.Abandoned
 		}
 		return Exchange{Result: upstream.Result{Outcome: outcome}, Err: fmt.Errorf("connect: %w", err)}
@@ -123,17 +143,47 @@
 		}
 		_ = cn.Close()
 	}
+	return c.dial(ctx, addr)
+}
+
+// dial opens a connection, and closes an idle one to any server if the limit is reached.
+func (c *Client) dial(ctx context.Context, addr string) (cn *conn, roundTrip time.Duration, err error) {
+	if open := c.openConns.Add(1); c.maxConns > 0 && open > c.maxConns && !c.closeOldestIdle() {
+		c.openConns.Add(-1)
+		return nil, 0, ErrTooManyConns
+	}
 	c.Dials.Add(1)
 	start := time.Now()
 	raw, err := c.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
+		c.openConns.Add(-1)
 		return nil, 0, err
 	}
 	return c.newConn(raw), time.Since(start), nil
 }
 
+// closeOldestIdle closes the connection that has been idle for longest, and reports
+// whether there was one.
+func (c *Client) closeOldestIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	oldest := ""
+	for addr, conns := range c.idle {
+		if len(conns) > 0 && (oldest == "" || conns[0].idleSince.Before(c.idle[oldest][0].idleSince)) {
+			oldest = addr
+		}
+	}
+	if oldest == "" {
+		return false
+	}
+	_ = c.idle[oldest][0].Close()
+	c.idle[oldest] = slices.Delete(c.idle[oldest], 0, 1)
+	return true
+}
+
 func (c *Client) newConn(raw net.Conn) *conn {
 	cn := &conn{Conn: raw, head: headLimiter{source: raw}, bodyMemory: c.bodyMemory, idleTimeout: defaultIdleTimeout}
+	cn.onClose = func() { c.openConns.Add(-1) }
 	cn.reader = bufio.NewReaderSize(&cn.head, readBufferSize)
 	return cn
 }
@@ -141,14 +191,12 @@
 // Warm connects to addr and keeps the connection for a later request. It returns
 // the time that it took to connect.
 func (c *Client) Warm(ctx context.Context, addr string) (time.Duration, error) {
-	c.Dials.Add(1)
-	start := time.Now()
-	raw, err := c.dialer.DialContext(ctx, "tcp", addr)
+	cn, roundTrip, err := c.dial(ctx, addr)
 	if err != nil {
 		return 0, fmt.Errorf("connect: %w", err)
 	}
-	c.putIdle(addr, c.newConn(raw), 1)
-	return time.Since(start), nil
+	c.putIdle(addr, cn, 1)
+	return roundTrip, nil
 }
 
 // popIdle removes and returns the most recently used idle connection to addr that
--- a/transport/upstreamhttp/client_test.go
+++ b/transport/upstreamhttp/client_test.go
@@ -204,7 +204,7 @@
 	addr := startScriptedServer(t, []string{early}, []string{successAnswer("two")})
 	c := New(testHeaders)
 	long := newRequest("a")
-	long.Method, long.Body = http.MethodPost, make([]byte, 24<<20)
+	long.Method, long.Body = http.MethodPost, [][]byte{make([]byte, 24<<20)}
 	x := c.Run(context.Background(), addr, long)
 	if x.Err != nil || x.Answer.Status != 400 {
 		t.Fatalf("got answer %+v and error %v, want status 400", x.Answer, x.Err)
@@ -217,7 +217,7 @@
 func TestRequestCarriesServerIDAndRemainingTime(t *testing.T) {
 	r := newRequest("a")
 	r.Header.Set(testHeaders.DeadlineMs, "99999")
-	text := string(testHeaders.appendRequest(nil, r, r.Deadline.Add(-500*time.Millisecond)))
+	text := string(testHeaders.appendHead(nil, r, r.Deadline.Add(-500*time.Millisecond)))
 	if !strings.Contains(text, "X-Left: 500\r\n") || strings.Contains(text, "99999") || !strings.Contains(text, "X-Expect: i-1\r\n") {
 		t.Errorf("got request:\n%s\nwant \"X-Left: 500\", \"X-Expect: i-1\" and no X-Left of the client", text)
 	}
--- a/transport/upstreamhttp/conn.go
+++ b/transport/upstreamhttp/conn.go
@@ -5,17 +5,17 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"bilberrytiller.example/tiller/coordination/upstream"
 )
 
@@ -50,19 +50,29 @@
 	net.Conn
 	head   headLimiter
 	reader *bufio.Reader
+	// onClose is called once, when the connection is closed.
+	onClose   func()
+	closeOnce sync.Once
 	// bodyMemory is shared by all connections of a client.
-	bodyMemory *semaphore.Weighted
+	bodyMemory BodyMemory
 	// The connection may be reused until idleTimeout after idleSince.
 	idleSince   time.Time
 	idleTimeout time.Duration
-	// rejected holds the IDs of the requests that the connection carried and that
-	// were not run. A second copy of such an answer may still arrive.
-	rejected []string
+	// rejected holds hashes of the IDs of the requests that the connection carried and
+	// that were not run. A second copy of such an answer may still arrive. An ID may be as
+	// long as a header.
+	rejected []uint64
 	// writeDone receives the result of a concurrent write of the request. It is
 	// nil if the request was written before the answer was read.
 	writeDone chan error
 }
 
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.closeOnce.Do(c.onClose)
+	return c.Conn.Close()
+}
+
 // alive reports whether an idle connection is open and has no unread data.
 // Data that arrives while no request is in flight belongs to no request.
 func (c *conn) alive() bool {
@@ -114,26 +124,35 @@
 // and reports whether it may carry others. After an answer without an ID it may not,
 // since a late second copy would be taken for the answer to any of them.
 func (c *conn) rememberRejection(n HeaderNames, r *Request, resp *http.Response) bool {
-	c.rejected = append(c.rejected, r.ID)
+	c.rejected = append(c.rejected, hashID(r.ID))
 	return resp.Header.Get(n.AttemptID) != "" && len(c.rejected) < maxRejectedIDs
 }
 
 // mayCarry reports whether an answer that carries the ID of a request would be the
 // answer to it. A request that the connection has carried and that was not run may be
 // sent again; a late second copy of the first answer would say that it was not run.
-func (c *conn) mayCarry(r *Request) bool { return !slices.Contains(c.rejected, r.ID) }
+func (c *conn) mayCarry(r *Request) bool { return !slices.Contains(c.rejected, hashID(r.ID)) }
+
+var idSeed = maphash.MakeSeed()
+
+func hashID(id string) uint64 { return maphash.String(idSeed, id) }
 
 func (c *conn) send(n HeaderNames, r *Request) error {
-	buffer := n.appendRequest(make([]byte, 0, 1024+len(r.Body)), r, time.Now())
+	head := n.appendHead(make([]byte, 0, 1024), r, time.Now())
 	c.writeDone = nil
-	if len(buffer) <= maxSyncWriteBytes {
-		_, err := c.Write(buffer)
+	if len(head)+r.bodyBytes() <= maxSyncWriteBytes {
+		for _, piece := range r.Body {
+			head = append(head, piece...)
+		}
+		_, err := c.Write(head)
 		return err
 	}
+	// The body is written from where it is, since a copy of it would double its memory.
+	message := append(net.Buffers{head}, r.Body...)
 	done := make(chan error, 1)
 	c.writeDone = done
 	go func() {
-		_, err := c.Write(buffer)
+		_, err := message.WriteTo(c.Conn)
 		done <- err
 	}()
 	return nil
@@ -185,7 +204,7 @@
 	return resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(n.NotExecuted) != ""
 }
 
-func readAnswer(n HeaderNames, resp *http.Response, bodyMemory *semaphore.Weighted) (*Answer, error) {
+func readAnswer(n HeaderNames, resp *http.Response, bodyMemory BodyMemory) (*Answer, error) {
 	body, err := readBody(resp.Body, bodyMemory)
 	if err != nil {
 		return nil, err
--- a/transport/upstreamhttp/limit.go
+++ b/transport/upstreamhttp/limit.go
@@ -4,8 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
-
-	"golang.org/x/sync/semaphore"
+	"time"
 )
 
 const (
@@ -20,8 +19,8 @@
 	// bodies.
 	smallBodyBytes = 256 << 10
 	// largeBodyMemory limits the memory of all bodies above smallBodyBytes that a
-	// client is reading. It has room for one body of MaxAnswerBytes while its buffer
-	// grows for the last time.
+	// client of New is reading. It has room for one body of MaxAnswerBytes while its
+	// buffer grows for the last time.
 	largeBodyMemory = 64 << 20
 )
 
@@ -37,6 +36,14 @@
 	ErrBodyMemory = errors.New("memory for large answer bodies is in use")
 )
 
+// BodyMemory is the memory that the answers which are being read share. It is safe for
+// concurrent use.
+type BodyMemory interface {
+	// TryAcquire reserves n bytes and reports whether they are free.
+	TryAcquire(n int64) bool
+	Release(n int64)
+}
+
 // headLimiter limits the bytes that are read from a connection while the head of an
 // answer, its status line and header, is parsed. http.ReadResponse has no limit.
 type headLimiter struct {
@@ -75,7 +82,7 @@
 
 // readBody reads a body of at most MaxAnswerBytes. What its buffer needs beyond
 // smallBodyBytes is taken from memory until the body has been read.
-func readBody(body io.Reader, memory *semaphore.Weighted) ([]byte, error) {
+func readBody(body io.Reader, memory BodyMemory) ([]byte, error) {
 	reserved := int64(0)
 	defer func() { memory.Release(reserved) }()
 	buffer := make([]byte, 0, minBodyBuffer)
@@ -97,7 +104,7 @@
 			buffer = append(make([]byte, 0, grown), buffer...)
 			continue
 		}
-		if !memory.TryAcquire(int64(grown)) {
+		if !awaitMemory(memory, int64(grown)) {
 			return nil, ErrBodyMemory
 		}
 		buffer = append(make([]byte, 0, grown), buffer...)
@@ -105,3 +112,20 @@
 		reserved = int64(grown)
 	}
 }
+
+const (
+	// memoryTimeout is how long a body waits for memory. Its request has run, so an answer
+	// is worth waiting for; a server that cannot send for longer may cut it off.
+	memoryTimeout  = time.Second
+	memoryInterval = 10 * time.Millisecond
+)
+
+// awaitMemory reserves n bytes, and waits for them until memoryTimeout has passed.
+func awaitMemory(memory BodyMemory, n int64) bool {
+	for end := time.Now().Add(memoryTimeout); !memory.TryAcquire(n); time.Sleep(memoryInterval) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
--- a/transport/upstreamhttp/limit_test.go
+++ b/transport/upstreamhttp/limit_test.go
@@ -177,3 +177,67 @@
 		t.Errorf("large answer with free memory: got error %v, want its body", x.Err)
 	}
 }
+
+// TestLargeAnswerWaitsForMemory guards against an answer that is lost, although its
+// request has run, since another one is about to release its memory.
+func TestLargeAnswerWaitsForMemory(t *testing.T) {
+	client := New(testHeaders)
+	if !client.bodyMemory.TryAcquire(largeBodyMemory) {
+		t.Fatal("memory for large bodies is in use before the test")
+	}
+	refused := make(chan struct{}, 1)
+	memory := &observedMemory{client.bodyMemory, refused}
+	client.SetBodyMemory(memory)
+	go func() {
+		<-refused
+		memory.Release(largeBodyMemory)
+	}()
+	large := strings.Repeat("x", 1<<20)
+	addr := startScriptedServer(t, []string{successAnswer(large)})
+	if x := client.Run(context.Background(), addr, newRequest("a")); x.Err != nil || string(x.Answer.Body) != large {
+		t.Errorf("got error %v, want the answer's body", x.Err)
+	}
+}
+
+// observedMemory reports a refusal.
+type observedMemory struct {
+	BodyMemory
+	refused chan struct{}
+}
+
+func (m *observedMemory) TryAcquire(n int64) bool {
+	if m.BodyMemory.TryAcquire(n) {
+		return true
+	}
+	select {
+	case m.refused <- struct{}{}:
+	default:
+	}
+	return false
+}
+
+// TestConnectionLimit guards against connections to servers that take the descriptors of
+// everything else, and idle ones that keep a request from being sent.
+func TestConnectionLimit(t *testing.T) {
+	client := New(testHeaders)
+	client.SetMaxConns(1)
+	first := startScriptedServer(t, []string{successAnswer("1")})
+	if x := client.Run(context.Background(), first, newRequest("a")); x.Err != nil || client.OpenConns() != 1 {
+		t.Fatalf("got %v and %d connections, want an answer and 1", x.Err, client.OpenConns())
+	}
+	second := startEndlessServer(t, "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Signed: s\r\n\r\n", "x")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	busy, _, err := client.getConn(ctx, second, newRequest("a"))
+	if err != nil || client.OpenConns() != 1 {
+		t.Fatalf("got %v and %d connections, want the idle connection closed", err, client.OpenConns())
+	}
+	if x := client.Run(ctx, first, newRequest("b")); !errors.Is(x.Err, ErrTooManyConns) || x.Sent {
+		t.Errorf("got %+v, want ErrTooManyConns and nothing sent", x)
+	}
+	_ = busy.Close()
+	_ = busy.Close()
+	if n := client.OpenConns(); n != 0 {
+		t.Errorf("got %d open connections at the end, want 0", n)
+	}
+}
--- a/transport/upstreamhttp/message.go
+++ b/transport/upstreamhttp/message.go
@@ -46,8 +46,9 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
-	ID     string
+	// Body is the body in pieces. It is not changed.
+	Body [][]byte
+	ID   string
 	// ServerID identifies the only server that may run the request.
 	ServerID string
 	// Organisation is sent to the server unless it is empty.
@@ -109,8 +110,17 @@
 	return false
 }
 
-// appendRequest appends the request in HTTP/1.1 wire format to b.
-func (n HeaderNames) appendRequest(b []byte, r *Request, now time.Time) []byte {
+// bodyBytes returns the length of the body.
+func (r *Request) bodyBytes() int {
+	n := 0
+	for _, piece := range r.Body {
+		n += len(piece)
+	}
+	return n
+}
+
+// appendHead appends the request line and the header in HTTP/1.1 wire format to b.
+func (n HeaderNames) appendHead(b []byte, r *Request, now time.Time) []byte {
 	b = append(append(append(b, r.Method...), ' '), r.Target...)
 	b = appendHeader(append(b, " HTTP/1.1\r\n"...), "Host", r.Host)
 	for name, values := range r.Header {
@@ -127,10 +137,10 @@
 	if r.Organisation != "" {
 		b = appendHeader(b, n.Organisation, r.Organisation)
 	}
-	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
-		b = appendHeader(b, "Content-Length", strconv.Itoa(len(r.Body)))
+	if length := r.bodyBytes(); length > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		b = appendHeader(b, "Content-Length", strconv.Itoa(length))
 	}
-	return append(append(b, "\r\n"...), r.Body...)
+	return append(b, "\r\n"...)
 }
 
 func appendHeader(b []byte, name, value string) []byte {
