Let the directory share the connections of clients; release a body with its answer

Clients call the directory as often as they look up, and may keep their connections to it, so a fiftieth of the sockets would be too few for it. A client that reads its answer slowly no longer holds its body as well.

--- a/coordination/connlimit/connlimit.go
+++ b/coordination/connlimit/connlimit.go
@@ -52,10 +52,11 @@
 const (
 	// fileDescriptors are reserved for files.
 	fileDescriptors = 200
-	// clientShare and serverShare are the fractions of the sockets for clients and
-	// backend servers. The rest is for other daemons, the store, the readiness check, the
-	// directory, and connections that are being accepted or closed.
-	clientShare, serverShare = 0.6, 0.3
+	// clientShare and serverShare are the fractions of the sockets for clients, those of
+	// the directory included, and for backend servers. internalShare is that of each other
+	// listener. The rest is for other daemons, the store, and connections that are being
+	// accepted or closed.
+	clientShare, serverShare, internalShare = 0.66, 0.25, 0.02
 	// MinDescriptors is the smallest number of descriptors with which a daemon can work.
 	MinDescriptors = fileDescriptors + 50
 	// ConnBytes is the memory of a connection with its buffers and goroutines.
@@ -67,13 +68,10 @@
 // Limits are the numbers of connections that a daemon may hold. Zero means no limit.
 type Limits struct {
 	Clients, Servers int
-	// Internal is the limit of each of the other listeners.
+	// Internal is the limit of each listener for other daemons or the operator.
 	Internal int
 }
 
-// internalListeners is the number of listeners that share what clients and servers leave.
-const internalListeners = 5
-
 // New returns the limits for a number of descriptors, and for a memory in bytes of which
 // the connections of clients may use a part. Zero or less means unknown.
 func New(descriptors int, memoryBytes int64) Limits {
@@ -82,7 +80,7 @@
 		sockets := float64(max(descriptors, MinDescriptors) - fileDescriptors)
 		l.Clients = int(clientShare * sockets)
 		l.Servers = int(serverShare * sockets)
-		l.Internal = int((1 - clientShare - serverShare) * sockets / internalListeners)
+		l.Internal = int(internalShare * sockets)
 	}
 	if memoryBytes > 0 {
 		inMemory := int(memoryShare * float64(memoryBytes) / ConnBytes)
--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -43,7 +43,7 @@
 	pause time.Duration
 }
 
-// failed reports whether an error of Accept will pass, after a pause.
+// recover reports whether an error of Accept will pass, after a pause.
 func (a *acceptor) recover(err error) bool {
 	if !isTemporary(err) {
 		return false
@@ -98,5 +98,15 @@
 	}
 }
 
+// clientConns returns the connections that share the limit of clients: theirs and those to
+// the directory, which they use as well.
+func (g *Gateway) clientConns() []*httpstop.Conns {
+	conns := g.clients.conns()
+	if g.directoryConns != nil {
+		conns = append(conns, g.directoryConns)
+	}
+	return conns
+}
+
 // occupyMemory counts the memory of a connection.
 func (g *Gateway) occupyMemory(connections int64) { g.memory.Occupy(connections * connlimit.ConnBytes) }
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -73,7 +73,7 @@
 
 func newClientServer(handler http.Handler, g *Gateway) *clientServer {
 	c := &clientServer{handler: handler, servers: map[*http.Server]*handoffListener{}, drained: make(chan struct{}), occupy: g.occupyMemory}
-	c.accept = acceptor{name: "client", limit: g.connLimits.Clients, conns: c.conns, g: g}
+	c.accept = acceptor{name: "client", limit: g.connLimits.Clients, conns: g.clientConns, g: g}
 	return c
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,7 +66,9 @@
 	memory     *memory.Budget
 	connLimits connlimit.Limits
 	clients    *clientServer
-	inFlight   inflight.Counter
+	// directoryConns is nil until the gateway listens.
+	directoryConns *httpstop.Conns
+	inFlight       inflight.Counter
 	// stopPlan is nil until the gateway is stopping.
 	stopPlan atomic.Pointer[shutdown.Plan]
 }
@@ -156,6 +158,10 @@
 	return err
 }
 
+// directoryListener is the name of the listener whose connections share the limit of
+// clients.
+const directoryListener = "directory"
+
 type internalServer struct {
 	server   *http.Server
 	listener net.Listener
@@ -202,7 +208,7 @@
 		handler       http.Handler
 	}{
 		{"ready", s.ReadyListen, h.Ready},
-		{"directory", s.DirectoryListen, h.Directory},
+		{directoryListener, s.DirectoryListen, h.Directory},
 		{"peer", s.PeerListen, g.peerServer},
 		{"metrics", s.MetricsListen, g.metrics.handler()},
 	}
@@ -223,7 +229,21 @@
 		IdleTimeout: internalIdleTimeout, MaxHeaderBytes: internalMaxHeaderBytes, ConnContext: httpstop.ConnContext,
 	}
 	conns := httpstop.Track(s)
+	track := s.ConnState
+	s.ConnState = func(conn net.Conn, state http.ConnState) {
+		track(conn, state)
+		switch state {
+		case http.StateNew:
+			g.occupyMemory(1)
+		case http.StateClosed, http.StateHijacked:
+			g.occupyMemory(-1)
+		}
+	}
 	a := &acceptor{name: name, limit: g.connLimits.Internal, conns: func() []*httpstop.Conns { return []*httpstop.Conns{conns} }, g: g}
+	if name == directoryListener {
+		g.directoryConns = conns
+		a.limit, a.conns = g.connLimits.Clients, g.clientConns
+	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !httpstop.Enter(r.Context(), connlimit.Serving) {
 			panic(http.ErrAbortHandler)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -67,6 +67,11 @@
 	defer req.body.release()
 	d := &dispatcher{g: g, req: req}
 	result := d.serve(r.Context())
+	if result.answer != nil {
+		// A client that reads slowly keeps its answer in memory, but not its body.
+		req.body.release()
+		req.body.pieces, req.message.Body = nil, nil
+	}
 	g.writeResult(w, result)
 	g.logResult(req, d, result)
 }
