--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/coder/websocket"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"bilberrytiller.example/tiller/internal/inflight"
 	"bilberrytiller.example/tiller/protocol/wire"
@@ -18,6 +19,9 @@
 // maxConcurrentCalls limits the calls that run concurrently on one connection.
 const maxConcurrentCalls = 4096
 
+// refusalLinesPerSecond limits the log lines about refused connections.
+const refusalLinesPerSecond = 10
+
 type handler func(ctx context.Context, from string, body []byte) (any, error)
 
 // Server serves calls from peers.
@@ -27,6 +31,8 @@
 	handlers map[wire.Type]handler
 	started  time.Time
 	calls    inflight.Counter
+	// refusalLog limits the lines about refused connections, which anybody can cause.
+	refusalLog *rate.Limiter
 
 	mu    sync.Mutex
 	conns map[*websocket.Conn]bool
@@ -34,7 +40,7 @@
 
 // NewServer returns a server that authenticates peers with auth.
 func NewServer(auth *Auth, log zerolog.Logger) *Server {
-	return &Server{auth: auth, log: log, handlers: map[wire.Type]handler{}, conns: map[*websocket.Conn]bool{}, started: time.Now()}
+	return &Server{auth: auth, log: log, handlers: map[wire.Type]handler{}, conns: map[*websocket.Conn]bool{}, started: time.Now(), refusalLog: rate.NewLimiter(refusalLinesPerSecond, refusalLinesPerSecond)}
 }
 
 // Handle registers the handler of a call type. It must not be called after the
@@ -55,7 +61,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	from, err := s.auth.Check(r.Header.Get(HeaderAuth), time.Now())
 	if err != nil {
-		s.log.Warn().Str("event", "peer.refused").Str("remote", r.RemoteAddr).Err(err).Send()
+		s.logRefusal().Str("event", "peer.refused").Str("remote", r.RemoteAddr).Err(err).Send()
 		http.Error(w, err.Error(), http.StatusUnauthorized)
 		return
 	}
@@ -68,6 +74,15 @@
 	s.serve(r.Context(), ws, from)
 }
 
+// logRefusal returns a log line, or nil, on which all methods are no-ops, if too many were
+// written lately.
+func (s *Server) logRefusal() *zerolog.Event {
+	if !s.refusalLog.AllowN(time.Now(), 1) {
+		return nil
+	}
+	return s.log.Warn()
+}
+
 // InFlight returns the number of calls whose answers have not been written yet.
 func (s *Server) InFlight() int { return s.calls.Count() }
 
