Move the write deadline of a connection only once in some seconds

Setting it for each answer took an allocation and a timer change a request.

TestWriteToSilentReaderEnds was seen red (timed out) without the deadline.

--- a/coordination/memory/memory.go
+++ b/coordination/memory/memory.go
@@ -33,7 +33,7 @@
 	size    int64
 	used    int64
 	holders map[*Holder]bool
-	// refused counts the reservations that did not fit, revoked the holders that were
+	// refused counts the reservations of bodies that did not fit, revoked the holders that were
 	// told to give up their memory.
 	refused, revoked int64
 }
@@ -71,6 +71,7 @@
 		share = largeShare
 	}
 	if err := b.reserve(n, share, now); err != nil {
+		b.refused++
 		return err
 	}
 	h.bytes += n
@@ -118,7 +119,6 @@
 func (b *Budget) reserve(n int64, share float64, now time.Time) error {
 	limit := int64(share * float64(b.size))
 	if b.size > 0 && b.used+n > limit {
-		b.refused++
 		b.revokeStalled(b.used+n-limit, now)
 		return ErrShortage
 	}
@@ -183,7 +183,7 @@
 	// SizeBytes and UsedBytes are the size of the budget and what is in use.
 	SizeBytes int64 `json:"size_bytes"`
 	UsedBytes int64 `json:"used_bytes"`
-	// Refused counts the reservations that did not fit, Revoked the holders that had to
+	// Refused counts the reservations of bodies that did not fit, Revoked the holders that had to
 	// give up their memory.
 	Refused int64 `json:"refused"`
 	Revoked int64 `json:"revoked"`
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -157,13 +157,12 @@
 // connection is closed if the client stands still, or if it reads too slowly to be served
 // by any client that still waits for the answer.
 func (g *Gateway) writeAnswer(w http.ResponseWriter, answer []byte) {
-	controller := http.NewResponseController(w)
-	now := time.Now()
 	if len(answer) <= smallAnswer {
-		_ = controller.SetWriteDeadline(now.Add(writeTimeout))
 		_, _ = w.Write(answer)
 		return
 	}
+	controller := http.NewResponseController(w)
+	now := time.Now()
 	holder := g.memory.Hold(now, func() { _ = controller.SetWriteDeadline(time.Unix(1, 0)) })
 	defer holder.Release()
 	holder.Add(int64(cap(answer)), now)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -60,6 +60,7 @@
 	req, resp := g.parseRequest(w, r)
 	if resp != nil {
 		limitUnreadBody(w, r)
+		httpstop.AllowWrite(r.Context(), writeTimeout)
 		g.writeLocalResponse(w, resp)
 		g.logRefusal(r, resp)
 		return
@@ -72,6 +73,7 @@
 		req.body.release()
 		req.body.pieces, req.message.Body = nil, nil
 	}
+	httpstop.AllowWrite(r.Context(), writeTimeout)
 	g.writeResult(w, result)
 	g.logResult(req, d, result)
 }
@@ -155,7 +157,6 @@
 		seconds := math.Ceil(resp.retryAfter.Seconds()*100) / 100
 		w.Header().Set(g.headers.RetryAfter, strconv.FormatFloat(seconds, 'f', 2, 64))
 	}
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(resp.status)
 }
--- a/internal/httpstop/httpstop.go
+++ b/internal/httpstop/httpstop.go
@@ -115,6 +115,8 @@
 	closed     bool
 	// waits is what the connection waits for.
 	waits connlimit.Conn
+	// writeAllowed is when AllowWrite last set the write deadline.
+	writeAllowed time.Time
 }
 
 func (c *conn) setState(state http.ConnState) {
--- a/internal/httpstop/httpstop_test.go
+++ b/internal/httpstop/httpstop_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -223,3 +224,15 @@
 		}
 	}
 }
+
+// TestWriteToSilentReaderEnds guards against clients that send requests and read none of
+// the answers: their connections stayed for ever.
+func TestWriteToSilentReaderEnds(t *testing.T) {
+	client, server := net.Pipe()
+	defer client.Close()
+	c := &conn{Conn: server, accepted: time.Now()}
+	AllowWrite(ConnContext(context.Background(), c), 50*time.Millisecond)
+	if _, err := c.Write([]byte("answer")); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("got %v, want the write to end at its deadline", err)
+	}
+}
--- a/internal/httpstop/limit.go
+++ b/internal/httpstop/limit.go
@@ -29,6 +29,22 @@
 	return !c.closed
 }
 
+// AllowWrite bounds how long the client of a request, given by its context, may take to
+// make room for an answer: from half of timeout to timeout. The deadline is not moved for
+// each answer, since that takes processor time.
+func AllowWrite(ctx context.Context, timeout time.Duration) {
+	c, ok := ctx.Value(contextKey{}).(*conn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now := time.Now(); now.Sub(c.writeAllowed) > timeout/2 {
+		c.writeAllowed = now
+		_ = c.Conn.SetWriteDeadline(now.Add(timeout))
+	}
+}
+
 // Open returns the number of open connections.
 func (c *Conns) Open() int {
 	c.mu.Lock()
