--- a/coordination/connlimit/connlimit.go
+++ b/coordination/connlimit/connlimit.go
@@ -60,7 +60,7 @@
 	// MinDescriptors is the smallest number of descriptors with which a daemon can work.
 	MinDescriptors = fileDescriptors + 50
 	// ConnBytes is the memory of a connection with its buffers and goroutines.
-	ConnBytes = 20 << 10
+	ConnBytes = 24 << 10
 	// memoryShare is the fraction of the memory that connections of clients may use.
 	memoryShare = 0.5
 )
--- a/coordination/connlimit/connlimit_test.go
+++ b/coordination/connlimit/connlimit_test.go
@@ -17,8 +17,8 @@
 			t.Errorf("%d descriptors: got %+v, want %+v", descriptors, got, want)
 		}
 	}
-	if got := New(8192, 10<<20).Clients; got != 256 {
-		t.Errorf("10 MB of memory: got %d clients, want 256", got)
+	if got := New(8192, 10<<20).Clients; got != 213 {
+		t.Errorf("10 MB of memory: got %d clients, want 213", got)
 	}
 }
 
