Tell an answer that is too large from one without memory at once

The last growth of a body of 32 MiB needs one byte more than 64 MiB. Such an answer ended with the wrong error, and now waited 1 s for memory first. TestEndlessBodyEndsExchange takes 0.1 s again in place of 3.1 s.

--- a/transport/upstreamhttp/limit.go
+++ b/transport/upstreamhttp/limit.go
@@ -21,7 +21,7 @@
 	// largeBodyMemory limits the memory of all bodies above smallBodyBytes that a
 	// client of New is reading. It has room for one body of MaxAnswerBytes while its
 	// buffer grows for the last time.
-	largeBodyMemory = 64 << 20
+	largeBodyMemory = 2*MaxAnswerBytes + 1
 )
 
 // Errors after which the request may have run.
