Keep connections to the readiness check and the directory from being held

A client that stopped short of a body at a listener without bodies, or did not read its answers there, kept its place for 10 s; a few could keep the readiness check out. The rest of a body is read for 500 ms there, an answer is written within 3 s.

TestBodyThatStandsStillGivesUpItsMemory failed once, when its second request came before the first body had reserved its memory; it now waits for that.

--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -44,6 +44,9 @@
 		resp, _ := http.ReadResponse(bufio.NewReader(stalled), nil)
 		answered <- resp
 	}()
+	for f.memory.Usage().UsedBytes == 0 {
+		time.Sleep(time.Millisecond)
+	}
 	hold := f.memory.Hold(time.Now(), func() {})
 	if err := hold.Grow(12<<10, time.Now()); err != nil {
 		t.Fatal(err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,10 +35,12 @@
 	// platform and from other daemons.
 	internalHeaderTimeout  = 10 * time.Second
 	internalMaxHeaderBytes = 16 << 10
-	// internalTimeout limits how long such a request is read, and how long its answer is
-	// written. Neither applies to connections between daemons.
-	internalTimeout     = 10 * time.Second
-	internalIdleTimeout = 2 * time.Minute
+	// internalReadTimeout limits how long such a request is read, internalWriteTimeout how
+	// long its answer is written. Neither applies to connections between daemons. The
+	// latter is short, since a connection whose answer is not read keeps its place.
+	internalReadTimeout  = 10 * time.Second
+	internalWriteTimeout = 3 * time.Second
+	internalIdleTimeout  = 2 * time.Minute
 )
 
 // Gateway serves client requests on one host.
@@ -225,7 +227,7 @@
 // newServer returns a server of internal requests, whose connections are limited.
 func (g *Gateway) newServer(name string, h http.Handler, l net.Listener) internalServer {
 	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: internalHeaderTimeout, ReadTimeout: internalTimeout, WriteTimeout: internalTimeout,
+		Handler: h, ReadHeaderTimeout: internalHeaderTimeout, ReadTimeout: internalReadTimeout, WriteTimeout: internalWriteTimeout,
 		IdleTimeout: internalIdleTimeout, MaxHeaderBytes: internalMaxHeaderBytes, ConnContext: httpstop.ConnContext,
 	}
 	conns := httpstop.Track(s)
@@ -248,6 +250,8 @@
 		if !httpstop.Enter(r.Context(), connlimit.Serving) {
 			panic(http.ErrAbortHandler)
 		}
+		// None of these requests has a body.
+		limitUnreadBody(w, r)
 		h.ServeHTTP(w, r)
 	})
 	return internalServer{s, conns.Listener(&boundedListener{l, a})}
