--- a/gateway/runlog.go
+++ b/gateway/runlog.go
@@ -11,7 +11,7 @@
 
 // logSend logs a send whose outcome is not a successful answer.
 func (d *dispatcher) logSend(res sendResult) {
-	d.g.requestLog.newEvent("send.ended", true).Str("id", d.req.id).Str("backend", res.choice.Backend.ID).
+	d.g.requestLog.newEvent("send.ended", true).Str("id", clip(d.req.id)).Str("backend", res.choice.Backend.ID).
 		Str("address", res.choice.Backend.Address).Stringer("outcome", res.exchange.Result.Outcome).
 		Str("chosen_for", string(res.choice.Reason)).Int("held", res.choice.EstimatedRequests).AnErr("error", res.exchange.Err).Send()
 }
@@ -29,8 +29,8 @@
 	if status == http.StatusServiceUnavailable && res.answer == nil {
 		g.metrics.refusals.Add(outcome+"."+rankName(req.rank), 1)
 	}
-	e := g.requestLog.newEvent("request.done", res.answer == nil).Str("id", req.id).Str("route", req.route.Name).
-		Str("service", req.service.Name).Uint64("version", uint64(req.version)).Str("key", req.key).
+	e := g.requestLog.newEvent("request.done", res.answer == nil).Str("id", clip(req.id)).Str("route", req.route.Name).
+		Str("service", req.service.Name).Uint64("version", uint64(req.version)).Str("key", clip(req.key)).
 		Int("status", status).Str("outcome", outcome).Int("sends", d.sends).Int("connects", d.failedConnects).Dur("ms", latency).Int("rank", req.rank)
 	if d.waited > 0 {
 		e = e.Dur("waited_ms", d.waited)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -1,17 +1,15 @@
 package gateway
 
 import (
-	"errors"
-	"fmt"
-	"io"
 	"math"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/affinity"
+	"bilberrytiller.example/tiller/coordination/connlimit"
+	"bilberrytiller.example/tiller/internal/httpstop"
 	"bilberrytiller.example/tiller/state/routing"
 	"bilberrytiller.example/tiller/transport/upstreamhttp"
 )
@@ -43,6 +41,7 @@
 	service routing.Service
 	version routing.Version
 	message upstreamhttp.Request
+	body    body
 	arrived time.Time
 	// deadline is the earlier of the client's deadline and the route's timeout.
 	deadline time.Time
@@ -58,15 +57,28 @@
 	if g.isStopping() {
 		w.Header().Set("Connection", "close")
 	}
+	if !httpstop.Enter(r.Context(), connlimit.Serving) {
+		// The client has got no answer, and its request is not passed on.
+		panic(http.ErrAbortHandler)
+	}
 	req, resp := g.parseRequest(w, r)
 	if resp != nil {
+		limitUnreadBody(w, r)
+		httpstop.AllowWrite(r.Context(), writeTimeout)
 		g.writeLocalResponse(w, resp)
 		g.logRefusal(r, resp)
 		return
 	}
+	defer req.body.release()
 	d := &dispatcher{g: g, req: req}
 	result := d.serve(r.Context())
-	g.directory.load.add(len(req.message.Body) + result.bodyBytes())
+	g.directory.load.add(req.body.size() + result.bodyBytes())
+	if result.answer != nil {
+		// A client that reads slowly keeps its answer in memory, but not its body.
+		req.body.release()
+		req.body.pieces, req.message.Body = nil, nil
+	}
+	httpstop.AllowWrite(r.Context(), writeTimeout)
 	g.writeResult(w, result)
 	g.logResult(req, d, result)
 }
@@ -75,6 +87,9 @@
 // response that refuses it.
 func (g *Gateway) parseRequest(w http.ResponseWriter, r *http.Request) (*clientRequest, *localResponse) {
 	arrived := time.Now()
+	if hasTooManyFields(r.Header) {
+		return nil, &localResponse{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header_fields"}
+	}
 	c := g.configuration.Load()
 	if c == nil {
 		return nil, &localResponse{status: http.StatusServiceUnavailable, reason: "no_configuration", retryAfter: noConfigurationRetryAfter}
@@ -93,15 +108,16 @@
 	if plan := g.stopPlan.Load(); plan != nil && !plan.Admits(arrived, deadline) {
 		return nil, &localResponse{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: stoppingRetryAfter}
 	}
-	body, err := readBody(w, r, c.Limits.BodyBytes, deadline)
+	body, err := g.readBody(w, r, c.Limits.BodyBytes, deadline)
 	if err != nil {
+		body.release()
 		return nil, bodyErrorResponse(err)
 	}
 	id := r.Header.Get(g.headers.AttemptID)
 	service := route.PickService(affinity.Fraction(affinity.Hash("split", id)))
 	req := &clientRequest{
 		id: id, route: route, organisation: organisation, rank: route.Rank(organisation), service: c.Services[service], version: c.Version, arrived: arrived,
-		deadline: deadline, clientDeadline: arrived.Add(budget), returning: g.timeBudgets.returning(route.Name, budget, arrived),
+		deadline: deadline, body: body, clientDeadline: arrived.Add(budget), returning: g.timeBudgets.returning(route.Name, budget, arrived),
 	}
 	req.service.Name = service
 	if route.SessionAffinity {
@@ -109,7 +125,7 @@
 	}
 	upstreamhttp.RemoveHopHeaders(r.Header)
 	req.message = upstreamhttp.Request{
-		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body, ID: id, Deadline: req.deadline,
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body.pieces, ID: id, Deadline: req.deadline,
 	}
 	if organisation != nil {
 		req.message.Organisation = organisation.Name
@@ -132,40 +148,6 @@
 	return arrived.Add(budget)
 }
 
-// readBody reads a request body, which must arrive completely before the
-// deadline. The error wraps *http.MaxBytesError for a body above limit bytes, and
-// os.ErrDeadlineExceeded for one that is late.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
-	}
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(deadline); err != nil {
-		return nil, fmt.Errorf("set body read deadline: %w", err)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err != nil {
-		return nil, fmt.Errorf("read body: %w", err)
-	}
-	// Clearing the read deadline keeps the server reading from the connection, so
-	// that it detects when the client disconnects.
-	return body, controller.SetReadDeadline(time.Time{})
-}
-
-func bodyErrorResponse(err error) *localResponse {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return &localResponse{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return &localResponse{status: http.StatusRequestTimeout, reason: "body_late"}
-	}
-	return &localResponse{status: http.StatusBadRequest, reason: "body_unread"}
-}
-
 // localResponse is a response generated by the gateway itself.
 type localResponse struct {
 	status int
@@ -214,13 +196,13 @@
 	}
 	h.Set("Content-Length", strconv.Itoa(len(result.answer.Body)))
 	w.WriteHeader(result.answer.Status)
-	_, _ = w.Write(result.answer.Body)
+	g.writeAnswer(w, result.answer.Body)
 }
 
 func (g *Gateway) logRefusal(r *http.Request, resp *localResponse) {
 	g.metrics.observe("", resp.reason, 0)
-	e := g.requestLog.newEvent("request.refused", true).Str("id", r.Header.Get(g.headers.AttemptID)).Str("http_host", r.Host).
-		Str("target", r.RequestURI).Int("status", resp.status).Str("reason", resp.reason).Uint64("version", uint64(resp.version))
+	e := g.requestLog.newEvent("request.refused", true).Str("id", clip(r.Header.Get(g.headers.AttemptID))).Str("http_host", clip(r.Host)).
+		Str("target", clip(r.RequestURI)).Int("status", resp.status).Str("reason", resp.reason).Uint64("version", uint64(resp.version))
 	if resp.version > 0 {
 		e = e.Dur("config_age_ms", g.configurationAge())
 	}
