Refuse requests above their organisation's quota

Cause: nothing counted the requests of an organisation.

Change: after a request is authenticated and before its body is read, it takes a unit of its organisation's quota, or is refused with 429 and a spread Retry-After. A request that did not run gives its unit back; a second copy that may run takes another.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -21,6 +21,7 @@
 	}
 	g.balancer.Configure(c.Services)
 	g.clients.setLimits(c.Limits)
+	g.applyQuotas(c)
 	g.log.Info().Str("event", "configuration.in_force").Uint64("version", uint64(c.Version)).Int("services", len(c.Services)).Send()
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,6 +55,7 @@
 	daemons          atomic.Int64
 	peerClient       *peer.Client
 	peerServer       *peer.Server
+	quotas           *quotaKeeper
 
 	clients  *clientServer
 	inFlight inflight.Counter
@@ -86,6 +87,8 @@
 	auth := peer.NewAuth(settings.HostID, nil)
 	g.peerClient = peer.NewClient(auth, netip.IPv4Unspecified())
 	g.peerServer = peer.NewServer(auth, g.log)
+	g.quotas = newQuotaKeeper(self, settings.QuotaBounds, g.quotaOf, g.peerClient, g.log)
+	g.quotas.serve(g.peerServer)
 	g.crashes = newCrashMonitor(g.log)
 	g.backends = newBackendRegistry(g.balancer, g.log)
 	g.metrics = newMetrics(g)
@@ -127,6 +130,7 @@
 	group.Go(func() error { g.upstreamClient.Sweep(background, g.balancer.Addresses); return nil })
 	group.Go(func() error { g.backends.runExpiry(background); return nil })
 	group.Go(func() error { g.measureRoundTrips(background); return nil })
+	group.Go(func() error { g.quotas.run(background); return nil })
 	g.log.Info().Str("event", "gateway.start").Str("incarnation", g.self.Incarnation).
 		Str("client", g.self.ClientAddress).Str("zone", g.self.Zone).Send()
 	<-ctx.Done()
--- a/gateway/identity.go
+++ b/gateway/identity.go
@@ -60,3 +60,11 @@
 	}
 	return &localResponse{status: status, reason: reason, version: c.Version}
 }
+
+// organisationName returns the name of the request's organisation, or "".
+func (r *clientRequest) organisationName() string {
+	if r.organisation == nil {
+		return ""
+	}
+	return r.organisation.Name
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -41,6 +41,10 @@
 	m.root.Set("connections_reused", expvar.Func(func() any { return g.upstreamClient.Reuses.Load() }))
 	m.root.Set("latency_ms", expvar.Func(m.quantiles))
 	m.root.Set("daemons", expvar.Func(func() any { return g.daemonCount() }))
+	m.root.Set("quota_refused", expvar.Func(func() any { return g.quotas.refused.Load() }))
+	m.root.Set("quota_units_held", expvar.Func(func() any { return g.quotas.ledger.Stock(time.Now()) }))
+	m.root.Set("quota_units_lent", expvar.Func(func() any { return g.quotas.ledger.Granted() }))
+	m.root.Set("quota_parts", expvar.Func(func() any { return g.quotas.ledger.Held(time.Now()) }))
 	return m
 }
 
--- /dev/null
+++ b/gateway/quota.go
@@ -0,0 +1,238 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"bilberrytiller.example/tiller/coordination/quota"
+	"bilberrytiller.example/tiller/coordination/relay"
+	"bilberrytiller.example/tiller/internal/sleep"
+	"bilberrytiller.example/tiller/protocol/wire"
+	"bilberrytiller.example/tiller/state/routing"
+	"bilberrytiller.example/tiller/transport/peer"
+)
+
+const (
+	// reasonQuota is the reason for refusing a request above its organisation's quota.
+	reasonQuota = "quota"
+	// quotaCallInterval is how often a daemon calls its parent, and minQuotaCallInterval
+	// the shortest pause between calls for requests that wait.
+	quotaCallInterval    = 250 * time.Millisecond
+	minQuotaCallInterval = 10 * time.Millisecond
+	// quotaCallTimeout bounds a call to a parent, and quotaFillTimeout the time that a
+	// daemon waits for its own parent before it replies to a child.
+	quotaCallTimeout = 300 * time.Millisecond
+	quotaFillTimeout = 150 * time.Millisecond
+	// quotaWait bounds the time that a request waits for a unit.
+	quotaWait = 400 * time.Millisecond
+	// minQuotaRetryAfter is the shortest Retry-After of a request above its quota.
+	minQuotaRetryAfter = 50 * time.Millisecond
+)
+
+// quotaKeeper enforces the quotas of organisations together with the other daemons.
+type quotaKeeper struct {
+	log    zerolog.Logger
+	peers  *peer.Client
+	ledger *quota.Ledger
+	// active says that quotas are enforced and that an organisation has one.
+	active atomic.Bool
+	// kick wakes the loop that calls the parent.
+	kick    chan struct{}
+	refused atomic.Int64
+
+	mu      sync.Mutex
+	parents *quota.Parents
+	// next is the next round of calls to the parent.
+	next *quotaRound
+}
+
+// quotaRound is a call to the parent that requests wait for.
+type quotaRound struct{ done chan struct{} }
+
+func newQuotaKeeper(self Member, bounds quota.Bounds, limit func(string) quota.Limit, peers *peer.Client, log zerolog.Logger) *quotaKeeper {
+	return &quotaKeeper{
+		log: log, peers: peers, kick: make(chan struct{}, 1), parents: quota.NewParents(self.ID), next: &quotaRound{make(chan struct{})},
+		ledger: quota.New(self.Incarnation, bounds, limit, rand.Float64, time.Now()),
+	}
+}
+
+// quotaOf returns the quota of an organisation in the configuration in force.
+func (g *Gateway) quotaOf(name string) quota.Limit {
+	c := g.configuration.Load()
+	if c == nil {
+		return quota.Limit{}
+	}
+	o := c.Organisation(name)
+	if o == nil {
+		return quota.Limit{}
+	}
+	return quota.Limit{RatePerSecond: o.RatePerSecond, Burst: o.Burst}
+}
+
+// applyQuotas puts the quotas of a configuration in force.
+func (g *Gateway) applyQuotas(c *routing.Configuration) {
+	hasQuota := false
+	for _, o := range c.Organisations() {
+		hasQuota = hasQuota || o.RatePerSecond > 0
+	}
+	g.quotas.active.Store(hasQuota && g.settings.Load().QuotaBounds.Enabled())
+	g.quotas.ledger.LimitsChanged(time.Now())
+}
+
+// SetDaemons sets the daemons among which quotas are divided.
+func (g *Gateway) SetDaemons(all []relay.Member) {
+	listed := false
+	for _, m := range all {
+		listed = listed || m.ID == g.self.ID
+	}
+	g.quotas.ledger.SetDaemons(len(all), listed, time.Now())
+	g.quotas.mu.Lock()
+	defer g.quotas.mu.Unlock()
+	g.quotas.parents.SetMembers(all)
+}
+
+// run calls the parent until ctx ends.
+func (k *quotaKeeper) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		timer := time.NewTimer(quotaCallInterval)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-k.kick:
+		}
+		timer.Stop()
+		round := k.startRound()
+		if k.active.Load() {
+			k.callParent(ctx)
+		}
+		close(round.done)
+		sleep.For(ctx, minQuotaCallInterval)
+	}
+}
+
+func (k *quotaKeeper) startRound() *quotaRound {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	round := k.next
+	k.next = &quotaRound{make(chan struct{})}
+	return round
+}
+
+// ask waits until the parent has replied to a call that is sent from now on. It
+// returns false if that takes longer than limit.
+func (k *quotaKeeper) ask(ctx context.Context, limit time.Duration) bool {
+	k.mu.Lock()
+	round := k.next
+	k.mu.Unlock()
+	select {
+	case k.kick <- struct{}{}:
+	default:
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-round.done:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+func (k *quotaKeeper) pickParent() (relay.Member, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.parents.Pick(time.Now())
+}
+
+func (k *quotaKeeper) callParent(ctx context.Context) {
+	parent, ok := k.pickParent()
+	if !ok {
+		return
+	}
+	err := k.call(ctx, parent)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err != nil {
+		k.parents.MarkFailed(parent.ID, time.Now())
+		return
+	}
+	k.parents.MarkWorking(parent.ID)
+}
+
+func (k *quotaKeeper) call(ctx context.Context, parent relay.Member) error {
+	addr, err := netip.ParseAddrPort(parent.Address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, quotaCallTimeout)
+	defer cancel()
+	sent := time.Now()
+	call := k.ledger.NewCall(parent.ID, sent)
+	reply, err := peer.Call[quota.Reply](ctx, k.peers, addr, wire.TypeQuota, call)
+	if err != nil {
+		return err
+	}
+	k.ledger.Apply(call, reply, sent, time.Now())
+	return nil
+}
+
+// serve answers calls of other daemons.
+func (k *quotaKeeper) serve(s *peer.Server) { peer.Handle(s, wire.TypeQuota, k.handleCall) }
+
+func (k *quotaKeeper) handleCall(ctx context.Context, from string, call *quota.Call) (*quota.Reply, error) {
+	reply, short := k.ledger.Handle(from, call, time.Now())
+	if !short {
+		return reply, nil
+	}
+	if _, hasParent := k.pickParent(); hasParent {
+		k.ask(ctx, quotaFillTimeout)
+		k.ledger.Fill(call, reply, time.Now())
+	}
+	return reply, nil
+}
+
+// admit takes a unit of the organisation's quota for a request, or returns the response
+// that refuses it.
+func (k *quotaKeeper) admit(ctx context.Context, o *routing.Organisation, deadline time.Time) (quota.Unit, *localResponse) {
+	if o == nil || o.RatePerSecond <= 0 || !k.active.Load() {
+		return quota.Unit{}, nil
+	}
+	_, hasParent := k.pickParent()
+	verdict := k.ledger.Take(o.Name, hasParent, time.Now())
+	if verdict.Ask {
+		k.ask(ctx, min(quotaWait, time.Until(deadline)))
+		verdict = k.ledger.TakeAgain(o.Name, time.Now())
+	}
+	if verdict.Admitted {
+		return verdict.Unit, nil
+	}
+	k.refused.Add(1)
+	room := max(verdict.Room, minQuotaRetryAfter)
+	// The clients of an organisation come back at different times.
+	retryAfter := room + time.Duration(rand.Float64()*float64(room))
+	return quota.Unit{}, &localResponse{status: http.StatusTooManyRequests, reason: reasonQuota, retryAfter: retryAfter, organisation: o.Name}
+}
+
+// admitCopy takes another unit for a request that may run a second time.
+func (k *quotaKeeper) admitCopy(o *routing.Organisation) (quota.Unit, bool) {
+	if o == nil || o.RatePerSecond <= 0 || !k.active.Load() {
+		return quota.Unit{}, true
+	}
+	verdict := k.ledger.Take(o.Name, false, time.Now())
+	return verdict.Unit, verdict.Admitted
+}
+
+// release gives back the unit of a request that has not run.
+func (k *quotaKeeper) release(o *routing.Organisation, u quota.Unit) {
+	if o != nil && u != (quota.Unit{}) {
+		k.ledger.Return(o.Name, u, time.Now())
+	}
+}
--- /dev/null
+++ b/gateway/quota_test.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bilberrytiller.example/tiller/coordination/quota"
+	"bilberrytiller.example/tiller/coordination/relay"
+	"bilberrytiller.example/tiller/state/routing"
+)
+
+// newQuotaFixture returns a fixture of the only daemon of a fleet, whose organisation
+// "shop" has a quota of one request in a long time and a burst.
+func newQuotaFixture(t *testing.T, r routing.Route, burst float64) *fixture {
+	t.Helper()
+	f := newFixture(t)
+	f.quotas = newQuotaKeeper(f.self, quota.Bounds{Window: time.Hour}, f.quotaOf, f.peerClient, f.log)
+	settings := *f.settings.Load()
+	settings.QuotaBounds = quota.Bounds{Window: time.Hour}
+	f.settings.Store(&settings)
+	c := routing.New(1, []routing.Route{r}, map[string]routing.Service{"pay": {Name: "pay"}}, routing.ClientLimits{BodyBytes: 1000})
+	organisations := []routing.Organisation{{Name: "shop", RatePerSecond: 0.001, Burst: burst}, {Name: "free"}}
+	if err := c.SetOrganisations(organisations, map[string][]string{"shop": {"k-1"}, "free": {"k-2"}}); err != nil {
+		t.Fatal(err)
+	}
+	f.ApplyConfiguration(c)
+	f.SetDaemons([]relay.Member{{ID: f.self.ID, Region: "north"}})
+	return f
+}
+
+func (f *fixture) send(t *testing.T, key string) *http.Response {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.url+"/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host, req.Header = "127.0.0.1", http.Header{"X-Id": {"a1"}, "Authorization": {"Bearer " + key}}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp
+}
+
+// saveUnits gives the fixture's ledger units of the quota.
+func (f *fixture) saveUnits(units int) {
+	now := time.Now()
+	reply := &quota.Reply{Grants: []quota.Grant{{Organisation: "shop", Units: units, Life: time.Hour}}}
+	f.quotas.ledger.Apply(&quota.Call{}, reply, now, now)
+}
+
+// TestRequestsAboveQuotaDoNotRun guards against an organisation that exceeds its quota,
+// and against one that is limited because of another.
+func TestRequestsAboveQuotaDoNotRun(t *testing.T) {
+	f := newQuotaFixture(t, route(true), 10)
+	f.addServer(t, answerSigned)
+	f.saveUnits(2)
+	for i, want := range []int{200, 200, 429, 429} {
+		resp := f.send(t, "k-1")
+		if resp.StatusCode != want {
+			t.Errorf("request %d: status %d, want %d", i, resp.StatusCode, want)
+		}
+		after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		if want == 429 && (err != nil || after <= 0) {
+			t.Errorf("request %d: Retry-After %q, want a time above 0", i, resp.Header.Get("Retry-After"))
+		}
+	}
+	if n := f.received.Load(); n != 2 {
+		t.Errorf("servers received %d requests, want 2", n)
+	}
+	if resp := f.send(t, "k-2"); resp.StatusCode != http.StatusOK {
+		t.Errorf("organisation without a quota: status %d, want 200", resp.StatusCode)
+	}
+}
+
+// TestRequestThatDidNotRunKeepsQuota guards against units lost to requests that servers
+// shed.
+func TestRequestThatDidNotRunKeepsQuota(t *testing.T) {
+	f := newQuotaFixture(t, route(false), 10)
+	var serving atomic.Bool
+	f.addServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if !serving.Load() {
+			shedRequest(w, r)
+			return
+		}
+		answerSigned(w, r)
+	})
+	f.saveUnits(1)
+	if resp := f.send(t, "k-1"); resp.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("shed request: status %d, want 503", resp.StatusCode)
+	}
+	serving.Store(true)
+	if resp := f.send(t, "k-1"); resp.StatusCode != http.StatusOK {
+		t.Errorf("request after one that did not run: status %d, want 200", resp.StatusCode)
+	}
+}
+
+// TestSecondRunTakesUnit guards against retries of requests that may have run, which
+// would exceed the quota.
+func TestSecondRunTakesUnit(t *testing.T) {
+	for units, want := range map[int]int64{1: 1, 2: 2} {
+		f := newQuotaFixture(t, route(true), 10)
+		f.addServer(t, abortConnection)
+		f.addServer(t, abortConnection)
+		f.saveUnits(units)
+		f.send(t, "k-1")
+		if n := f.received.Load(); n != want {
+			t.Errorf("%d units: servers received %d requests, want %d", units, n, want)
+		}
+	}
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -123,9 +123,29 @@
 	case d.sends > 0 && !d.g.retryBudget.AllowRetry(d.req.service.Name, d.g.daemonCount(), time.Now()):
 		return d.noRetryResponse("retry_budget")
 	}
-	return d.send(ctx)
+	if !d.mayHaveRun && d.pending == 0 {
+		return d.send(ctx)
+	}
+	return d.sendCopy(ctx)
+}
+
+// sendCopy sends a request that may run a second time, which takes another unit of the
+// organisation's quota.
+func (d *dispatcher) sendCopy(ctx context.Context) *localResponse {
+	unit, admitted := d.g.quotas.admitCopy(d.req.organisation)
+	if !admitted {
+		return d.noRetryResponse(reasonQuota)
+	}
+	resp := d.send(ctx)
+	if resp != nil {
+		d.g.quotas.release(d.req.organisation, unit)
+	}
+	return resp
 }
 
+// hasNotRun reports whether no server has run the request or may run it yet.
+func (d *dispatcher) hasNotRun() bool { return !d.mayHaveRun && d.pending == 0 }
+
 // send chooses a server and starts a send to it, or returns the response that
 // says why it cannot.
 func (d *dispatcher) send(ctx context.Context) *localResponse {
--- a/gateway/runlog.go
+++ b/gateway/runlog.go
@@ -26,7 +26,7 @@
 	}
 	g.metrics.observe(req.service.Name, outcome, latency)
 	e := g.requestLog.newEvent("request.done", res.answer == nil).Str("id", req.id).Str("route", req.route.Name).
-		Str("service", req.service.Name).Uint64("version", uint64(req.version)).Str("key", req.key).
+		Str("service", req.service.Name).Uint64("version", uint64(req.version)).Str("key", req.key).Str("organisation", req.organisationName()).
 		Int("status", status).Str("outcome", outcome).Int("sends", d.sends).Int("connects", d.failedConnects).Dur("ms", latency)
 	if outcome == reasonCrashes {
 		e = e.Str("digest", shortDigest(req.digest()))
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -5,6 +5,7 @@
 
 	"bilberrytiller.example/tiller/coordination/budget"
 	"bilberrytiller.example/tiller/coordination/poison"
+	"bilberrytiller.example/tiller/coordination/quota"
 	"bilberrytiller.example/tiller/coordination/upstream"
 	"bilberrytiller.example/tiller/transport/upstreamhttp"
 )
@@ -32,6 +33,8 @@
 	MaxDenialAge time.Duration
 	// RetryLimits bound the retries of the whole fleet.
 	RetryLimits budget.Limits
+	// QuotaBounds say how exactly quotas are kept. Without a window, there are none.
+	QuotaBounds quota.Bounds
 }
 
 // Headers are the names of the headers that the gateway reads and writes.
