Keep parts of quotas that a restarted parent handed on out of use

Cause: seen in the model with the new check that all daemons together issue from at most all parts: a daemon whose parent restarted handed its part to the new process at once, while another daemon still held it from the old process. Two daemons then issued from the same part for up to 1.5 s.

Change: parts are handed to a process, not to a daemon. A process's own part counts from when it has its addresses, so after an earlier process of the host. Admission at random of a daemon that is alone is removed, since it held a quota only on average (seen in the model: 0.5 requests above at a rate of 3).

--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -36,8 +36,6 @@
 	process string
 	// limit returns the quota of an organisation, or a zero Limit.
 	limit func(organisation string) Limit
-	// random returns a number drawn uniformly from [0, 1).
-	random func() float64
 
 	mu       sync.Mutex
 	holding  holding
@@ -45,17 +43,18 @@
 	// parent is the daemon that is asked, and echo the mark of its latest reply.
 	parent string
 	echo   Mark
-	// holder is the daemon to which the parts were handed last.
+	// holder is the process to which the parts were handed last. An earlier process of
+	// the same daemon may have handed them on.
 	holder string
 	// granted counts the units given to other daemons.
 	granted int
 }
 
 // New returns the ledger of a process that starts now.
-func New(process string, bounds Bounds, limit func(organisation string) Limit, random func() float64, now time.Time) *Ledger {
+func New(process string, bounds Bounds, limit func(organisation string) Limit, now time.Time) *Ledger {
 	return &Ledger{
-		bounds: bounds, process: process, limit: limit, random: random, accounts: map[string]*account{},
-		holding: holding{started: now, periodStart: now, children: map[string]handed{}},
+		bounds: bounds, process: process, limit: limit, accounts: map[string]*account{},
+		holding: holding{started: now, aloneAt: now, periodStart: now, children: map[string]handed{}},
 	}
 }
 
@@ -66,6 +65,13 @@
 	l.holding.setCount(count, listed, now)
 }
 
+// SetAlone records that an earlier process of the host has ended by now.
+func (l *Ledger) SetAlone(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holding.aloneAt = now
+}
+
 // LimitsChanged applies changed quotas. Units of earlier quotas are dropped where the
 // quota has become lower.
 func (l *Ledger) LimitsChanged(now time.Time) {
@@ -107,9 +113,6 @@
 	}
 	a.recordDemand(demand, now)
 	units, until := a.take(1, now)
-	if units == 0 && l.admitsAtRandom(a, canAsk, now) {
-		units, until = 1, now
-	}
 	if units > 0 {
 		return Verdict{Admitted: true, Unit: Unit{until}}
 	}
@@ -121,18 +124,6 @@
 	return Verdict{Room: room}
 }
 
-// admitsAtRandom admits a request at a daemon that holds its own part only, if the part
-// can never save up a whole unit. Requests of different daemons then coincide at
-// random.
-func (l *Ledger) admitsAtRandom(a *account, canAsk bool, now time.Time) bool {
-	if canAsk || a.plan.saved*l.holding.held(now) >= 1 || a.saved <= 0 {
-		return false
-	}
-	admitted := l.random() < a.saved
-	a.saved = 0
-	return admitted
-}
-
 // Return gives back the unit of a request that has not run.
 func (l *Ledger) Return(organisation string, u Unit, now time.Time) {
 	l.mu.Lock()
@@ -170,14 +161,14 @@
 		l.parent, l.echo = parent, Mark{}
 	}
 	call.Wants = l.wants(now)
-	elsewhere := l.holder != parent && now.Before(l.holding.awayUntil)
+	elsewhere := l.holder != l.echo.Process && now.Before(l.holding.awayUntil)
 	if l.echo == (Mark{}) || elsewhere {
 		return call
 	}
 	call.Echo = l.echo
 	call.Parts, call.PartsFor = l.holding.handOver(now)
 	if call.Parts > 0 {
-		l.holder = parent
+		l.holder = l.echo.Process
 		l.holding.giveAway(now.Add(call.PartsFor))
 	}
 	return call
--- a/coordination/quota/limit.go
+++ b/coordination/quota/limit.go
@@ -29,7 +29,7 @@
 	minLifeFraction = 0.08
 	// savedSlackFraction is the fraction of the slack that may be saved up in addition
 	// to the burst.
-	savedSlackFraction = 0.2
+	savedSlackFraction = 0.4
 	// extraPerSecond is added to the rate of a quota where the slack allows it, in
 	// requests per second.
 	extraPerSecond = 2
@@ -51,12 +51,12 @@
 func planFor(l Limit, b Bounds) plan {
 	window := b.Window.Seconds()
 	allowed := (l.RatePerSecond*window+l.Burst)*(1+b.Overshoot) + b.Slack
-	saved := l.Burst + savedSlackFraction*b.Slack
+	saved := max(l.Burst+savedSlackFraction*b.Slack, min(1, allowed/2))
 	minLife := minLifeFraction * window
 	perSecond := min(l.RatePerSecond+extraPerSecond, (allowed-saved)/(window+minLife))
 	life := min((allowed-saved)/perSecond-window, window)
 	return plan{
-		perSecond: perSecond * countMargin, saved: saved * countMargin,
+		perSecond: perSecond * countMargin, saved: saved,
 		life: time.Duration(math.Max(life, 0) * float64(time.Second)),
 	}
 }
--- a/coordination/quota/parts.go
+++ b/coordination/quota/parts.go
@@ -7,8 +7,8 @@
 	ownPartsFor = 1500 * time.Millisecond
 	// minPartsFor is the shortest time for which parts are handed on.
 	minPartsFor = 400 * time.Millisecond
-	// restartDelay is how long a new process leaves its own part unused, since an
-	// earlier process of the host may have handed it over.
+	// restartDelay is how long a new process leaves its own part unused after the end of
+	// an earlier process of the host, which may have handed it over.
 	restartDelay = 2 * time.Second
 	// countHold is how long a larger number of daemons is remembered. A daemon that is
 	// cut off keeps using its part until after its entry has been removed.
@@ -25,7 +25,9 @@
 
 // holding tracks the parts that a daemon holds.
 type holding struct {
-	started time.Time
+	// started is when the process started, and aloneAt when an earlier process of the
+	// host had certainly ended.
+	started, aloneAt time.Time
 	// count is the number of daemons, and listed says whether this one is among them.
 	count     int
 	listed    bool
@@ -49,7 +51,7 @@
 
 // own returns the daemon's own part.
 func (h *holding) own(now time.Time) float64 {
-	if !h.listed || h.count == 0 || now.Sub(h.started) < restartDelay {
+	if !h.listed || h.count == 0 || now.Sub(h.aloneAt) < restartDelay {
 		return 0
 	}
 	return 1 / float64(h.count)
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -36,3 +36,74 @@
 		})
 	}
 }
+
+// TestPlanKeepsBounds guards against units that live, or are saved up, for more than
+// the bounds leave.
+func TestPlanKeepsBounds(t *testing.T) {
+	for _, b := range []Bounds{testBounds, {5 * time.Second, 0.1, 0}, {time.Second, 0, 0}, {time.Minute, 0, 20}} {
+		for _, l := range []Limit{{0.001, 0}, {0.5, 1}, {3, 0}, {3, 40}, {850, 0}, {850, 2000}, {1e9, 1e9}} {
+			p := planFor(l, b)
+			window := b.Window.Seconds()
+			most := p.saved + p.perSecond*(window+p.life.Seconds())
+			if allowed := (l.RatePerSecond*window+l.Burst)*(1+b.Overshoot) + b.Slack; most > allowed {
+				t.Errorf("%+v with %+v: up to %v requests in a window, want at most %v", l, b, most, allowed)
+			}
+			if p.life <= 0 || p.life > b.Window || b == testBounds && p.perSecond < 0.97*l.RatePerSecond {
+				t.Errorf("%+v with %+v: plan %+v, want units that can be used, at the rate of the quota", l, b, p)
+			}
+		}
+	}
+}
+
+func newLedger(process string, now time.Time) *Ledger {
+	return New(process, testBounds, func(string) Limit { return Limit{10, 10} }, now)
+}
+
+// TestUnitsEndFromSending guards against units that a slow reply keeps alive.
+func TestUnitsEndFromSending(t *testing.T) {
+	start := time.Unix(1000, 0)
+	l := newLedger("a", start)
+	life := planFor(Limit{10, 10}, testBounds).life
+	reply := &Reply{Grants: []Grant{{Organisation: "shop", Units: 2, Life: time.Hour}}}
+	l.Apply(&Call{}, reply, start, start.Add(life/2))
+	if !l.Take("shop", false, start.Add(life-1)).Admitted {
+		t.Error("unit before its end was not admitted")
+	}
+	if l.Take("shop", false, start.Add(life)).Admitted {
+		t.Error("unit was admitted after its end")
+	}
+}
+
+// TestLowerLimitDropsUnits guards against units of a higher quota that are used under
+// a lower one.
+func TestLowerLimitDropsUnits(t *testing.T) {
+	start := time.Unix(1000, 0)
+	limit := Limit{10, 10}
+	l := New("a", testBounds, func(string) Limit { return limit }, start)
+	l.Apply(&Call{}, &Reply{Grants: []Grant{{Organisation: "shop", Units: 2, Life: time.Hour}}}, start, start)
+	limit = Limit{5, 10}
+	l.LimitsChanged(start)
+	if l.Take("shop", false, start).Admitted {
+		t.Error("unit of the higher limit was admitted")
+	}
+	limit = Limit{}
+	l.LimitsChanged(start)
+	if !l.Take("shop", false, start).Admitted {
+		t.Error("request without a quota was not admitted")
+	}
+}
+
+// TestNewHolderHasSavedNothing guards against a daemon that takes over parts and
+// issues at once what their earlier holder may have issued just before.
+func TestNewHolderHasSavedNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := newLedger("a", now)
+	l.SetDaemons(1, true, now)
+	now = now.Add(restartDelay)
+	if l.Take("shop", false, now).Admitted {
+		t.Error("a new holder admitted a request before it issued a unit")
+	}
+	if now = now.Add(time.Second / 5); !l.Take("shop", false, now).Admitted {
+		t.Error("request after the issue of a unit was not admitted")
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -120,6 +120,8 @@
 	if err != nil {
 		return err
 	}
+	// The addresses are in use until an earlier process has ended.
+	g.quotas.ledger.SetAlone(time.Now())
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	var group errgroup.Group
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -59,7 +59,7 @@
 func newQuotaKeeper(self Member, bounds quota.Bounds, limit func(string) quota.Limit, peers *peer.Client, log zerolog.Logger) *quotaKeeper {
 	return &quotaKeeper{
 		log: log, peers: peers, kick: make(chan struct{}, 1), parents: quota.NewParents(self.ID), next: &quotaRound{make(chan struct{})},
-		ledger: quota.New(self.Incarnation, bounds, limit, rand.Float64, time.Now()),
+		ledger: quota.New(self.Incarnation, bounds, limit, time.Now()),
 	}
 }
 
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -11,6 +13,7 @@
 	"bilberrytiller.example/tiller/coordination/quota"
 	"bilberrytiller.example/tiller/coordination/relay"
 	"bilberrytiller.example/tiller/state/routing"
+	"bilberrytiller.example/tiller/transport/peer"
 )
 
 // newQuotaFixture returns a fixture of the only daemon of a fleet, whose organisation
@@ -115,3 +118,45 @@
 		}
 	}
 }
+
+// TestDaemonsShareQuota guards against calls between daemons that do not carry the
+// parts and the units of quotas.
+func TestDaemonsShareQuota(t *testing.T) {
+	root, child := newQuotaFixture(t, route(true), 4), newQuotaFixture(t, route(true), 4)
+	child.self.ID = "host-2"
+	var members []relay.Member
+	for i, f := range []*fixture{root, child} {
+		bounds := quota.Bounds{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+		f.peerServer = peer.NewServer(peer.NewAuth(f.self.ID, nil), f.log)
+		f.peerClient = peer.NewClient(peer.NewAuth(f.self.ID, nil), netip.IPv4Unspecified())
+		f.quotas = newQuotaKeeper(f.self, bounds, f.quotaOf, f.peerClient, f.log)
+		f.quotas.active.Store(true)
+		f.quotas.serve(f.peerServer)
+		server := httptest.NewServer(f.peerServer)
+		t.Cleanup(server.Close)
+		t.Cleanup(f.peerClient.Close)
+		members = append(members, relay.Member{ID: f.self.ID, Region: "north", Address: server.Listener.Addr().String(), Capacity: float64(2 - i)})
+	}
+	for _, f := range []*fixture{root, child} {
+		f.SetDaemons(members)
+		go f.quotas.run(t.Context())
+	}
+	child.addServer(t, answerSigned)
+	waitFor(t, "the root to hold all parts", func() bool { return root.quotas.ledger.Held(time.Now()) == 1 })
+	waitFor(t, "units of the root", func() bool { return child.send(t, "k-1").StatusCode == http.StatusOK })
+	if held := child.quotas.ledger.Held(time.Now()); held != 0 {
+		t.Errorf("child issues from %v parts, want 0", held)
+	}
+	if root.quotas.ledger.Granted() == 0 {
+		t.Error("root gave no units")
+	}
+}
+
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !done(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited too long for %s", what)
+		}
+	}
+}
