Take parts of quotas back from a parent that is gone

Cause: a daemon that asked its lost parent again every 0.7 s handed it its parts again with each call, so that they were out of use for good; measured in the model at 74 daemons: 0 of about 1000 requests in each half second admitted from 0.5 s after the loss of the root on.

Change: after a call without a reply, the next call hands over nothing. A request that waits is tried at the next parent at once, and a lost parent is asked less often.

Test: TestQuotaIsUsedAfterLossOfRoot, seen red without the change (778 of 901 admitted).

--- a/coordination/quota/fleet_test.go
+++ b/coordination/quota/fleet_test.go
@@ -95,10 +95,11 @@
 	p := f.nodeByID(parent.ID)
 	if p == nil || !p.up || p.cut != n.cut || f.random.Float64() < f.lossy {
 		n.parents.MarkFailed(parent.ID, f.now)
+		n.ledger.Fail()
 		if p != nil && f.random.IntN(2) == 0 {
 			f.late = append(f.late, func() { p.ledger.Handle(n.member.ID, call, f.now) })
 		}
-		return true
+		return f.ask(n, depth)
 	}
 	reply, short := p.ledger.Handle(n.member.ID, call, f.now)
 	if short && f.ask(p, depth+1) {
@@ -106,6 +107,7 @@
 	}
 	if f.random.Float64() < f.lossy {
 		n.parents.MarkFailed(parent.ID, f.now)
+		n.ledger.Fail()
 		return true
 	}
 	n.parents.MarkWorking(parent.ID)
--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -293,6 +293,14 @@
 	}
 }
 
+// Fail records that a call got no reply. The next call hands over no parts, so that
+// they come back if the parent stays unreachable.
+func (l *Ledger) Fail() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.echo = Mark{}
+}
+
 // Held returns the parts from which the daemon issues units, from 0 to 1.
 func (l *Ledger) Held(now time.Time) float64 {
 	l.mu.Lock()
--- a/coordination/quota/parent.go
+++ b/coordination/quota/parent.go
@@ -11,8 +11,10 @@
 const (
 	// parentsPerRegion is how many daemons of a region are tried as its root.
 	parentsPerRegion = 3
-	// parentRetryDelay is how long a daemon that did not reply is not asked.
-	parentRetryDelay = 700 * time.Millisecond
+	// parentRetryDelay is how long a daemon that did not reply is not asked. The delay
+	// doubles with each failure up to maxParentRetryDelay.
+	parentRetryDelay    = 500 * time.Millisecond
+	maxParentRetryDelay = 4 * time.Second
 )
 
 // Parents selects the parent of a daemon. All daemons of a region have the region's
@@ -23,12 +25,18 @@
 type Parents struct {
 	self       string
 	candidates []relay.Member
-	failedAt   map[string]time.Time
+	failed     map[string]failure
+}
+
+// failure is how often a daemon did not reply, and when it may be asked again.
+type failure struct {
+	delay time.Duration
+	until time.Time
 }
 
 // NewParents returns the selector of a daemon.
 func NewParents(self string) *Parents {
-	return &Parents{self: self, failedAt: map[string]time.Time{}}
+	return &Parents{self: self, failed: map[string]failure{}}
 }
 
 // SetMembers sets the daemons of the fleet.
@@ -69,7 +77,7 @@
 // Pick returns the parent to ask, or false if the daemon is the root.
 func (p *Parents) Pick(now time.Time) (relay.Member, bool) {
 	for _, m := range p.candidates {
-		if at, failed := p.failedAt[m.ID]; !failed || now.Sub(at) >= parentRetryDelay {
+		if !now.Before(p.failed[m.ID].until) {
 			return m, true
 		}
 	}
@@ -77,7 +85,10 @@
 }
 
 // MarkFailed records that a daemon did not reply.
-func (p *Parents) MarkFailed(id string, now time.Time) { p.failedAt[id] = now }
+func (p *Parents) MarkFailed(id string, now time.Time) {
+	delay := min(max(2*p.failed[id].delay, parentRetryDelay), maxParentRetryDelay)
+	p.failed[id] = failure{delay, now.Add(delay)}
+}
 
 // MarkWorking records that a daemon replied.
-func (p *Parents) MarkWorking(id string) { delete(p.failedAt, id) }
+func (p *Parents) MarkWorking(id string) { delete(p.failed, id) }
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -107,3 +107,22 @@
 		t.Error("request after the issue of a unit was not admitted")
 	}
 }
+
+// TestQuotaIsUsedAfterLossOfRoot guards against parts that stay handed to a daemon that
+// is gone.
+func TestQuotaIsUsedAfterLossOfRoot(t *testing.T) {
+	f := newFleet(30, 3, map[string]Limit{"shop": {300, 30}}, 1)
+	demand := map[string]float64{"shop": 180}
+	f.play(6*time.Second, demand, f.nodes)
+	for _, n := range f.nodes {
+		if n.ledger.Held(f.now) > 0.3 {
+			n.up = false
+		}
+	}
+	f.play(3*time.Second, demand, f.nodes)
+	f.admitted, f.asked = map[string][]time.Time{}, map[string]int{}
+	f.play(5*time.Second, demand, f.nodes)
+	if got, asked := len(f.admitted["shop"]), f.asked["shop"]; float64(got) < 0.95*float64(asked) {
+		t.Errorf("%d of %d requests within the quota admitted, want nearly all", got, asked)
+	}
+}
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -152,12 +152,25 @@
 	return k.parents.Pick(time.Now())
 }
 
+// callParent calls the parent, and the next one if it does not reply, for at most
+// quotaCallTimeout.
 func (k *quotaKeeper) callParent(ctx context.Context) {
-	parent, ok := k.pickParent()
-	if !ok {
-		return
+	ctx, cancel := context.WithTimeout(ctx, quotaCallTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		parent, ok := k.pickParent()
+		if !ok {
+			return
+		}
+		err := k.call(ctx, parent)
+		k.markParent(parent, err)
+		if err == nil {
+			return
+		}
 	}
-	err := k.call(ctx, parent)
+}
+
+func (k *quotaKeeper) markParent(parent relay.Member, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if err != nil {
@@ -172,12 +185,11 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, quotaCallTimeout)
-	defer cancel()
 	sent := time.Now()
 	call := k.ledger.NewCall(parent.ID, sent)
 	reply, err := peer.Call[quota.Reply](ctx, k.peers, addr, wire.TypeQuota, call)
 	if err != nil {
+		k.ledger.Fail()
 		return err
 	}
 	k.ledger.Apply(call, reply, sent, time.Now())
