Issue units of quotas in several regions

Cause: with one root for all parts, the loss of that daemon left 74 daemons (model, 79 organisations, usual demand) with 0 to 24 of about 980 requests admitted in each half second for 1.5 s, and the heads of the other regions called it 88 to 96 times a second.

Change: the heads of the first three regions (or data centres) issue from the parts of their groups and ask each other for what is left over. Measured in the same model: 97% admitted in the half second after the loss of a head, calls between regions nearly none, 99.8% of the demand within the quota admitted in calm times.

--- a/coordination/quota/account.go
+++ b/coordination/quota/account.go
@@ -110,6 +110,20 @@
 	return max(0, a.waiting+expected-a.units(now))
 }
 
+// deficit returns the number of units to ask other issuers for.
+func (a *account) deficit(held float64, now time.Time) int {
+	period := min(time.Duration(stockFraction*float64(a.plan.life)), maxStock)
+	return max(0, a.want(now)-int(a.saved+a.plan.perSecond*held*period.Seconds()))
+}
+
+// spare returns the units that are left over for other issuers.
+func (a *account) spare(held float64, now time.Time) int {
+	a.decay(now)
+	period := min(time.Duration(stockFraction*float64(a.plan.life)), maxStock)
+	expected := a.demand / demandPeriod.Seconds() * period.Seconds()
+	return int(max(0, a.saved-min(expected, a.plan.mostSaved(held)/2)))
+}
+
 // room returns the time until a unit is expected, at a daemon that issues from held
 // parts or else gets units from its parent.
 func (a *account) room(held float64, now time.Time) time.Duration {
--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -160,7 +160,7 @@
 	if l.parent != parent {
 		l.parent, l.echo = parent, Mark{}
 	}
-	call.Wants = l.wants(now)
+	call.Wants = l.wants(now, func(a *account) int { return a.want(now) })
 	elsewhere := l.holder != l.echo.Process && now.Before(l.holding.awayUntil)
 	if l.echo == (Mark{}) || elsewhere {
 		return call
@@ -174,12 +174,24 @@
 	return call
 }
 
-func (l *Ledger) wants(now time.Time) []Want {
+// NewSpareCall returns a call to another issuer, or nil if no units are missing.
+func (l *Ledger) NewSpareCall(now time.Time) *Call {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held := l.holding.held(now)
+	wants := l.wants(now, func(a *account) int { return a.deficit(held, now) })
+	if len(wants) == 0 {
+		return nil
+	}
+	return &Call{Spare: true, Wants: wants}
+}
+
+func (l *Ledger) wants(now time.Time, want func(*account) int) []Want {
 	var wants []Want
 	held := l.holding.held(now)
 	for name, a := range l.accounts {
 		a.issue(held, now)
-		if n := a.want(now); n > 0 {
+		if n := want(a); n > 0 {
 			wants = append(wants, Want{name, n})
 		} else {
 			l.forgetIdle(name, a, now)
@@ -217,6 +229,11 @@
 		if a == nil || w.Units <= 0 {
 			continue
 		}
+		if call.Spare {
+			available := min(w.Units, a.spare(l.holding.held(now), now))
+			reply.Grants = append(reply.Grants, l.grant(Want{w.Organisation, available}, a, now))
+			continue
+		}
 		a.recordDemand(w.Units, now)
 		g := l.grant(w, a, now)
 		if g.Units < w.Units && !now.Before(a.emptyUntil) {
@@ -277,7 +294,9 @@
 func (l *Ledger) Apply(call *Call, reply *Reply, sent, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.echo = reply.Mark
+	if !call.Spare {
+		l.echo = reply.Mark
+	}
 	for _, g := range reply.Grants {
 		a := l.account(g.Organisation, now)
 		if a == nil {
@@ -285,10 +304,11 @@
 		}
 		if until := sent.Add(min(g.Life, a.plan.life)); g.Units > 0 && now.Before(until) {
 			a.add(g.Units, until)
+			a.emptyUntil = time.Time{}
 		}
 		a.roomAt = now.Add(min(g.Room, maxRoom))
-		if g.Units == 0 && g.Room > 0 {
-			a.emptyUntil = now.Add(min(emptyPeriod, g.Room))
+		if g.Units == 0 {
+			a.emptyUntil = now.Add(emptyPeriod)
 		}
 	}
 }
--- a/coordination/quota/message.go
+++ b/coordination/quota/message.go
@@ -11,6 +11,24 @@
 	// Echo is the mark of the parent's latest reply.
 	Echo  Mark   `cbor:"e,omitzero"`
 	Wants []Want `cbor:"w,omitempty"`
+	// Spare says that the caller issues units itself and asks only for those that are
+	// left over.
+	Spare bool `cbor:"s,omitempty"`
+}
+
+// Rest returns a call for the units that a reply did not give.
+func (c *Call) Rest(r *Reply) *Call {
+	given := make(map[string]int, len(r.Grants))
+	for _, g := range r.Grants {
+		given[g.Organisation] = g.Units
+	}
+	rest := &Call{Spare: c.Spare}
+	for _, w := range c.Wants {
+		if n := w.Units - given[w.Organisation]; n > 0 {
+			rest.Wants = append(rest.Wants, Want{w.Organisation, n})
+		}
+	}
+	return rest
 }
 
 // Mark is a time of one process.
--- a/coordination/quota/parent.go
+++ b/coordination/quota/parent.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -9,23 +10,29 @@
 )
 
 const (
-	// parentsPerRegion is how many daemons of a region are tried as its root.
-	parentsPerRegion = 3
+	// headsPerGroup is how many daemons of a group are tried as its head.
+	headsPerGroup = 3
+	// issuingGroups is how many groups issue units. The loss of a head leaves the parts
+	// of the others in use, and each can save up whole units of small quotas.
+	issuingGroups = 3
 	// parentRetryDelay is how long a daemon that did not reply is not asked. The delay
 	// doubles with each failure up to maxParentRetryDelay.
 	parentRetryDelay    = 500 * time.Millisecond
 	maxParentRetryDelay = 4 * time.Second
 )
 
-// Parents selects the parent of a daemon. All daemons of a region have the region's
-// first daemon as their parent, and that has the first daemon of the first region. A
-// daemon without a parent is the root. Daemons are ordered the same everywhere and a
-// parent comes before its children, so that there is no cycle. It is not safe for
-// concurrent use.
+// Parents selects the daemons that a daemon asks for units. The daemons of a group, which
+// is a region or, in a fleet of one region, a data centre, have the group's first
+// daemon as their parent, its head. The heads of the first issuingGroups groups have
+// no parent and ask each other for units that are left over. The other heads have one
+// of those as their parent. Daemons are ordered the same everywhere and a parent comes
+// before its children, so that there is no cycle. It is not safe for concurrent use.
 type Parents struct {
-	self       string
-	candidates []relay.Member
-	failed     map[string]failure
+	self    string
+	parents []relay.Member
+	// peers are the first daemons of each other issuing group.
+	peers  [][]relay.Member
+	failed map[string]failure
 }
 
 // failure is how often a daemon did not reply, and when it may be asked again.
@@ -41,32 +48,49 @@
 
 // SetMembers sets the daemons of the fleet.
 func (p *Parents) SetMembers(members []relay.Member) {
-	p.candidates = nil
+	p.parents, p.peers = nil, nil
 	at := slices.IndexFunc(members, func(m relay.Member) bool { return m.ID == p.self })
 	if at < 0 {
 		return
 	}
 	self := members[at]
-	byRegion := map[string][]relay.Member{}
-	for _, m := range members {
-		if m.Region < self.Region || m.Region == self.Region && compareRank(m, self) < 0 {
-			byRegion[m.Region] = append(byRegion[m.Region], m)
+	groups, groupOf := groupMembers(members)
+	own := slices.IndexFunc(groups, func(g []relay.Member) bool { return groupOf(g[0]) == groupOf(self) })
+	for _, m := range groups[own] {
+		if compareRank(m, self) < 0 && len(p.parents) < headsPerGroup {
+			p.parents = append(p.parents, m)
 		}
 	}
-	// The daemons of the own region come first, then the regions in their order.
-	regions := make([]string, 0, len(byRegion))
-	for region, all := range byRegion {
-		slices.SortFunc(all, compareRank)
-		byRegion[region] = all[:min(parentsPerRegion, len(all))]
-		if region != self.Region {
-			regions = append(regions, region)
+	for i, g := range groups[:min(issuingGroups, len(groups))] {
+		heads := g[:min(headsPerGroup, len(g))]
+		switch {
+		case i == own:
+		case own < issuingGroups:
+			p.peers = append(p.peers, heads)
+		case i == own%issuingGroups:
+			p.parents = append(p.parents, heads...)
 		}
 	}
-	slices.Sort(regions)
-	p.candidates = append(p.candidates, byRegion[self.Region]...)
-	for _, region := range regions {
-		p.candidates = append(p.candidates, byRegion[region]...)
+}
+
+// groupMembers returns the daemons of each group by rank, in the order of the groups'
+// names, and the function that returns the name of a daemon's group.
+func groupMembers(members []relay.Member) (groups [][]relay.Member, groupOf func(relay.Member) string) {
+	groupOf = func(m relay.Member) string { return m.Zone }
+	for _, m := range members {
+		if m.Region != members[0].Region {
+			groupOf = func(m relay.Member) string { return m.Region }
+		}
+	}
+	byName := map[string][]relay.Member{}
+	for _, m := range members {
+		byName[groupOf(m)] = append(byName[groupOf(m)], m)
 	}
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		slices.SortFunc(byName[name], compareRank)
+		groups = append(groups, byName[name])
+	}
+	return groups, groupOf
 }
 
 // compareRank orders the daemons of a region by descending capacity, then by ID.
@@ -74,9 +98,22 @@
 	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.ID, b.ID))
 }
 
-// Pick returns the parent to ask, or false if the daemon is the root.
-func (p *Parents) Pick(now time.Time) (relay.Member, bool) {
-	for _, m := range p.candidates {
+// Pick returns the parent to ask, or false if there is none.
+func (p *Parents) Pick(now time.Time) (relay.Member, bool) { return p.firstWorking(p.parents, now) }
+
+// Peers returns the daemons to ask for units that are left over, if there is no parent.
+func (p *Parents) Peers(now time.Time) []relay.Member {
+	var out []relay.Member
+	for _, heads := range p.peers {
+		if m, ok := p.firstWorking(heads, now); ok {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (p *Parents) firstWorking(all []relay.Member, now time.Time) (relay.Member, bool) {
+	for _, m := range all {
 		if !now.Before(p.failed[m.ID].until) {
 			return m, true
 		}
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -146,10 +147,20 @@
 	return false
 }
 
-func (k *quotaKeeper) pickParent() (relay.Member, bool) {
+// sources returns the parent, or the other issuers if there is none.
+func (k *quotaKeeper) sources() (*relay.Member, []relay.Member) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.parents.Pick(time.Now())
+	if parent, ok := k.parents.Pick(time.Now()); ok {
+		return &parent, nil
+	}
+	return nil, k.parents.Peers(time.Now())
+}
+
+// canAsk reports whether another daemon may have units.
+func (k *quotaKeeper) canAsk() bool {
+	parent, peers := k.sources()
+	return parent != nil || len(peers) > 0
 }
 
 // callParent calls the parent, and the next one if it does not reply, for at most
@@ -158,42 +169,62 @@
 	ctx, cancel := context.WithTimeout(ctx, quotaCallTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
-		parent, ok := k.pickParent()
-		if !ok {
+		parent, peers := k.sources()
+		if parent == nil {
+			k.callPeers(ctx, peers)
 			return
 		}
-		err := k.call(ctx, parent)
-		k.markParent(parent, err)
-		if err == nil {
+		if k.callOne(ctx, *parent) == nil {
 			return
 		}
 	}
 }
 
-func (k *quotaKeeper) markParent(parent relay.Member, err error) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
+// callPeers asks other issuers for the units that are missing.
+func (k *quotaKeeper) callPeers(ctx context.Context, peers []relay.Member) {
+	call := k.ledger.NewSpareCall(time.Now())
+	for _, p := range peers {
+		if call == nil || len(call.Wants) == 0 {
+			return
+		}
+		if reply, err := k.exchange(ctx, p, call, time.Now()); err == nil {
+			call = call.Rest(reply)
+		}
+	}
+}
+
+func (k *quotaKeeper) callOne(ctx context.Context, parent relay.Member) error {
+	sent := time.Now()
+	_, err := k.exchange(ctx, parent, k.ledger.NewCall(parent.ID, sent), sent)
 	if err != nil {
-		k.parents.MarkFailed(parent.ID, time.Now())
-		return
+		k.ledger.Fail()
 	}
-	k.parents.MarkWorking(parent.ID)
+	return err
 }
 
-func (k *quotaKeeper) call(ctx context.Context, parent relay.Member) error {
-	addr, err := netip.ParseAddrPort(parent.Address)
+// exchange sends a call that was made at the given time and applies the reply.
+func (k *quotaKeeper) exchange(ctx context.Context, to relay.Member, call *quota.Call, sent time.Time) (*quota.Reply, error) {
+	addr, err := netip.ParseAddrPort(to.Address)
 	if err != nil {
-		return err
+		k.markFailed(to)
+		return nil, fmt.Errorf("parse daemon address: %w", err)
 	}
-	sent := time.Now()
-	call := k.ledger.NewCall(parent.ID, sent)
 	reply, err := peer.Call[quota.Reply](ctx, k.peers, addr, wire.TypeQuota, call)
 	if err != nil {
-		k.ledger.Fail()
-		return err
+		k.markFailed(to)
+		return nil, err
 	}
 	k.ledger.Apply(call, reply, sent, time.Now())
-	return nil
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.parents.MarkWorking(to.ID)
+	return reply, nil
+}
+
+func (k *quotaKeeper) markFailed(m relay.Member) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.parents.MarkFailed(m.ID, time.Now())
 }
 
 // serve answers calls of other daemons.
@@ -204,7 +235,7 @@
 	if !short {
 		return reply, nil
 	}
-	if _, hasParent := k.pickParent(); hasParent {
+	if k.canAsk() {
 		k.ask(ctx, quotaFillTimeout)
 		k.ledger.Fill(call, reply, time.Now())
 	}
@@ -217,8 +248,7 @@
 	if o == nil || o.RatePerSecond <= 0 || !k.active.Load() {
 		return quota.Unit{}, nil
 	}
-	_, hasParent := k.pickParent()
-	verdict := k.ledger.Take(o.Name, hasParent, time.Now())
+	verdict := k.ledger.Take(o.Name, k.canAsk(), time.Now())
 	if verdict.Ask {
 		k.ask(ctx, min(quotaWait, time.Until(deadline)))
 		verdict = k.ledger.TakeAgain(o.Name, time.Now())
