Log when an organisation begins to exceed its quota

Change: quota.limited and quota.unlimited, once for each organisation and bounded like the lines about requests. Units in a call are bounded.

Test: TestDaemonsShareQuota also takes the parent away; seen red when a failed call is not recorded (child issues from 0 parts).

--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -15,6 +15,8 @@
 	emptyPeriod = 100 * time.Millisecond
 	// maxWants bounds the organisations of one call.
 	maxWants = 64
+	// maxUnits bounds the units of one organisation in a call.
+	maxUnits = 1 << 20
 )
 
 // Unit is the right to run one request.
@@ -229,6 +231,7 @@
 		if a == nil || w.Units <= 0 {
 			continue
 		}
+		w.Units = min(w.Units, maxUnits)
 		if call.Spare {
 			available := min(w.Units, a.spare(l.holding.held(now), now))
 			reply.Grants = append(reply.Grants, l.grant(Want{w.Organisation, available}, a, now))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,13 +87,13 @@
 	auth := peer.NewAuth(settings.HostID, nil)
 	g.peerClient = peer.NewClient(auth, netip.IPv4Unspecified())
 	g.peerServer = peer.NewServer(auth, g.log)
-	g.quotas = newQuotaKeeper(self, settings.QuotaBounds, g.quotaOf, g.peerClient, g.log)
-	g.quotas.serve(g.peerServer)
 	g.crashes = newCrashMonitor(g.log)
 	g.backends = newBackendRegistry(g.balancer, g.log)
 	g.metrics = newMetrics(g)
 	g.metrics.root.Add("log_lines_left_out", 0)
 	g.requestLog = newRequestLogger(g.log, func() { g.metrics.root.Add("log_lines_left_out", 1) })
+	g.quotas = newQuotaKeeper(self, settings.QuotaBounds, g.quotaOf, g.peerClient, g.requestLog)
+	g.quotas.serve(g.peerServer)
 	g.clients = newClientServer(http.HandlerFunc(g.serveClient))
 	return g, nil
 }
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -10,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"bilberrytiller.example/tiller/coordination/quota"
 	"bilberrytiller.example/tiller/coordination/relay"
 	"bilberrytiller.example/tiller/internal/sleep"
@@ -39,7 +37,6 @@
 
 // quotaKeeper enforces the quotas of organisations together with the other daemons.
 type quotaKeeper struct {
-	log    zerolog.Logger
 	peers  *peer.Client
 	ledger *quota.Ledger
 	// active says that quotas are enforced and that an organisation has one.
@@ -47,6 +44,7 @@
 	// kick wakes the loop that calls the parent.
 	kick    chan struct{}
 	refused atomic.Int64
+	limited *limitedOrganisations
 
 	mu      sync.Mutex
 	parents *quota.Parents
@@ -57,9 +55,9 @@
 // quotaRound is a call to the parent that requests wait for.
 type quotaRound struct{ done chan struct{} }
 
-func newQuotaKeeper(self Member, bounds quota.Bounds, limit func(string) quota.Limit, peers *peer.Client, log zerolog.Logger) *quotaKeeper {
+func newQuotaKeeper(self Member, bounds quota.Bounds, limit func(string) quota.Limit, peers *peer.Client, log *requestLogger) *quotaKeeper {
 	return &quotaKeeper{
-		log: log, peers: peers, kick: make(chan struct{}, 1), parents: quota.NewParents(self.ID), next: &quotaRound{make(chan struct{})},
+		peers: peers, limited: &limitedOrganisations{log: log, entries: map[string]*limitedOrganisation{}}, kick: make(chan struct{}, 1), parents: quota.NewParents(self.ID), next: &quotaRound{make(chan struct{})},
 		ledger: quota.New(self.Incarnation, bounds, limit, time.Now()),
 	}
 }
@@ -114,6 +112,7 @@
 			k.callParent(ctx)
 		}
 		close(round.done)
+		k.limited.sweep(time.Now())
 		sleep.For(ctx, minQuotaCallInterval)
 	}
 }
@@ -257,6 +256,7 @@
 		return verdict.Unit, nil
 	}
 	k.refused.Add(1)
+	k.limited.recordRefusal(o.Name, time.Now())
 	room := max(verdict.Room, minQuotaRetryAfter)
 	// The clients of an organisation come back at different times.
 	retryAfter := room + time.Duration(rand.Float64()*float64(room))
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -21,7 +21,7 @@
 func newQuotaFixture(t *testing.T, r routing.Route, burst float64) *fixture {
 	t.Helper()
 	f := newFixture(t)
-	f.quotas = newQuotaKeeper(f.self, quota.Bounds{Window: time.Hour}, f.quotaOf, f.peerClient, f.log)
+	f.quotas = newQuotaKeeper(f.self, quota.Bounds{Window: time.Hour}, f.quotaOf, f.peerClient, f.requestLog)
 	settings := *f.settings.Load()
 	settings.QuotaBounds = quota.Bounds{Window: time.Hour}
 	f.settings.Store(&settings)
@@ -125,14 +125,16 @@
 	root, child := newQuotaFixture(t, route(true), 4), newQuotaFixture(t, route(true), 4)
 	child.self.ID = "host-2"
 	var members []relay.Member
+	var servers []*httptest.Server
 	for i, f := range []*fixture{root, child} {
 		bounds := quota.Bounds{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
 		f.peerServer = peer.NewServer(peer.NewAuth(f.self.ID, nil), f.log)
 		f.peerClient = peer.NewClient(peer.NewAuth(f.self.ID, nil), netip.IPv4Unspecified())
-		f.quotas = newQuotaKeeper(f.self, bounds, f.quotaOf, f.peerClient, f.log)
+		f.quotas = newQuotaKeeper(f.self, bounds, f.quotaOf, f.peerClient, f.requestLog)
 		f.quotas.active.Store(true)
 		f.quotas.serve(f.peerServer)
 		server := httptest.NewServer(f.peerServer)
+		servers = append(servers, server)
 		t.Cleanup(server.Close)
 		t.Cleanup(f.peerClient.Close)
 		members = append(members, relay.Member{ID: f.self.ID, Region: "north", Address: server.Listener.Addr().String(), Capacity: float64(2 - i)})
@@ -150,6 +152,16 @@
 	if root.quotas.ledger.Granted() == 0 {
 		t.Error("root gave no units")
 	}
+	for _, s := range servers {
+		s.Close()
+	}
+	_ = root.peerServer.Shutdown(t.Context())
+	waitFor(t, "the child's own part", func() bool { return child.quotas.ledger.Held(time.Now()) == 0.5 })
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if held := child.quotas.ledger.Held(time.Now()); held != 0.5 {
+			t.Fatalf("child issues from %v parts after its parent was lost, want its own half", held)
+		}
+	}
 }
 
 func waitFor(t *testing.T, what string, done func() bool) {
