Let second copies of requests wait for a unit of their quota

Cause: most daemons hold no units in stock for small organisations, so that a retry of an idempotent request whose answer was lost, or a second copy, was mostly not made. Change: they ask other daemons like first copies, for a shorter time.

--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -31,6 +31,9 @@
 	quotaFillTimeout = 150 * time.Millisecond
 	// quotaWait bounds the time that a request waits for a unit.
 	quotaWait = 400 * time.Millisecond
+	// quotaCopyWait is the same for another copy of a request, during which an answer to
+	// the first copy waits too.
+	quotaCopyWait = 80 * time.Millisecond
 	// minQuotaRetryAfter is the shortest Retry-After of a request above its quota.
 	minQuotaRetryAfter = 50 * time.Millisecond
 )
@@ -247,11 +250,7 @@
 	if o == nil || o.RatePerSecond <= 0 || !k.active.Load() {
 		return quota.Unit{}, nil
 	}
-	verdict := k.ledger.Take(o.Name, k.canAsk(), time.Now())
-	if verdict.Ask {
-		k.ask(ctx, min(quotaWait, time.Until(deadline)))
-		verdict = k.ledger.TakeAgain(o.Name, time.Now())
-	}
+	verdict := k.take(ctx, o, min(quotaWait, time.Until(deadline)))
 	if verdict.Admitted {
 		return verdict.Unit, nil
 	}
@@ -263,12 +262,22 @@
 	return quota.Unit{}, &localResponse{status: http.StatusTooManyRequests, reason: reasonQuota, retryAfter: retryAfter, organisation: o.Name}
 }
 
+// take takes a unit, and asks other daemons for at most limit if there is none.
+func (k *quotaKeeper) take(ctx context.Context, o *routing.Organisation, limit time.Duration) quota.Verdict {
+	verdict := k.ledger.Take(o.Name, k.canAsk(), time.Now())
+	if verdict.Ask {
+		k.ask(ctx, limit)
+		verdict = k.ledger.TakeAgain(o.Name, time.Now())
+	}
+	return verdict
+}
+
 // admitCopy takes another unit for a request that may run a second time.
-func (k *quotaKeeper) admitCopy(o *routing.Organisation) (quota.Unit, bool) {
+func (k *quotaKeeper) admitCopy(ctx context.Context, o *routing.Organisation) (quota.Unit, bool) {
 	if o == nil || o.RatePerSecond <= 0 || !k.active.Load() {
 		return quota.Unit{}, true
 	}
-	verdict := k.ledger.Take(o.Name, false, time.Now())
+	verdict := k.take(ctx, o, quotaCopyWait)
 	return verdict.Unit, verdict.Admitted
 }
 
