Hold up no reply for an organisation above its quota

Cause: a reply to a child waited up to 0.15 s for units of one organisation that other daemons did not have either, and the child's other organisations with it. Test: TestUsedUpQuotaDoesNotHoldUpOthers, written with the change; not run without it.

--- a/coordination/quota/account.go
+++ b/coordination/quota/account.go
@@ -38,8 +38,8 @@
 	demandAt time.Time
 	// waiting counts the units for which a request or a child waits.
 	waiting int
-	// emptyUntil is the time until which the parent has no units.
-	emptyUntil time.Time
+	// emptyAt is when other daemons had no units, or zero if they had some since.
+	emptyAt time.Time
 	// roomAt is when the parent expects units, and askedAt the time of the latest
 	// demand.
 	roomAt, askedAt time.Time
--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -13,6 +13,10 @@
 	// emptyPeriod is how long a daemon whose parent had no units does not ask for a
 	// single request again.
 	emptyPeriod = 100 * time.Millisecond
+	// emptyReplyPeriod is how long a daemon does not hold up a reply for an organisation
+	// for which other daemons had no units. Its children's other organisations would
+	// wait as long.
+	emptyReplyPeriod = time.Second
 	// maxWants bounds the organisations of one call.
 	maxWants = 64
 	// maxUnits bounds the units of one organisation in a call.
@@ -119,7 +123,7 @@
 		return Verdict{Admitted: true, Unit: Unit{until}}
 	}
 	room := a.room(l.holding.held(now), now)
-	if canAsk && !now.Before(a.emptyUntil) {
+	if canAsk && now.Sub(a.emptyAt) >= emptyPeriod {
 		a.waiting++
 		return Verdict{Ask: true, Room: room}
 	}
@@ -239,9 +243,9 @@
 		}
 		a.recordDemand(w.Units, now)
 		g := l.grant(w, a, now)
-		if g.Units < w.Units && !now.Before(a.emptyUntil) {
+		if g.Units < w.Units {
 			a.waiting += w.Units - g.Units
-			short = true
+			short = short || now.Sub(a.emptyAt) >= emptyReplyPeriod
 		}
 		reply.Grants = append(reply.Grants, g)
 	}
@@ -307,11 +311,11 @@
 		}
 		if until := sent.Add(min(g.Life, a.plan.life)); g.Units > 0 && now.Before(until) {
 			a.add(g.Units, until)
-			a.emptyUntil = time.Time{}
+			a.emptyAt = time.Time{}
 		}
 		a.roomAt = now.Add(min(g.Room, maxRoom))
 		if g.Units == 0 {
-			a.emptyUntil = now.Add(emptyPeriod)
+			a.emptyAt = now
 		}
 	}
 }
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -133,3 +133,21 @@
 		}
 	}
 }
+
+// TestUsedUpQuotaDoesNotHoldUpOthers guards against replies that wait for an organisation
+// above its quota, and with it for all others in the call.
+func TestUsedUpQuotaDoesNotHoldUpOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := newLedger("a", now)
+	call := &Call{Wants: []Want{{"shop", 3}}}
+	if _, short := l.Handle("child", call, now); !short {
+		t.Error("the first call that gets too few units is not held up, want it to ask other daemons")
+	}
+	l.Apply(&Call{}, &Reply{Grants: []Grant{{Organisation: "shop"}}}, now, now)
+	if _, short := l.Handle("child", call, now.Add(emptyReplyPeriod/2)); short {
+		t.Error("a call is held up although other daemons had no units")
+	}
+	if _, short := l.Handle("child", call, now.Add(emptyReplyPeriod)); !short {
+		t.Error("a call after emptyReplyPeriod does not ask other daemons")
+	}
+}
