Give daemons that are not registered a parent for quotas

Cause: found by reading: a daemon whose entry the store does not have, as after its start or when the store has lost it, had no parent and refused every request of organisations with a quota. A reload that added a window would have divided by zero.

Change: a daemon counts itself among the members when it selects its parent; bounds of quotas are read at the start.

Tests: TestUnlistedDaemonHasParent, TestHeadsFormTree; seen red without the change, and with regions beyond the third left without a parent.

--- a/coordination/quota/fleet_test.go
+++ b/coordination/quota/fleet_test.go
@@ -56,7 +56,7 @@
 func (f *fleet) start(n *node) {
 	n.process++
 	n.up, n.callAt = true, f.now
-	n.parents = NewParents(n.member.ID)
+	n.parents = NewParents(n.member)
 	limit := func(name string) Limit { return f.limits[name] }
 	n.ledger = New(fmt.Sprint(n.member.ID, "/", n.process), f.bounds, limit, f.now)
 }
--- a/coordination/quota/parent.go
+++ b/coordination/quota/parent.go
@@ -28,7 +28,7 @@
 // of those as their parent. Daemons are ordered the same everywhere and a parent comes
 // before its children, so that there is no cycle. It is not safe for concurrent use.
 type Parents struct {
-	self    string
+	self    relay.Member
 	parents []relay.Member
 	// peers are the first daemons of each other issuing group.
 	peers  [][]relay.Member
@@ -42,18 +42,20 @@
 }
 
 // NewParents returns the selector of a daemon.
-func NewParents(self string) *Parents {
+func NewParents(self relay.Member) *Parents {
 	return &Parents{self: self, failed: map[string]failure{}}
 }
 
-// SetMembers sets the daemons of the fleet.
+// SetMembers sets the daemons of the fleet. The daemon itself may be missing, since it may
+// not be registered yet.
 func (p *Parents) SetMembers(members []relay.Member) {
 	p.parents, p.peers = nil, nil
-	at := slices.IndexFunc(members, func(m relay.Member) bool { return m.ID == p.self })
-	if at < 0 {
-		return
+	self := p.self
+	if at := slices.IndexFunc(members, func(m relay.Member) bool { return m.ID == self.ID }); at >= 0 {
+		self = members[at]
+	} else {
+		members = append(slices.Clip(members), self)
 	}
-	self := members[at]
 	groups, groupOf := groupMembers(members)
 	own := slices.IndexFunc(groups, func(g []relay.Member) bool { return groupOf(g[0]) == groupOf(self) })
 	for _, m := range groups[own] {
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"bilberrytiller.example/tiller/coordination/relay"
 )
 
 // TestUnevenDemandUsesQuota guards against quotas that are left unused where demand
@@ -151,3 +153,45 @@
 		t.Error("a call after emptyReplyPeriod does not ask other daemons")
 	}
 }
+
+// TestUnlistedDaemonHasParent guards against a daemon that gets no units until its entry
+// has been written, or written again.
+func TestUnlistedDaemonHasParent(t *testing.T) {
+	p := NewParents(relay.Member{ID: "b", Region: "north", Zone: "n1"})
+	p.SetMembers([]relay.Member{{ID: "a", Region: "north", Zone: "n1"}, {ID: "c", Region: "south", Zone: "s1"}})
+	if parent, ok := p.Pick(time.Unix(1000, 0)); !ok || parent.ID != "a" {
+		t.Errorf("got parent %+v, want a", parent)
+	}
+}
+
+// TestHeadsFormTree guards against daemons that are each other's parents, and against
+// further regions without a parent.
+func TestHeadsFormTree(t *testing.T) {
+	var members []relay.Member
+	for i := range 60 {
+		members = append(members, relay.Member{ID: fmt.Sprintf("d%02d", i), Region: fmt.Sprintf("r%02d", i%16), Zone: fmt.Sprintf("z%02d", i%32), Capacity: float64(i % 3)})
+	}
+	now, roots := time.Unix(1000, 0), 0
+	parentOf := map[string]string{}
+	for _, m := range members {
+		p := NewParents(m)
+		p.SetMembers(members)
+		if parent, ok := p.Pick(now); ok {
+			parentOf[m.ID] = parent.ID
+		} else if roots++; len(p.Peers(now)) != issuingGroups-1 {
+			t.Errorf("%s has %d other issuers, want %d", m.ID, len(p.Peers(now)), issuingGroups-1)
+		}
+	}
+	if roots != issuingGroups {
+		t.Errorf("%d daemons have no parent, want %d", roots, issuingGroups)
+	}
+	for id := range parentOf {
+		steps := 0
+		for at, ok := id, true; ok && steps <= 3; steps++ {
+			at, ok = parentOf[at], parentOf[at] != ""
+		}
+		if steps > 3 {
+			t.Errorf("%s is more than two steps from an issuer", id)
+		}
+	}
+}
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -42,6 +42,9 @@
 type quotaKeeper struct {
 	peers  *peer.Client
 	ledger *quota.Ledger
+	// enabled says that the settings have bounds for quotas. They are read at the start
+	// only.
+	enabled bool
 	// active says that quotas are enforced and that an organisation has one.
 	active atomic.Bool
 	// kick wakes the loop that calls the parent.
@@ -59,8 +62,10 @@
 type quotaRound struct{ done chan struct{} }
 
 func newQuotaKeeper(self Member, bounds quota.Bounds, limit func(string) quota.Limit, peers *peer.Client, log *requestLogger) *quotaKeeper {
+	member := relay.Member{ID: self.ID, Zone: self.Zone, Region: self.Region, Address: self.PeerAddress, Capacity: self.Capacity}
 	return &quotaKeeper{
-		peers: peers, limited: &limitedOrganisations{log: log, entries: map[string]*limitedOrganisation{}}, kick: make(chan struct{}, 1), parents: quota.NewParents(self.ID), next: &quotaRound{make(chan struct{})},
+		enabled: bounds.Enabled(),
+		peers:   peers, limited: &limitedOrganisations{log: log, entries: map[string]*limitedOrganisation{}}, kick: make(chan struct{}, 1), parents: quota.NewParents(member), next: &quotaRound{make(chan struct{})},
 		ledger: quota.New(self.Incarnation, bounds, limit, time.Now()),
 	}
 }
@@ -84,7 +89,7 @@
 	for _, o := range c.Organisations() {
 		hasQuota = hasQuota || o.RatePerSecond > 0
 	}
-	g.quotas.active.Store(hasQuota && g.settings.Load().QuotaBounds.Enabled())
+	g.quotas.active.Store(hasQuota && g.quotas.enabled)
 	g.quotas.ledger.LimitsChanged(time.Now())
 }
 
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -22,9 +22,6 @@
 	t.Helper()
 	f := newFixture(t)
 	f.quotas = newQuotaKeeper(f.self, quota.Bounds{Window: time.Hour}, f.quotaOf, f.peerClient, f.requestLog)
-	settings := *f.settings.Load()
-	settings.QuotaBounds = quota.Bounds{Window: time.Hour}
-	f.settings.Store(&settings)
 	c := routing.New(1, []routing.Route{r}, map[string]routing.Service{"pay": {Name: "pay"}}, routing.ClientLimits{BodyBytes: 1000})
 	organisations := []routing.Organisation{{Name: "shop", RatePerSecond: 0.001, Burst: burst}, {Name: "free"}}
 	if err := c.SetOrganisations(organisations, map[string][]string{"shop": {"k-1"}, "free": {"k-2"}}); err != nil {
@@ -123,7 +120,7 @@
 // parts and the units of quotas.
 func TestDaemonsShareQuota(t *testing.T) {
 	root, child := newQuotaFixture(t, route(true), 4), newQuotaFixture(t, route(true), 4)
-	child.self.ID = "host-2"
+	root.self.Region, child.self.ID, child.self.Region = "north", "host-2", "north"
 	var members []relay.Member
 	var servers []*httptest.Server
 	for i, f := range []*fixture{root, child} {
