--- a/coordination/quota/parent.go
+++ b/coordination/quota/parent.go
@@ -15,6 +15,8 @@
 	// issuingGroups is how many groups issue units. The loss of a head leaves the parts
 	// of the others in use, and each can save up whole units of small quotas.
 	issuingGroups = 3
+	// maxRegionGroup is the number of daemons of a region up to which one head serves them.
+	maxRegionGroup = 100
 	// parentRetryDelay is how long a daemon that did not reply is not asked. The delay
 	// doubles with each failure up to maxParentRetryDelay.
 	parentRetryDelay    = 500 * time.Millisecond
@@ -22,7 +24,7 @@
 )
 
 // Parents selects the daemons that a daemon asks for units. The daemons of a group, which
-// is a region or, in a fleet of one region, a data centre, have the group's first
+// is a region or, in a fleet of one region or of large ones, a data centre, have the group's first
 // daemon as their parent, its head. The heads of the first issuingGroups groups have
 // no parent and ask each other for units that are left over. The other heads have one
 // of those as their parent. Daemons are ordered the same everywhere and a parent comes
@@ -78,11 +80,13 @@
 // groupMembers returns the daemons of each group by rank, in the order of the groups'
 // names, and the function that returns the name of a daemon's group.
 func groupMembers(members []relay.Member) (groups [][]relay.Member, groupOf func(relay.Member) string) {
-	groupOf = func(m relay.Member) string { return m.Zone }
+	groupOf = func(m relay.Member) string { return m.Region }
+	regions := map[string]int{}
 	for _, m := range members {
-		if m.Region != members[0].Region {
-			groupOf = func(m relay.Member) string { return m.Region }
-		}
+		regions[m.Region]++
+	}
+	if len(regions) == 1 || slices.Max(slices.Collect(maps.Values(regions))) > maxRegionGroup {
+		groupOf = func(m relay.Member) string { return m.Zone }
 	}
 	byName := map[string][]relay.Member{}
 	for _, m := range members {
