Do not use a part of quotas right after the daemons are first counted

Cause: seen in the model, which now has daemons that leave and entries that lapse: a daemon that first learned of the others just after one had left used 1/(N-1) while the part of the one that left was still handed over (1.05 of all parts).

Change: the delay of a new process counts from when it first knows the daemons. The design note names what is not covered: a daemon that restarts after the entries of daemons that are cut off have been removed (5 minutes).

--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -75,7 +75,9 @@
 func (l *Ledger) SetAlone(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.holding.aloneAt = now
+	if now.After(l.holding.aloneAt) {
+		l.holding.aloneAt = now
+	}
 }
 
 // LimitsChanged applies changed quotas. Units of earlier quotas are dropped where the
--- a/coordination/quota/parts.go
+++ b/coordination/quota/parts.go
@@ -26,7 +26,7 @@
 // holding tracks the parts that a daemon holds.
 type holding struct {
 	// started is when the process started, and aloneAt when an earlier process of the
-	// host had certainly ended.
+	// host, and the daemons that are not counted, had certainly ended.
 	started, aloneAt time.Time
 	// count is the number of daemons, and listed says whether this one is among them.
 	count     int
@@ -44,6 +44,10 @@
 
 func (h *holding) setCount(count int, listed bool, now time.Time) {
 	h.listed = listed
+	if h.count == 0 {
+		// Daemons that left just before may have handed over larger parts.
+		h.aloneAt = now
+	}
 	if count >= h.count || now.Sub(h.countedAt) > countHold {
 		h.count, h.countedAt = count, now
 	}
