--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -195,3 +195,18 @@
 		}
 	}
 }
+
+// TestOwnPartWaitsAfterFirstCount guards against a daemon that learns of the others just
+// after one has left, whose larger part is still handed over.
+func TestOwnPartWaitsAfterFirstCount(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := newLedger("a", now)
+	now = now.Add(time.Minute)
+	l.SetDaemons(4, true, now)
+	if held := l.Held(now.Add(restartDelay - 1)); held != 0 {
+		t.Errorf("issues from %v parts before restartDelay, want 0", held)
+	}
+	if held := l.Held(now.Add(restartDelay)); held != 0.25 {
+		t.Errorf("issues from %v parts after restartDelay, want its own quarter", held)
+	}
+}
