Compute the held parts once for all idle accounts of quotas

NewCall walked the children once for each account without demand, to decide whether to forget it. The caller knows the parts already. No change of behaviour; the tests of coordination/quota but the long uneven-demand one pass.

--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -202,7 +202,7 @@
 		if n := want(a); n > 0 {
 			wants = append(wants, Want{name, n})
 		} else {
-			l.forgetIdle(name, a, now)
+			l.forgetIdle(name, a, held, now)
 		}
 	}
 	if len(wants) > maxWants {
@@ -216,8 +216,7 @@
 }
 
 // forgetIdle forgets an account that holds nothing and that a new one would equal.
-func (l *Ledger) forgetIdle(name string, a *account, now time.Time) {
-	held := l.holding.held(now)
+func (l *Ledger) forgetIdle(name string, a *account, held float64, now time.Time) {
 	full := a.saved >= a.plan.mostSaved(held) || held == 0
 	if full && now.Sub(a.askedAt) > idlePeriod && a.units(now) == 0 {
 		delete(l.accounts, name)
