Issue units of parts only from when they are received

account.issue multiplied the parts held now by the whole time since the last call, so that parts handed over just before issued for time in which their earlier holder had issued from them. It now counts the lower of the parts held at the last call and now, and a daemon that hands over its parts counts 0 from then on. Accounts are brought up to date when parts are given away.

Seen red before the change: TestReceivedPartsIssueFromNowOn (13 units at the hand-over, want 0) and TestReturnedPartsIssueFromNowOn. The model gets a freeze action: nodes stand still, go on with a call made before, and serve requests that waited.

--- a/coordination/quota/account.go
+++ b/coordination/quota/account.go
@@ -33,6 +33,8 @@
 	// were counted.
 	saved    float64
 	issuedAt time.Time
+	// issuedFrom are the parts held at issuedAt.
+	issuedFrom float64
 	// stock are units received from the parent, in the order of their ends.
 	stock []batch
 
@@ -76,12 +78,14 @@
 	return min(time.Duration(stockFraction*float64(a.plan.life)), maxStock)
 }
 
-// issue adds the units issued since the last call.
+// issue adds the units issued since the last call. Parts received since then count from
+// now on, since their earlier holder has issued from them until then.
 func (a *account) issue(held float64, now time.Time) {
 	if elapsed := now.Sub(a.issuedAt); elapsed > 0 {
-		a.saved += a.plan.perSecond * held * elapsed.Seconds()
+		a.saved += a.plan.perSecond * min(held, a.issuedFrom) * elapsed.Seconds()
 		a.issuedAt = now
 	}
+	a.issuedFrom = held
 	a.saved = min(a.saved, a.plan.mostSaved(held))
 }
 
--- a/coordination/quota/fleet_test.go
+++ b/coordination/quota/fleet_test.go
@@ -17,6 +17,8 @@
 	up, cut bool
 	// callAt is when the node calls its parent next.
 	callAt time.Time
+	// frozenUntil is when a node that stands still goes on.
+	frozenUntil time.Time
 }
 
 // fleet is a number of daemons that share the quotas of organisations.
@@ -53,9 +55,12 @@
 	return f
 }
 
+// runs reports whether a node is up and doesn't stand still.
+func (f *fleet) runs(n *node) bool { return n.up && !f.now.Before(n.frozenUntil) }
+
 func (f *fleet) start(n *node) {
 	n.process++
-	n.up, n.callAt = true, f.now
+	n.up, n.callAt, n.frozenUntil = true, f.now, time.Time{}
 	n.parents = NewParents(n.member)
 	limit := func(name string) Limit { return f.limits[name] }
 	n.ledger = New(fmt.Sprint(n.member.ID, "/", n.process), f.bounds, limit, f.now)
@@ -101,7 +106,7 @@
 	n.callAt = f.now.Add(250 * time.Millisecond)
 	call := n.ledger.NewCall(parent.ID, f.now)
 	p := f.nodeByID(parent.ID)
-	if p == nil || !p.up || p.cut != n.cut || f.random.Float64() < f.lossy {
+	if p == nil || !f.runs(p) || p.cut != n.cut || f.random.Float64() < f.lossy {
 		n.parents.MarkFailed(parent.ID, f.now)
 		n.ledger.Fail()
 		if p != nil && f.random.IntN(2) == 0 {
@@ -131,7 +136,7 @@
 			break
 		}
 		p := f.nodeByID(peer.ID)
-		if p == nil || !p.up || p.cut != n.cut || f.random.Float64() < f.lossy {
+		if p == nil || !f.runs(p) || p.cut != n.cut || f.random.Float64() < f.lossy {
 			n.parents.MarkFailed(peer.ID, f.now)
 			continue
 		}
@@ -160,21 +165,21 @@
 	const step = 10 * time.Millisecond
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
 		for _, n := range f.nodes {
-			if n.up && !f.now.Before(n.callAt) {
+			if f.runs(n) && !f.now.Before(n.callAt) {
 				n.callAt = f.now.Add(250 * time.Millisecond)
 				f.ask(n, 0)
 			}
 		}
 		held := 0.0
 		for _, n := range f.nodes {
-			if n.up {
+			if f.runs(n) {
 				held += n.ledger.Held(f.now)
 			}
 		}
 		f.mostHeld = max(f.mostHeld, held)
 		for name, rate := range perSecond {
 			for k := poisson(f.random, rate*step.Seconds()); k > 0; k-- {
-				if n := to[f.random.IntN(len(to))]; n.up {
+				if n := to[f.random.IntN(len(to))]; f.runs(n) {
 					f.request(n, name)
 				}
 			}
--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -150,7 +150,7 @@
 		if limit.RatePerSecond <= 0 {
 			return nil
 		}
-		a = &account{plan: planFor(limit, l.bounds), issuedAt: now, demandAt: now}
+		a = &account{plan: planFor(limit, l.bounds), issuedAt: now, issuedFrom: held, demandAt: now}
 		steady := l.holding.steady()
 		a.saved = min(a.plan.mostSaved(steady), a.plan.perSecond*steadyPeriod.Seconds()*steady)
 		l.accounts[organisation] = a
@@ -178,6 +178,9 @@
 	if call.Parts > 0 {
 		l.holder = l.echo.Process
 		l.holding.giveAway(now.Add(call.PartsFor))
+		for _, a := range l.accounts {
+			a.issue(0, now)
+		}
 	}
 	return call
 }
--- a/coordination/quota/model_test.go
+++ b/coordination/quota/model_test.go
@@ -56,6 +56,48 @@
 	m.publish()
 }
 
+// freeze makes nodes stand still. They have made a call, which arrives when they go on,
+// and requests wait for them.
+func (m *model) freeze(nodes []*node, ms int) {
+	var goOn []func()
+	for _, n := range nodes {
+		n.frozenUntil = m.now.Add(time.Duration(ms) * time.Millisecond)
+		goOn = append(goOn, m.callLater(n))
+	}
+	m.rush(ms)
+	for i, n := range nodes {
+		goOn[i]()
+		for range 10 {
+			if n.up {
+				m.request(n, modelOrganisation)
+			}
+		}
+	}
+	m.rush(4000)
+}
+
+// callLater makes a call, and returns a function that sends it.
+func (m *model) callLater(n *node) func() {
+	parent, ok := n.parents.Pick(m.now)
+	if !ok {
+		return func() {}
+	}
+	sent, call := m.now, n.ledger.NewCall(parent.ID, m.now)
+	return func() {
+		p := m.nodeByID(parent.ID)
+		if !n.up || p == nil || !m.runs(p) || p.cut != n.cut {
+			return
+		}
+		reply, _ := p.ledger.Handle(n.member.ID, call, m.now)
+		n.ledger.Apply(call, reply, sent, m.now)
+	}
+}
+
+// rush plays several times the requests of the limit at all nodes.
+func (m *model) rush(ms int) {
+	m.play(time.Duration(ms)*time.Millisecond, map[string]float64{modelOrganisation: 6 * m.limits[modelOrganisation].RatePerSecond}, m.nodes)
+}
+
 // setLimit changes the limit. A higher one allows more in windows that began before.
 func (m *model) setLimit(l Limit) {
 	m.limits[modelOrganisation] = l
@@ -79,9 +121,7 @@
 		m.publish()
 		pick := func(t *rapid.T) *node { return m.nodes[rapid.IntRange(0, len(m.nodes)-1).Draw(t, "node")] }
 		m.play(3*time.Second, nil, nil)
-		rush := func(ms int) {
-			m.play(time.Duration(ms)*time.Millisecond, map[string]float64{modelOrganisation: 6 * m.limits[modelOrganisation].RatePerSecond}, m.nodes)
-		}
+		rush := m.rush
 		t.Repeat(map[string]func(*rapid.T){
 			"rush": func(t *rapid.T) { rush(rapid.IntRange(100, 6000).Draw(t, "ms")) },
 			"uneven rush": func(t *rapid.T) {
@@ -90,6 +130,12 @@
 			"quiet": func(t *rapid.T) {
 				m.play(time.Duration(rapid.IntRange(20, 6000).Draw(t, "ms"))*time.Millisecond, nil, nil)
 			},
+			"freeze": func(t *rapid.T) {
+				m.play(rapid.SampledFrom([]time.Duration{0, 20 * time.Second}).Draw(t, "quiet"), nil, nil)
+				m.rush(rapid.SampledFrom([]int{0, 1000}).Draw(t, "rush"))
+				first := rapid.IntRange(0, min(1, len(m.nodes)-1)).Draw(t, "first")
+				m.freeze(m.nodes[first:], rapid.IntRange(100, 3000).Draw(t, "ms"))
+			},
 			"kill":    func(t *rapid.T) { pick(t).up = false },
 			"restart": func(t *rapid.T) { m.restarted = true; m.start(pick(t)); m.publish() },
 			"restart all in turn": func(t *rapid.T) {
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -210,3 +210,36 @@
 		t.Errorf("issues from %v parts after restartDelay, want its own quarter", held)
 	}
 }
+
+// TestReceivedPartsIssueFromNowOn guards against a daemon that issues units for the time
+// in which another one still held the parts.
+func TestReceivedPartsIssueFromNowOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := newLedger("a", now)
+	l.Take("shop", false, now)
+	now = now.Add(time.Second)
+	first, _ := l.Handle("child", &Call{}, now)
+	call := &Call{Echo: first.Mark, Parts: 0.75, PartsFor: ownPartsFor, Wants: []Want{{"shop", 100}}}
+	if r, _ := l.Handle("child", call, now.Add(time.Second)); r.Grants[0].Units != 0 {
+		t.Errorf("gave %d units at the moment of the hand-over, want 0", r.Grants[0].Units)
+	}
+}
+
+// TestReturnedPartsIssueFromNowOn guards against a daemon that was stopped for a while and
+// issues units for the time in which its parent held its part.
+func TestReturnedPartsIssueFromNowOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := newLedger("a", now)
+	l.SetDaemons(1, true, now)
+	now = now.Add(2 * restartDelay)
+	for l.Take("shop", false, now).Admitted {
+	}
+	call := l.NewCall("parent", now)
+	l.Apply(call, &Reply{Mark: Mark{"p", time.Minute}}, now, now)
+	if call = l.NewCall("parent", now); call.Parts != 1 {
+		t.Fatalf("handed over %v parts, want 1", call.Parts)
+	}
+	if l.Take("shop", false, now.Add(ownPartsFor)).Admitted {
+		t.Error("a request was admitted when the part came back, want none before a unit was issued")
+	}
+}
