Refuse requests above a quota early when parents are silent

A parent that accepts connections and does not answer took the whole 300 ms of a round, nothing remembered that a round had failed, and the units of a call without a reply were not asked for from the next parent. A request waited up to 400 ms whatever its objective, and another copy 80 ms in the dispatcher, beside answers that were ready.

A call within a region now takes at most 100 ms (one to another region keeps the rest of the round, since its round trip may take longer), a child is held up for 60 instead of 150 ms, the wants of a failed call are asked for again, and after a round without a reply requests do not ask for emptyPeriod. A request waits for at most an eighth of its latency objective. Another copy takes a unit that is there or none.

Each seen red without its mechanism: TestSilentParentLeavesTimeForNext (without the timeout, and without the wants of the failed call), TestFailedRoundIsRemembered, TestRefusalIsEarly, TestCopyDoesNotAsk.

--- a/coordination/quota/account.go
+++ b/coordination/quota/account.go
@@ -42,8 +42,9 @@
 	// demandPeriod and recentPeriod.
 	demand, recent float64
 	demandAt       time.Time
-	// waiting counts the units for which a request or a child waits.
-	waiting int
+	// waiting counts the units for which a request or a child waits, and calledFor those
+	// that the latest call asked for.
+	waiting, calledFor int
 	// emptyAt is when other daemons had no units, or zero if they had some since.
 	emptyAt time.Time
 	// roomAt is when the parent expects units, and askedAt the time of the latest
--- a/coordination/quota/fleet_test.go
+++ b/coordination/quota/fleet_test.go
@@ -108,7 +108,7 @@
 	p := f.nodeByID(parent.ID)
 	if p == nil || !f.runs(p) || p.cut != n.cut || f.random.Float64() < f.lossy {
 		n.parents.MarkFailed(parent.ID, f.now)
-		n.ledger.Fail()
+		n.ledger.Fail(call)
 		if p != nil && f.random.IntN(2) == 0 {
 			f.late = append(f.late, func() { p.ledger.Handle(n.member.ID, call, f.now) })
 		}
@@ -120,7 +120,7 @@
 	}
 	if f.random.Float64() < f.lossy {
 		n.parents.MarkFailed(parent.ID, f.now)
-		n.ledger.Fail()
+		n.ledger.Fail(call)
 		return true
 	}
 	n.parents.MarkWorking(parent.ID)
--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -10,8 +10,8 @@
 const (
 	// maxRoom is the longest time after which a caller is told to come back.
 	maxRoom = 2 * time.Second
-	// emptyPeriod is how long a daemon whose parent had no units does not ask for a
-	// single request again.
+	// emptyPeriod is how long a daemon whose parent had no units, or did not reply, does
+	// not ask for a single request again.
 	emptyPeriod = 100 * time.Millisecond
 	// emptyReplyPeriod is how long a daemon does not hold up a reply for an organisation
 	// for which other daemons had no units. Its children's other organisations would
@@ -52,6 +52,8 @@
 	// holder is the process to which the parts were handed last. An earlier process of
 	// the same daemon may have handed them on.
 	holder string
+	// failedAt is when no daemon that was asked replied.
+	failedAt time.Time
 	// granted counts the units given to other daemons.
 	granted int
 }
@@ -125,7 +127,7 @@
 		return Verdict{Admitted: true, Unit: Unit{until}}
 	}
 	room := a.room(l.holding.held(now), now)
-	if canAsk && now.Sub(a.emptyAt) >= emptyPeriod {
+	if canAsk && now.Sub(a.emptyAt) >= emptyPeriod && now.Sub(l.failedAt) >= emptyPeriod {
 		a.waiting++
 		return Verdict{Ask: true, Room: room}
 	}
@@ -213,7 +215,8 @@
 		wants = wants[:maxWants]
 	}
 	for _, w := range wants {
-		l.accounts[w.Organisation].waiting = 0
+		a := l.accounts[w.Organisation]
+		a.calledFor, a.waiting = a.waiting, 0
 	}
 	return wants
 }
@@ -324,12 +327,28 @@
 	}
 }
 
-// Fail records that a call got no reply. The next call hands over no parts, so that
-// they come back if the parent stays unreachable.
-func (l *Ledger) Fail() {
+// Fail records that a call got no reply. The next call asks for its units too. It hands
+// over no parts, so that they come back if the parent stays unreachable.
+func (l *Ledger) Fail(call *Call) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.echo = Mark{}
+	for _, w := range call.Wants {
+		if a := l.accounts[w.Organisation]; a != nil {
+			a.waiting += a.calledFor
+			a.calledFor = 0
+		}
+	}
+}
+
+// RoundFailed records that no daemon that was asked replied. No request waits any longer.
+func (l *Ledger) RoundFailed(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failedAt = now
+	for _, a := range l.accounts {
+		a.waiting = 0
+	}
 }
 
 // Held returns the parts from which the daemon issues units, from 0 to 1.
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -25,15 +25,17 @@
 	// the shortest pause between calls for requests that wait.
 	quotaCallInterval    = 250 * time.Millisecond
 	minQuotaCallInterval = 10 * time.Millisecond
-	// quotaCallTimeout bounds a call to a parent, and quotaFillTimeout the time that a
-	// daemon waits for its own parent before it replies to a child.
-	quotaCallTimeout = 300 * time.Millisecond
-	quotaFillTimeout = 150 * time.Millisecond
-	// quotaWait bounds the time that a request waits for a unit.
-	quotaWait = 400 * time.Millisecond
-	// quotaCopyWait is the same for another copy of a request, during which an answer to
-	// the first copy waits too.
-	quotaCopyWait = 80 * time.Millisecond
+	// quotaRoundTimeout bounds the calls of a round, and quotaNearCallTimeout one to a
+	// daemon of the same region.
+	quotaRoundTimeout    = 300 * time.Millisecond
+	quotaNearCallTimeout = 100 * time.Millisecond
+	// quotaFillTimeout is how long a daemon waits for its own parent before it replies to
+	// a child.
+	quotaFillTimeout = 60 * time.Millisecond
+	// quotaWait bounds the time that a request waits for a unit. Where its route has a
+	// latency objective, so does quotaWaitFraction of that.
+	quotaWait         = 400 * time.Millisecond
+	quotaWaitFraction = 1.0 / 8
 	// minQuotaRetryAfter is the shortest Retry-After of a request above its quota.
 	minQuotaRetryAfter = 50 * time.Millisecond
 )
@@ -42,6 +44,7 @@
 type quotaKeeper struct {
 	peers  *peer.Client
 	ledger *quota.Ledger
+	region string
 	// enabled says that the settings have bounds for quotas. They are read at the start
 	// only.
 	enabled bool
@@ -64,9 +67,10 @@
 func newQuotaKeeper(self Member, bounds quota.Bounds, limit func(string) quota.Limit, peers *peer.Client, log *requestLogger) *quotaKeeper {
 	member := relay.Member{ID: self.ID, Zone: self.Zone, Region: self.Region, Address: self.PeerAddress, Capacity: self.Capacity}
 	return &quotaKeeper{
-		enabled: bounds.Enabled(),
-		peers:   peers, limited: &limitedOrganisations{log: log, entries: map[string]*limitedOrganisation{}}, kick: make(chan struct{}, 1), parents: quota.NewParents(member), next: &quotaRound{make(chan struct{})},
-		ledger: quota.New(self.Incarnation, bounds, limit, time.Now()),
+		peers: peers, ledger: quota.New(self.Incarnation, bounds, limit, time.Now()), region: self.Region,
+		enabled: bounds.Enabled(), kick: make(chan struct{}, 1),
+		limited: &limitedOrganisations{log: log, entries: map[string]*limitedOrganisation{}},
+		parents: quota.NewParents(member), next: &quotaRound{make(chan struct{})},
 	}
 }
 
@@ -171,9 +175,9 @@
 }
 
 // callParent calls the parent, and the next one if it does not reply, for at most
-// quotaCallTimeout.
+// quotaRoundTimeout.
 func (k *quotaKeeper) callParent(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, quotaCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, quotaRoundTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
 		parent, peers := k.sources()
@@ -185,26 +189,36 @@
 			return
 		}
 	}
+	k.ledger.RoundFailed(time.Now())
 }
 
 // callPeers asks other issuers for the units that are missing.
 func (k *quotaKeeper) callPeers(ctx context.Context, peers []relay.Member) {
 	call := k.ledger.NewSpareCall(time.Now())
+	if call == nil {
+		return
+	}
+	replies := 0
 	for _, p := range peers {
-		if call == nil || len(call.Wants) == 0 {
+		if len(call.Wants) == 0 {
 			return
 		}
 		if reply, err := k.exchange(ctx, p, call, time.Now()); err == nil {
 			call = call.Rest(reply)
+			replies++
 		}
 	}
+	if replies == 0 {
+		k.ledger.RoundFailed(time.Now())
+	}
 }
 
 func (k *quotaKeeper) callOne(ctx context.Context, parent relay.Member) error {
 	sent := time.Now()
-	_, err := k.exchange(ctx, parent, k.ledger.NewCall(parent.ID, sent), sent)
+	call := k.ledger.NewCall(parent.ID, sent)
+	_, err := k.exchange(ctx, parent, call, sent)
 	if err != nil {
-		k.ledger.Fail()
+		k.ledger.Fail(call)
 	}
 	return err
 }
@@ -216,6 +230,11 @@
 		k.markFailed(to)
 		return nil, fmt.Errorf("parse daemon address: %w", err)
 	}
+	if to.Region == k.region {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, quotaNearCallTimeout)
+		defer cancel()
+	}
 	reply, err := peer.Call[quota.Reply](ctx, k.peers, addr, wire.TypeQuota, call)
 	if err != nil {
 		k.markFailed(to)
@@ -249,13 +268,22 @@
 	return reply, nil
 }
 
-// admit takes a unit of the organisation's quota for a request, or returns the response
-// that refuses it.
-func (k *quotaKeeper) admit(ctx context.Context, o *routing.Organisation, deadline time.Time) (quota.Unit, *localResponse) {
+// quotaWaitFor returns how long a request may wait for a unit.
+func quotaWaitFor(r *routing.Route, deadline, now time.Time) time.Duration {
+	limit := min(quotaWait, deadline.Sub(now))
+	if r.LatencyObjective > 0 {
+		limit = min(limit, time.Duration(quotaWaitFraction*float64(r.LatencyObjective)))
+	}
+	return limit
+}
+
+// admit takes a unit of the organisation's quota for a request, which may wait for at
+// most limit, or returns the response that refuses it.
+func (k *quotaKeeper) admit(ctx context.Context, o *routing.Organisation, limit time.Duration) (quota.Unit, *localResponse) {
 	if o == nil || o.RatePerSecond <= 0 || !k.active.Load() {
 		return quota.Unit{}, nil
 	}
-	verdict := k.take(ctx, o, min(quotaWait, time.Until(deadline)))
+	verdict := k.take(ctx, o, limit)
 	if verdict.Admitted {
 		return verdict.Unit, nil
 	}
@@ -277,12 +305,13 @@
 	return verdict
 }
 
-// admitCopy takes another unit for a request that may run a second time.
-func (k *quotaKeeper) admitCopy(ctx context.Context, o *routing.Organisation) (quota.Unit, bool) {
+// admitCopy takes another unit for a request that may run a second time. It does not ask
+// other daemons, since an answer to the first copy would wait as long.
+func (k *quotaKeeper) admitCopy(o *routing.Organisation) (quota.Unit, bool) {
 	if o == nil || o.RatePerSecond <= 0 || !k.active.Load() {
 		return quota.Unit{}, true
 	}
-	verdict := k.take(ctx, o, quotaCopyWait)
+	verdict := k.ledger.Take(o.Name, false, time.Now())
 	return verdict.Unit, verdict.Admitted
 }
 
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -161,6 +163,80 @@
 	}
 }
 
+// addParents gives a fixture parents in its region that accept connections and do not
+// answer, and then those given.
+func (f *fixture) addParents(t *testing.T, silent int, others ...relay.Member) {
+	t.Helper()
+	f.quotas.region = "north"
+	members := append([]relay.Member{{ID: f.self.ID, Region: "north"}}, others...)
+	for i := range silent {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		members = append(members, relay.Member{ID: fmt.Sprint("silent-", i), Region: "north", Address: listener.Addr().String(), Capacity: 9})
+	}
+	f.SetDaemons(members)
+}
+
+// TestSilentParentLeavesTimeForNext guards against a daemon whose parent hangs, and that
+// does not reach the next one.
+func TestSilentParentLeavesTimeForNext(t *testing.T) {
+	root, child := newQuotaFixture(t, route(true), 4), newQuotaFixture(t, route(true), 4)
+	root.peerServer = peer.NewServer(peer.NewAuth("root", nil), root.log)
+	root.quotas.serve(root.peerServer)
+	server := httptest.NewServer(root.peerServer)
+	t.Cleanup(server.Close)
+	child.addParents(t, 1, relay.Member{ID: "root", Region: "north", Address: server.Listener.Addr().String(), Capacity: 8})
+	root.saveUnits(1)
+	child.quotas.ledger.Take("shop", true, time.Now())
+	child.quotas.callParent(t.Context())
+	if n := root.quotas.ledger.Granted(); n != 1 {
+		t.Errorf("the second parent gave %d units, want 1", n)
+	}
+}
+
+// TestFailedRoundIsRemembered guards against requests that wait again and again for
+// parents that do not answer.
+func TestFailedRoundIsRemembered(t *testing.T) {
+	f := newQuotaFixture(t, route(true), 4)
+	f.addParents(t, 3)
+	f.quotas.callParent(t.Context())
+	now := time.Now()
+	if f.quotas.ledger.Take("shop", true, now).Ask {
+		t.Error("a request asks right after no parent answered")
+	}
+	if !f.quotas.ledger.Take("shop", true, now.Add(time.Second)).Ask {
+		t.Error("a request does not ask a second later")
+	}
+}
+
+// TestRefusalIsEarly guards against requests that are refused only when little of their
+// latency objective is left.
+func TestRefusalIsEarly(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct{ objective, left, want time.Duration }{
+		{80 * time.Millisecond, time.Minute, 10 * time.Millisecond}, {0, time.Minute, quotaWait},
+		{time.Minute, time.Minute, quotaWait}, {time.Minute, time.Millisecond, time.Millisecond},
+	} {
+		if got := quotaWaitFor(&routing.Route{LatencyObjective: c.objective}, now.Add(c.left), now); got != c.want {
+			t.Errorf("%+v: a request waits for %s", c, got)
+		}
+	}
+}
+
+// TestCopyDoesNotAsk guards against an answer that waits while a unit for another copy is
+// asked for.
+func TestCopyDoesNotAsk(t *testing.T) {
+	f := newQuotaFixture(t, route(true), 4)
+	f.addParents(t, 1)
+	o := f.configuration.Load().Organisation("shop")
+	if _, admitted := f.quotas.admitCopy(o); admitted || len(f.quotas.kick) > 0 {
+		t.Errorf("copy without a unit: admitted %v, %d calls asked for, want neither", admitted, len(f.quotas.kick))
+	}
+}
+
 func waitFor(t *testing.T, what string, done func() bool) {
 	t.Helper()
 	for end := time.Now().Add(20 * time.Second); !done(); time.Sleep(10 * time.Millisecond) {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -132,7 +132,7 @@
 // sendCopy sends a request that may run a second time, which takes another unit of the
 // organisation's quota.
 func (d *dispatcher) sendCopy(ctx context.Context) *localResponse {
-	unit, admitted := d.g.quotas.admitCopy(ctx, d.req.organisation)
+	unit, admitted := d.g.quotas.admitCopy(d.req.organisation)
 	if !admitted {
 		return d.noRetryResponse(reasonQuota)
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -93,7 +93,7 @@
 	if plan := g.stopPlan.Load(); plan != nil && !plan.Admits(arrived, deadline) {
 		return nil, &localResponse{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: stoppingRetryAfter}
 	}
-	unit, resp := g.quotas.admit(r.Context(), organisation, deadline)
+	unit, resp := g.quotas.admit(r.Context(), organisation, quotaWaitFor(route, deadline, time.Now()))
 	if resp != nil {
 		return nil, resp
 	}
