Give back the unit of a copy of a request that has not run

A second copy took a unit of the quota, which was lost if the copy's connection did not open or its server shed it, and a third copy took one more. Each send now has its unit: that of a send that was not run goes to the next copy, or back at the end.

Seen red: TestCopyThatDidNotRunKeepsQuota, without the return in each of the two cases. The tests of gateway pass.

--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -118,6 +118,36 @@
 	}
 }
 
+// TestCopyThatDidNotRunKeepsQuota guards against units lost to copies of a request that
+// a server shed, or for which no connection was opened.
+func TestCopyThatDidNotRunKeepsQuota(t *testing.T) {
+	for _, c := range []string{"shed", "not connected"} {
+		f := newQuotaFixture(t, route(true), 10)
+		var listeners []net.Listener
+		server := func(w http.ResponseWriter, r *http.Request) {
+			if f.received.Load() > 1 {
+				shedRequest(w, r)
+				return
+			}
+			if c == "not connected" {
+				for _, l := range listeners {
+					_ = l.Close()
+				}
+			}
+			abortConnection(w, r)
+		}
+		for range 2 {
+			f.addServer(t, server)
+			listeners = append(listeners, f.lastServer.Listener)
+		}
+		f.saveUnits(2)
+		f.send(t, "k-1")
+		if n := f.quotas.ledger.Stock(time.Now()); n != 1 {
+			t.Errorf("%s: %d units left of 2, want 1", c, n)
+		}
+	}
+}
+
 // TestDaemonsShareQuota guards against calls between daemons that do not carry the
 // parts and the units of quotas.
 func TestDaemonsShareQuota(t *testing.T) {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"bilberrytiller.example/tiller/coordination/quota"
 	"bilberrytiller.example/tiller/coordination/upstream"
 	"bilberrytiller.example/tiller/state/routing"
 	"bilberrytiller.example/tiller/transport/upstreamhttp"
@@ -31,6 +32,9 @@
 	g   *Gateway
 	req *clientRequest
 
+	// units are the units of the organisation's quota that no send uses.
+	units []quota.Unit
+
 	// tried are the incarnations not to send the request to again.
 	tried []routing.Incarnation
 	// unexpectedSheds counts the servers that shed the request although they were
@@ -57,6 +61,7 @@
 type sendResult struct {
 	choice   *upstream.Choice
 	exchange upstreamhttp.Exchange
+	unit     quota.Unit
 }
 
 // serve sends the request until it has a response or no further send is
@@ -123,30 +128,24 @@
 	case d.sends > 0 && !d.g.retryBudget.AllowRetry(d.req.service.Name, d.g.daemonCount(), time.Now()):
 		return d.noRetryResponse("retry_budget")
 	}
-	if !d.mayHaveRun && d.pending == 0 {
-		return d.send(ctx)
+	if len(d.units) == 0 {
+		unit, admitted := d.g.quotas.admitCopy(d.req.organisation)
+		if !admitted {
+			return d.noRetryResponse(reasonQuota)
+		}
+		d.units = append(d.units, unit)
 	}
-	return d.sendCopy(ctx)
+	return d.send(ctx)
 }
 
-// sendCopy sends a request that may run a second time, which takes another unit of the
-// organisation's quota.
-func (d *dispatcher) sendCopy(ctx context.Context) *localResponse {
-	unit, admitted := d.g.quotas.admitCopy(d.req.organisation)
-	if !admitted {
-		return d.noRetryResponse(reasonQuota)
+// releaseUnits gives back the units of sends that were not run.
+func (d *dispatcher) releaseUnits() {
+	for _, u := range d.units {
+		d.g.quotas.release(d.req.organisation, u)
 	}
-	resp := d.send(ctx)
-	if resp != nil {
-		d.g.quotas.release(d.req.organisation, unit)
-	}
-	return resp
 }
 
-// hasNotRun reports whether no server has run the request or may run it yet.
-func (d *dispatcher) hasNotRun() bool { return !d.mayHaveRun && d.pending == 0 }
-
-// send chooses a server and starts a send to it, or returns the response that
+// send chooses a server and starts a send to it with the last of units, or returns the response that
 // says why it cannot.
 func (d *dispatcher) send(ctx context.Context) *localResponse {
 	now := time.Now()
@@ -172,12 +171,15 @@
 	message := d.req.message
 	message.ServerID = choice.Backend.ID
 	message.MaxIdleConns = idleConnLimit(d.req.service, d.g.daemonCount())
+	last := len(d.units) - 1
+	unit := d.units[last]
+	d.units = d.units[:last]
 	go func() {
 		exchange := d.g.upstreamClient.Run(ctx, choice.Backend.Address, &message)
 		if choice.Done(exchange.Result, time.Now()) {
 			d.g.logRateLimit(choice.Backend.ID, exchange.Result.RateLimit)
 		}
-		d.results <- sendResult{choice, exchange}
+		d.results <- sendResult{choice, exchange, unit}
 	}()
 	return nil
 }
@@ -212,6 +214,7 @@
 	if !res.exchange.Sent {
 		d.sends--
 		d.failedConnects++
+		d.units = append(d.units, res.unit)
 		return nil
 	}
 	answer := res.exchange.Answer
@@ -224,6 +227,7 @@
 			Strs("headers", answer.UnreadableHeaders).Send()
 	}
 	if answer.NotRun {
+		d.units = append(d.units, res.unit)
 		d.handleShed(res)
 		return nil
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -63,11 +63,9 @@
 		g.logRefusal(r, resp)
 		return
 	}
-	d := &dispatcher{g: g, req: req}
+	d := &dispatcher{g: g, req: req, units: []quota.Unit{req.unit}}
 	result := d.serve(r.Context())
-	if d.hasNotRun() {
-		g.quotas.release(req.organisation, req.unit)
-	}
+	d.releaseUnits()
 	g.writeResult(w, result)
 	g.logResult(req, d, result)
 }
