--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -174,7 +174,7 @@
 		id: "a1", route: &r, service: routing.Service{Name: "pay"}, arrived: time.Now(), deadline: time.Now().Add(time.Minute),
 	}
 	req.message.Method, req.message.Target, req.message.Deadline = http.MethodPost, "/x", req.deadline
-	d := &dispatcher{g: f.Gateway, req: req, results: make(chan sendResult, 8)}
+	d := newDispatcher(f.Gateway, req)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if refusal := d.send(ctx); refusal != nil {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -64,12 +64,17 @@
 	unit     quota.Unit
 }
 
+// newDispatcher returns the dispatcher of a request.
+func newDispatcher(g *Gateway, req *clientRequest) *dispatcher {
+	results := make(chan sendResult, req.route.MaxAttempts+maxFailedConnects)
+	return &dispatcher{g: g, req: req, units: []quota.Unit{req.unit}, results: results}
+}
+
 // serve sends the request until it has a response or no further send is
 // allowed.
 func (d *dispatcher) serve(ctx context.Context) result {
 	ctx, cancel := context.WithDeadline(ctx, d.req.deadline)
 	defer cancel()
-	d.results = make(chan sendResult, d.req.route.MaxAttempts+maxFailedConnects)
 	d.g.retryBudget.RecordRequest(d.req.service.Name, d.req.arrived)
 	if resp := d.send(ctx); resp != nil {
 		return result{local: resp}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -63,7 +63,7 @@
 		g.logRefusal(r, resp)
 		return
 	}
-	d := &dispatcher{g: g, req: req, units: []quota.Unit{req.unit}}
+	d := newDispatcher(g, req)
 	result := d.serve(r.Context())
 	d.releaseUnits()
 	g.writeResult(w, result)
