Test how the gateway uses the ledger of quotas

Three calls could be removed without a failing test: that an earlier process has ended, that limits changed, and the return of the unit of a request whose body was not read. SetAlone is now EarlierProcessEnded, after what it records.

Each test seen red without the call: TestOwnPartWaitsForEarlierProcess (20 s), TestLowerQuotaIsAppliedAtOnce, TestUnreadBodyKeepsQuota. The tests of coordination/quota and gateway pass.

--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -73,8 +73,8 @@
 	l.holding.setCount(count, listed, now)
 }
 
-// SetAlone records that an earlier process of the host has ended by now.
-func (l *Ledger) SetAlone(now time.Time) {
+// EarlierProcessEnded records that an earlier process of the host has ended by now.
+func (l *Ledger) EarlierProcessEnded(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now.After(l.holding.aloneAt) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -121,7 +121,7 @@
 		return err
 	}
 	// The addresses are in use until an earlier process has ended.
-	g.quotas.ledger.SetAlone(time.Now())
+	g.quotas.ledger.EarlierProcessEnded(time.Now())
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	var group errgroup.Group
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -8,6 +9,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -193,6 +195,68 @@
 	}
 }
 
+// TestOwnPartWaitsForEarlierProcess guards against a gateway that waits for the addresses
+// of an earlier process, and uses a part that this one has handed over.
+func TestOwnPartWaitsForEarlierProcess(t *testing.T) {
+	f := newQuotaFixture(t, route(true), 10)
+	settings := *f.settings.Load()
+	for _, address := range []*string{&settings.ClientListen, &settings.ReadyListen, &settings.DirectoryListen, &settings.PeerListen, &settings.MetricsListen} {
+		*address = "127.0.0.1:0"
+	}
+	f.settings.Store(&settings)
+	past := time.Now().Add(-time.Minute)
+	f.quotas.ledger = quota.New("a", settings.QuotaBounds, f.quotaOf, past)
+	f.quotas.ledger.SetDaemons(1, true, past)
+	if held := f.quotas.ledger.Held(time.Now()); held != 1 {
+		t.Fatalf("issues from %v parts before the start, want 1", held)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- f.Run(ctx, Handlers{Ready: http.NotFoundHandler(), Directory: http.NotFoundHandler()})
+	}()
+	waitFor(t, "the part to be unused", func() bool { return f.quotas.ledger.Held(time.Now()) == 0 })
+	stop()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestLowerQuotaIsAppliedAtOnce guards against a gateway that does not pass changed quotas
+// on.
+func TestLowerQuotaIsAppliedAtOnce(t *testing.T) {
+	f := newQuotaFixture(t, route(true), 10)
+	f.saveUnits(2)
+	c := *f.configuration.Load()
+	c.Version++
+	if err := c.SetOrganisations([]routing.Organisation{{Name: "shop", RatePerSecond: 0.0005, Burst: 10}}, map[string][]string{"shop": {"k-1"}}); err != nil {
+		t.Fatal(err)
+	}
+	f.ApplyConfiguration(&c)
+	if n := f.quotas.ledger.Stock(time.Now()); n != 0 {
+		t.Errorf("%d units of the higher quota left, want 0", n)
+	}
+}
+
+// TestUnreadBodyKeepsQuota guards against units lost to requests whose body was not read.
+func TestUnreadBodyKeepsQuota(t *testing.T) {
+	f := newQuotaFixture(t, route(true), 10)
+	f.saveUnits(1)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.url+"/x", strings.NewReader(strings.Repeat("x", 1001)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host, req.Header = "127.0.0.1", http.Header{"X-Id": {"a1"}, "Authorization": {"Bearer k-1"}}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if n := f.quotas.ledger.Stock(time.Now()); resp.StatusCode != http.StatusRequestEntityTooLarge || n != 1 {
+		t.Errorf("status %d and %d units left, want 413 and 1", resp.StatusCode, n)
+	}
+}
+
 // addParents gives a fixture parents in its region that accept connections and do not
 // answer, and then those given.
 func (f *fixture) addParents(t *testing.T, silent int, others ...relay.Member) {
