--- /dev/null
+++ b/coordination/quota/fleet_test.go
@@ -0,0 +1,211 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"bilberrytiller.example/tiller/coordination/relay"
+)
+
+// node is a daemon of a fleet. Its parents are selected from the members that it knows.
+type node struct {
+	member  relay.Member
+	ledger  *Ledger
+	parents *Parents
+	process int
+	up, cut bool
+	// callAt is when the node calls its parent next.
+	callAt time.Time
+	// frozenUntil is when a node that stands still goes on.
+	frozenUntil time.Time
+}
+
+// fleet is a number of daemons that share the quotas of organisations.
+type fleet struct {
+	now    time.Time
+	nodes  []*node
+	limits map[string]Limit
+	bounds Bounds
+	random *rand.Rand
+	// admitted and asked hold the times of requests by organisation.
+	admitted map[string][]time.Time
+	asked    map[string]int
+	// late are calls that arrive after their sender has given up.
+	late []func()
+	// lossy is the fraction of calls and of replies that are lost.
+	lossy float64
+	// mostHeld are the most parts that all nodes issued units from at one time.
+	mostHeld float64
+}
+
+var testBounds = Bounds{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+
+func newFleet(daemons, regions int, limits map[string]Limit, seed uint64) *fleet {
+	f := &fleet{
+		now: time.Unix(1000, 0), limits: limits, bounds: testBounds, random: rand.New(rand.NewPCG(seed, 0)),
+		admitted: map[string][]time.Time{}, asked: map[string]int{},
+	}
+	for i := range daemons {
+		n := &node{member: relay.Member{ID: fmt.Sprint("d", i), Region: fmt.Sprint("r", i%regions), Zone: fmt.Sprint("z", i%(2*regions)), Capacity: float64(i % 4)}}
+		f.nodes = append(f.nodes, n)
+		f.start(n)
+	}
+	f.publish()
+	return f
+}
+
+// runs reports whether a node is up and doesn't stand still.
+func (f *fleet) runs(n *node) bool { return n.up && !f.now.Before(n.frozenUntil) }
+
+func (f *fleet) start(n *node) {
+	n.process++
+	n.up, n.callAt, n.frozenUntil = true, f.now, time.Time{}
+	n.parents = NewParents(n.member)
+	limit := func(name string) Limit { return f.limits[name] }
+	n.ledger = New(fmt.Sprint(n.member.ID, "/", n.process), f.bounds, limit, f.now)
+}
+
+// publish tells the nodes that are not cut off which daemons there are.
+func (f *fleet) publish() { f.publishIf(func(*node) bool { return true }) }
+
+// publishIf is publish for a list of some of the nodes.
+func (f *fleet) publishIf(listed func(*node) bool) {
+	var members []relay.Member
+	for _, n := range f.nodes {
+		if listed(n) {
+			members = append(members, n.member)
+		}
+	}
+	for _, n := range f.nodes {
+		if n.up && !n.cut {
+			n.parents.SetMembers(members)
+			n.ledger.SetDaemons(len(members), true, f.now)
+		}
+	}
+}
+
+func (f *fleet) nodeByID(id string) *node {
+	for _, n := range f.nodes {
+		if n.member.ID == id {
+			return n
+		}
+	}
+	return nil
+}
+
+// ask makes a node call its parent. It returns false if the node is a root.
+func (f *fleet) ask(n *node, depth int) bool {
+	parent, ok := n.parents.Pick(f.now)
+	if depth > 3 {
+		return false
+	}
+	if !ok {
+		return f.askPeers(n)
+	}
+	n.callAt = f.now.Add(250 * time.Millisecond)
+	call := n.ledger.NewCall(parent.ID, f.now)
+	p := f.nodeByID(parent.ID)
+	if p == nil || !f.runs(p) || p.cut != n.cut || f.random.Float64() < f.lossy {
+		n.parents.MarkFailed(parent.ID, f.now)
+		n.ledger.Fail(call)
+		if p != nil && f.random.IntN(2) == 0 {
+			f.late = append(f.late, func() { p.ledger.Handle(n.member.ID, call, f.now) })
+		}
+		return f.ask(n, depth)
+	}
+	reply, short := p.ledger.Handle(n.member.ID, call, f.now)
+	if short && f.ask(p, depth+1) {
+		p.ledger.Fill(call, reply, f.now)
+	}
+	if f.random.Float64() < f.lossy {
+		n.parents.MarkFailed(parent.ID, f.now)
+		n.ledger.Fail(call)
+		return true
+	}
+	n.parents.MarkWorking(parent.ID)
+	n.ledger.Apply(call, reply, f.now, f.now)
+	return true
+}
+
+// askPeers makes a node ask other issuers for units that are left over.
+func (f *fleet) askPeers(n *node) bool {
+	call := n.ledger.NewSpareCall(f.now)
+	for _, peer := range n.parents.Peers(f.now) {
+		if call == nil || len(call.Wants) == 0 {
+			break
+		}
+		p := f.nodeByID(peer.ID)
+		if p == nil || !f.runs(p) || p.cut != n.cut || f.random.Float64() < f.lossy {
+			n.parents.MarkFailed(peer.ID, f.now)
+			continue
+		}
+		reply, _ := p.ledger.Handle(n.member.ID, call, f.now)
+		n.ledger.Apply(call, reply, f.now, f.now)
+		call = call.Rest(reply)
+	}
+	return true
+}
+
+// request sends a request of an organisation to a node.
+func (f *fleet) request(n *node, organisation string) {
+	f.asked[organisation]++
+	v := n.ledger.Take(organisation, true, f.now)
+	if v.Ask && f.ask(n, 0) {
+		v = n.ledger.TakeAgain(organisation, f.now)
+	}
+	if v.Admitted {
+		f.admitted[organisation] = append(f.admitted[organisation], f.now)
+	}
+}
+
+// play sends perSecond requests of an organisation to random nodes of those given, if
+// these are up, while all nodes call their parents.
+func (f *fleet) play(d time.Duration, perSecond map[string]float64, to []*node) {
+	const step = 10 * time.Millisecond
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
+		for _, n := range f.nodes {
+			if f.runs(n) && !f.now.Before(n.callAt) {
+				n.callAt = f.now.Add(250 * time.Millisecond)
+				f.ask(n, 0)
+			}
+		}
+		held := 0.0
+		for _, n := range f.nodes {
+			if f.runs(n) {
+				held += n.ledger.Held(f.now)
+			}
+		}
+		f.mostHeld = max(f.mostHeld, held)
+		for name, rate := range perSecond {
+			for k := poisson(f.random, rate*step.Seconds()); k > 0; k-- {
+				if n := to[f.random.IntN(len(to))]; f.runs(n) {
+					f.request(n, name)
+				}
+			}
+		}
+	}
+}
+
+func poisson(r *rand.Rand, mean float64) int {
+	n := 0
+	for t := r.ExpFloat64(); t < mean; t += r.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+// excess returns by how many requests an organisation's quota was exceeded in the
+// worst window after since, or 0 or less.
+func (f *fleet) excess(name string, l Limit, since time.Time) float64 {
+	allowed := (l.RatePerSecond*f.bounds.Window.Seconds()+l.Burst)*(1+f.bounds.Overshoot) + f.bounds.Slack
+	most, first := 0, 0
+	all := f.admitted[name]
+	for last, at := range all {
+		for at.Sub(all[first]) > f.bounds.Window || all[first].Before(since) && first < last {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return float64(most) - allowed
+}
--- a/gateway/directory.go
+++ b/gateway/directory.go
@@ -29,6 +29,7 @@
 func (g *Gateway) SetMembers(all []Member) {
 	g.daemons.Store(int64(len(all)))
 	g.directory.setMembers(all)
+	g.quotas.setMembers(all, g.self.ID)
 }
 
 func (d *directory) setMembers(all []Member) {
--- /dev/null
+++ b/gateway/quota.go
@@ -0,0 +1,325 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bilberrytiller.example/tiller/coordination/quota"
+	"bilberrytiller.example/tiller/coordination/relay"
+	"bilberrytiller.example/tiller/internal/sleep"
+	"bilberrytiller.example/tiller/protocol/wire"
+	"bilberrytiller.example/tiller/state/routing"
+	"bilberrytiller.example/tiller/transport/peer"
+)
+
+const (
+	// reasonQuota is the reason for refusing a request above its organisation's quota.
+	reasonQuota = "quota"
+	// quotaCallInterval is how often a daemon calls its parent, and minQuotaCallInterval
+	// the shortest pause between calls for requests that wait.
+	quotaCallInterval    = 250 * time.Millisecond
+	minQuotaCallInterval = 10 * time.Millisecond
+	// quotaRoundTimeout bounds the calls of a round, and quotaNearCallTimeout one to a
+	// daemon of the same region.
+	quotaRoundTimeout    = 300 * time.Millisecond
+	quotaNearCallTimeout = 100 * time.Millisecond
+	// quotaFillTimeout is how long a daemon waits for its own parent before it replies to
+	// a child.
+	quotaFillTimeout = 60 * time.Millisecond
+	// quotaWait bounds the time that a request waits for a unit. Where its route has a
+	// latency objective, so does quotaWaitFraction of that.
+	quotaWait         = 400 * time.Millisecond
+	quotaWaitFraction = 1.0 / 8
+	// minQuotaRetryAfter is the shortest Retry-After of a request above its quota.
+	minQuotaRetryAfter = 50 * time.Millisecond
+)
+
+// quotaKeeper enforces the quotas of organisations together with the other daemons.
+type quotaKeeper struct {
+	peers  *peer.Client
+	ledger *quota.Ledger
+	region string
+	// enabled says that the settings have bounds for quotas. They are read at the start
+	// only.
+	enabled bool
+	// active says that quotas are enforced and that an organisation has one.
+	active atomic.Bool
+	// kick wakes the loop that calls the parent.
+	kick    chan struct{}
+	refused atomic.Int64
+	limited *limitedOrganisations
+
+	mu      sync.Mutex
+	parents *quota.Parents
+	// next is the next round of calls to the parent.
+	next *quotaRound
+}
+
+// quotaRound is a call to the parent that requests wait for.
+type quotaRound struct{ done chan struct{} }
+
+func newQuotaKeeper(self Member, bounds quota.Bounds, limit func(string) quota.Limit, peers *peer.Client, log *requestLogger) *quotaKeeper {
+	member := relay.Member{ID: self.ID, Zone: self.Zone, Region: self.Region, Address: self.PeerAddress, Capacity: self.Capacity}
+	return &quotaKeeper{
+		peers: peers, ledger: quota.New(self.Incarnation, bounds, limit, time.Now()), region: self.Region,
+		enabled: bounds.Enabled(), kick: make(chan struct{}, 1),
+		limited: &limitedOrganisations{log: log, entries: map[string]*limitedOrganisation{}},
+		parents: quota.NewParents(member), next: &quotaRound{make(chan struct{})},
+	}
+}
+
+// quotaOf returns the quota of an organisation in the configuration in force.
+func (g *Gateway) quotaOf(name string) quota.Limit {
+	c := g.configuration.Load()
+	if c == nil {
+		return quota.Limit{}
+	}
+	o := c.Organisation(name)
+	if o == nil {
+		return quota.Limit{}
+	}
+	return quota.Limit{RatePerSecond: o.RatePerSecond, Burst: o.Burst}
+}
+
+// applyQuotas puts the quotas of a configuration in force.
+func (g *Gateway) applyQuotas(c *routing.Configuration) {
+	hasQuota := false
+	for _, o := range c.Organisations() {
+		hasQuota = hasQuota || o.RatePerSecond > 0
+	}
+	g.quotas.active.Store(hasQuota && g.quotas.enabled)
+	g.quotas.ledger.LimitsChanged(time.Now())
+}
+
+// setMembers sets the daemons among which quotas are divided.
+func (k *quotaKeeper) setMembers(all []Member, self string) {
+	listed := false
+	parents := make([]relay.Member, 0, len(all))
+	for _, m := range all {
+		listed = listed || m.ID == self
+		parents = append(parents, m.Relay())
+	}
+	k.ledger.SetDaemons(len(all), listed, time.Now())
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.parents.SetMembers(parents)
+}
+
+// run calls the parent until ctx ends.
+func (k *quotaKeeper) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		timer := time.NewTimer(quotaCallInterval)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-k.kick:
+		}
+		timer.Stop()
+		round := k.startRound()
+		if k.active.Load() {
+			k.callParent(ctx)
+		}
+		close(round.done)
+		k.limited.sweep(time.Now())
+		sleep.For(ctx, minQuotaCallInterval)
+	}
+}
+
+func (k *quotaKeeper) startRound() *quotaRound {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	round := k.next
+	k.next = &quotaRound{make(chan struct{})}
+	return round
+}
+
+// ask waits until the parent has replied to a call that is sent from now on. It
+// returns false if that takes longer than limit.
+func (k *quotaKeeper) ask(ctx context.Context, limit time.Duration) bool {
+	k.mu.Lock()
+	round := k.next
+	k.mu.Unlock()
+	select {
+	case k.kick <- struct{}{}:
+	default:
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-round.done:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// sources returns the parent, or the other issuers if there is none.
+func (k *quotaKeeper) sources() (*relay.Member, []relay.Member) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if parent, ok := k.parents.Pick(time.Now()); ok {
+		return &parent, nil
+	}
+	return nil, k.parents.Peers(time.Now())
+}
+
+// canAsk reports whether another daemon may have units.
+func (k *quotaKeeper) canAsk() bool {
+	parent, peers := k.sources()
+	return parent != nil || len(peers) > 0
+}
+
+// callParent calls the parent, and the next one if it does not reply, for at most
+// quotaRoundTimeout.
+func (k *quotaKeeper) callParent(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, quotaRoundTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		parent, peers := k.sources()
+		if parent == nil {
+			k.callPeers(ctx, peers)
+			return
+		}
+		if k.callOne(ctx, *parent) == nil {
+			return
+		}
+	}
+	k.ledger.RoundFailed(time.Now())
+}
+
+// callPeers asks other issuers for the units that are missing.
+func (k *quotaKeeper) callPeers(ctx context.Context, peers []relay.Member) {
+	call := k.ledger.NewSpareCall(time.Now())
+	if call == nil {
+		return
+	}
+	replies := 0
+	for _, p := range peers {
+		if len(call.Wants) == 0 {
+			return
+		}
+		if reply, err := k.exchange(ctx, p, call, time.Now()); err == nil {
+			call = call.Rest(reply)
+			replies++
+		}
+	}
+	if replies == 0 {
+		k.ledger.RoundFailed(time.Now())
+	}
+}
+
+func (k *quotaKeeper) callOne(ctx context.Context, parent relay.Member) error {
+	sent := time.Now()
+	call := k.ledger.NewCall(parent.ID, sent)
+	_, err := k.exchange(ctx, parent, call, sent)
+	if err != nil {
+		k.ledger.Fail(call)
+	}
+	return err
+}
+
+// exchange sends a call that was made at the given time and applies the reply.
+func (k *quotaKeeper) exchange(ctx context.Context, to relay.Member, call *quota.Call, sent time.Time) (*quota.Reply, error) {
+	addr, err := netip.ParseAddrPort(to.Address)
+	if err != nil {
+		k.markFailed(to)
+		return nil, fmt.Errorf("parse daemon address: %w", err)
+	}
+	if to.Region == k.region {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, quotaNearCallTimeout)
+		defer cancel()
+	}
+	reply, err := peer.Call[quota.Reply](ctx, k.peers, addr, wire.TypeQuota, call)
+	if err != nil {
+		k.markFailed(to)
+		return nil, err
+	}
+	k.ledger.Apply(call, reply, sent, time.Now())
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.parents.MarkWorking(to.ID)
+	return reply, nil
+}
+
+func (k *quotaKeeper) markFailed(m relay.Member) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.parents.MarkFailed(m.ID, time.Now())
+}
+
+// serve answers calls of other daemons.
+func (k *quotaKeeper) serve(s *peer.Server) { peer.Handle(s, wire.TypeQuota, k.handleCall) }
+
+func (k *quotaKeeper) handleCall(ctx context.Context, from string, call *quota.Call) (*quota.Reply, error) {
+	reply, short := k.ledger.Handle(from, call, time.Now())
+	if !short {
+		return reply, nil
+	}
+	if k.canAsk() {
+		k.ask(ctx, quotaFillTimeout)
+		k.ledger.Fill(call, reply, time.Now())
+	}
+	return reply, nil
+}
+
+// quotaWaitFor returns how long a request may wait for a unit.
+func quotaWaitFor(r *routing.Route, deadline, now time.Time) time.Duration {
+	limit := min(quotaWait, deadline.Sub(now))
+	if r.LatencyObjective > 0 {
+		limit = min(limit, time.Duration(quotaWaitFraction*float64(r.LatencyObjective)))
+	}
+	return limit
+}
+
+// admit takes a unit of the organisation's quota for a request, which may wait for at
+// most limit, or returns the response that refuses it.
+func (k *quotaKeeper) admit(ctx context.Context, o *routing.Organisation, limit time.Duration) (quota.Unit, *localResponse) {
+	if o == nil || o.RatePerSecond <= 0 || !k.active.Load() {
+		return quota.Unit{}, nil
+	}
+	verdict := k.take(ctx, o, limit)
+	if verdict.Admitted {
+		return verdict.Unit, nil
+	}
+	k.refused.Add(1)
+	k.limited.recordRefusal(o.Name, time.Now())
+	room := max(verdict.Room, minQuotaRetryAfter)
+	// The clients of an organisation come back at different times.
+	retryAfter := room + time.Duration(rand.Float64()*float64(room))
+	return quota.Unit{}, &localResponse{status: http.StatusTooManyRequests, reason: reasonQuota, retryAfter: retryAfter, organisation: o.Name}
+}
+
+// take takes a unit, and asks other daemons for at most limit if there is none.
+func (k *quotaKeeper) take(ctx context.Context, o *routing.Organisation, limit time.Duration) quota.Verdict {
+	verdict := k.ledger.Take(o.Name, k.canAsk(), time.Now())
+	if verdict.Ask {
+		k.ask(ctx, limit)
+		verdict = k.ledger.TakeAgain(o.Name, time.Now())
+	}
+	return verdict
+}
+
+// admitCopy takes another unit for a request that may run a second time. It does not ask
+// other daemons, since an answer to the first copy would wait as long.
+func (k *quotaKeeper) admitCopy(o *routing.Organisation) (quota.Unit, bool) {
+	if o == nil || o.RatePerSecond <= 0 || !k.active.Load() {
+		return quota.Unit{}, true
+	}
+	verdict := k.ledger.Take(o.Name, false, time.Now())
+	return verdict.Unit, verdict.Admitted
+}
+
+// release gives back the unit of a request that has not run.
+func (k *quotaKeeper) release(o *routing.Organisation, u quota.Unit) {
+	if o != nil && u != (quota.Unit{}) {
+		k.ledger.Return(o.Name, u, time.Now())
+	}
+}
