Let daemons stand still more often in the model of quotas

The freeze action did not find the fault that it was added for: the nodes had saved up nothing before, and 1.3 s of double issue stay within the slack. It now makes the nodes without parts stand still up to three times after units were saved up.

--- a/coordination/quota/model_test.go
+++ b/coordination/quota/model_test.go
@@ -73,7 +73,24 @@
 			}
 		}
 	}
-	m.rush(4000)
+	m.rush(400)
+}
+
+// freezeOften makes the nodes that hold no parts stand still several times, after the
+// others have saved up units.
+func (m *model) freezeOften(times, ms int) {
+	m.rush(1000)
+	m.play(8*time.Second, nil, nil)
+	m.rush(1000)
+	for range times {
+		m.freeze(m.idle(), ms)
+	}
+	m.rush(3000)
+}
+
+// idle returns the nodes that hold no parts.
+func (m *model) idle() []*node {
+	return slices.DeleteFunc(slices.Clone(m.nodes), func(n *node) bool { return n.ledger.Held(m.now) > 0 })
 }
 
 // callLater makes a call, and returns a function that sends it.
@@ -131,10 +148,7 @@
 				m.play(time.Duration(rapid.IntRange(20, 6000).Draw(t, "ms"))*time.Millisecond, nil, nil)
 			},
 			"freeze": func(t *rapid.T) {
-				m.play(rapid.SampledFrom([]time.Duration{0, 20 * time.Second}).Draw(t, "quiet"), nil, nil)
-				m.rush(rapid.SampledFrom([]int{0, 1000}).Draw(t, "rush"))
-				first := rapid.IntRange(0, min(1, len(m.nodes)-1)).Draw(t, "first")
-				m.freeze(m.nodes[first:], rapid.IntRange(100, 3000).Draw(t, "ms"))
+				m.freezeOften(rapid.SampledFrom([]int{1, 3}).Draw(t, "times"), rapid.SampledFrom([]int{200, 1300, 3000}).Draw(t, "ms"))
 			},
 			"kill":    func(t *rapid.T) { pick(t).up = false },
 			"restart": func(t *rapid.T) { m.restarted = true; m.start(pick(t)); m.publish() },
@@ -207,3 +221,20 @@
 		})
 	})
 }
+
+// TestQuotaHoldsWhileDaemonsStandStill guards against daemons that stand still for longer
+// than their parts are handed over, and issue units for that time too.
+func TestQuotaHoldsWhileDaemonsStandStill(t *testing.T) {
+	limit := Limit{20, 30}
+	m := &model{fleet: newFleet(5, 1, map[string]Limit{modelOrganisation: limit}, 7)}
+	m.bounds.Slack = 4
+	for _, n := range m.nodes {
+		m.start(n)
+	}
+	m.publish()
+	m.play(40*time.Second, nil, nil)
+	m.freezeOften(3, 1300)
+	if e := m.excess(modelOrganisation, limit, time.Time{}); e > 0 {
+		t.Errorf("quota exceeded by %v requests", e)
+	}
+}
