Let no member entry expire before renewals can be seen again

Cause: the root of the relay tree deleted entries that it had not seen renewed for five minutes, also if it had no current copy of the store meanwhile. The loop that does so waits in renew during an outage and goes on as soon as the store answers, before the feed has the other daemons' renewals.

Ruled out: asking for a current copy at the moment of the deletion only. The other daemons need time to write too, so the expiry is suspended for its whole length after the last time at which the copy was over a minute old.

--- a/coordination/relay/members.go
+++ b/coordination/relay/members.go
@@ -12,6 +12,8 @@
 	// ttl is how long an entry remains valid without renewal.
 	ttl      time.Duration
 	renewals map[string]renewal
+	// suspended is the latest time at which renewals may have been missed.
+	suspended time.Time
 }
 
 // renewal is the last observed change of an entry, identified by its position.
@@ -38,8 +40,15 @@
 // Remove removes an entry from the tracker.
 func (t *ExpiryTracker) Remove(id string) { delete(t.renewals, id) }
 
+// Suspend records that renewals up to now may not have been observed or made. No entry
+// expires within the next ttl.
+func (t *ExpiryTracker) Suspend(now time.Time) { t.suspended = now }
+
 // Expired returns the IDs of the entries that were not renewed in time.
 func (t *ExpiryTracker) Expired(now time.Time) []string {
+	if now.Sub(t.suspended) <= t.ttl {
+		return nil
+	}
 	var ids []string
 	for id, r := range t.renewals {
 		if now.Sub(r.at) > t.ttl {
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -141,6 +141,20 @@
 	}
 }
 
+// TestNoEntryExpiresAfterSuspension guards against entries that are deleted right after
+// an outage in which their renewals were missed, and against ones that then stay.
+func TestNoEntryExpiresAfterSuspension(t *testing.T) {
+	tracker := NewExpiryTracker(time.Minute)
+	tracker.Observe("a", objects.Position{Revision: 1}, now)
+	tracker.Suspend(now.Add(time.Hour))
+	if got := tracker.Expired(now.Add(time.Hour + time.Minute)); len(got) > 0 {
+		t.Errorf("%v expired a minute after the suspension", got)
+	}
+	if got := tracker.Expired(now.Add(time.Hour + 70*time.Second)); !slices.Equal(got, []string{"a"}) {
+		t.Errorf("%v expired 70 s after the suspension, want [a]", got)
+	}
+}
+
 // TestNewEraCountsAsRenewal guards against a daemon whose entry is deleted since the
 // store, restored from an older copy, lost its renewals.
 func TestNewEraCountsAsRenewal(t *testing.T) {
--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -111,6 +111,13 @@
 	return age
 }
 
+// IsCurrent reports whether there is a copy of a kind that was known to match the store
+// within maxAge.
+func (r *Replica) IsCurrent(kind string, maxAge time.Duration) bool {
+	age, hasCopy := r.cache.Age(kind, time.Now())
+	return hasCopy && age <= maxAge
+}
+
 // Era returns the store's era of a kind's copy, or 0 if there is no copy.
 func (r *Replica) Era(kind string) int64 {
 	at, _ := r.cache.Position(kind)
