--- a/coordination/relay/members.go
+++ b/coordination/relay/members.go
@@ -37,6 +37,10 @@
 	t.renewals[id] = renewal{position, now}
 }
 
+// Position returns the position of an entry's last change, or the zero position if the
+// entry is unknown.
+func (t *ExpiryTracker) Position(id string) objects.Position { return t.renewals[id].position }
+
 // Remove removes an entry from the tracker.
 func (t *ExpiryTracker) Remove(id string) { delete(t.renewals, id) }
 
