Bound the end of a stop by the time for the stop

Cause: after the last request, a stopping daemon takes up to 300 ms to remove its entry and up to 100 ms to write its log. That fits in the 800 ms reserved of the usual timeout, but not in the quarter that is reserved of one below 1.6 s, so that the process was still there and was killed. The plan of the stop now says until when the entry may be removed.

--- a/coordination/shutdown/shutdown.go
+++ b/coordination/shutdown/shutdown.go
@@ -18,6 +18,9 @@
 	exitMargin = 800 * time.Millisecond
 	// maxExitFraction limits exitMargin to a part of a short timeout.
 	maxExitFraction = 4
+	// leaveEighths is the part of the exit margin, in eighths, in which the daemon may
+	// remove its entry.
+	leaveEighths = 3
 )
 
 // Plan is the plan of one stop.
@@ -26,14 +29,19 @@
 	AcceptUntil time.Time
 	// ServeUntil is when requests that are still in flight are cut off.
 	ServeUntil time.Time
+	// LeaveUntil is when the daemon gives up removing its entry at the store. The rest of
+	// the timeout is left to write the log and to exit.
+	LeaveUntil time.Time
 }
 
 // New returns the plan of a stop that begins at the given time, after which the process
 // is killed when the timeout has passed.
 func New(began time.Time, timeout time.Duration) Plan {
+	margin := min(exitMargin, timeout/maxExitFraction)
 	return Plan{
 		AcceptUntil: began.Add(min(directoryAnswerExpiry, timeout/2)),
-		ServeUntil:  began.Add(timeout - min(exitMargin, timeout/maxExitFraction)),
+		ServeUntil:  began.Add(timeout - margin),
+		LeaveUntil:  began.Add(timeout - margin + margin*leaveEighths/8),
 	}
 }
 
--- a/coordination/shutdown/shutdown_test.go
+++ b/coordination/shutdown/shutdown_test.go
@@ -39,6 +39,20 @@
 	}
 }
 
+// TestLeaveFitsAnyTimeout guards against a daemon with a short timeout that is killed
+// while it waits for the store: half of the exit margin must be left.
+func TestLeaveFitsAnyTimeout(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		timeout := time.Duration(rapid.Int64Range(int64(time.Millisecond), int64(time.Minute)).Draw(t, "timeout"))
+		began := time.Unix(1000, 0)
+		p := New(began, timeout)
+		left := began.Add(timeout).Sub(p.LeaveUntil)
+		if !p.LeaveUntil.After(p.ServeUntil) || left < min(timeout/8, 400*time.Millisecond) {
+			t.Fatalf("timeout %s: leaves for %s, then has %s", timeout, p.LeaveUntil.Sub(p.ServeUntil), left)
+		}
+	})
+}
+
 // TestPlanFitsAnyTimeout guards against a timeout that is shorter than the margin for
 // the exit: the stop cut off all requests at once.
 func TestPlanFitsAnyTimeout(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -233,6 +233,16 @@
 
 func (g *Gateway) isStopping() bool { return g.stopPlan.Load() != nil }
 
+// LeaveUntil returns when a stopping gateway must have removed its member entry, or the
+// zero time if it is not stopping.
+func (g *Gateway) LeaveUntil() time.Time {
+	plan := g.stopPlan.Load()
+	if plan == nil {
+		return time.Time{}
+	}
+	return plan.LeaveUntil
+}
+
 // stop withdraws the gateway from the directory, keeps serving clients that
 // still hold a cached directory answer, and then waits for requests in flight and for
 // connections that may still carry one.
