End the drain of the accept queue with the stop

Cause: while clients keep opening connections, the drain takes up to 500 ms after half of the timeout, whatever the timeout: with one below 2 s it outlasted the time to serve, with one below 1 s the whole stop. It now ends at the time until which requests are served.

Tests: TestDrainEndsWithStop was red without the bound (501 ms, want 50 ms). The two other tests of the drain give it a minute, so that drainTimeout bounds them as before. Package gateway passes.

--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -51,8 +51,10 @@
 
 	// draining is set when only connections already in the accept queue are still
 	// accepted. drained is closed when serve returns.
-	draining atomic.Bool
-	drained  chan struct{}
+	// drainUntil is when draining ends at the latest; it is set before draining.
+	draining   atomic.Bool
+	drainUntil time.Time
+	drained    chan struct{}
 }
 
 // handoffListener is a net.Listener that receives connections accepted by
@@ -127,9 +129,10 @@
 }
 
 // drain accepts the connections waiting in the accept queue of l and then
-// closes l. Closing l without accepting them would lose the requests that they
+// closes l, at the time until at the latest. Closing l without accepting them would lose the requests that they
 // carry.
-func (c *clientServer) drain(l deadlineListener) {
+func (c *clientServer) drain(l deadlineListener, until time.Time) {
+	c.drainUntil = until
 	c.draining.Store(true)
 	// The deadline interrupts an Accept that is already blocked.
 	if err := l.SetDeadline(time.Now()); err == nil {
@@ -149,6 +152,9 @@
 			now := time.Now()
 			if end.IsZero() {
 				end = now.Add(drainTimeout)
+				if c.drainUntil.Before(end) {
+					end = c.drainUntil
+				}
 			}
 			if now.After(end) {
 				return nil
--- a/gateway/clients_test.go
+++ b/gateway/clients_test.go
@@ -37,7 +37,7 @@
 	}
 	done := make(chan error, 1)
 	go func() { done <- c.serve(l) }()
-	c.drain(l)
+	c.drain(l, time.Now().Add(time.Minute))
 	if err := <-done; err != nil {
 		t.Fatal(err)
 	}
@@ -61,18 +61,42 @@
 func TestDrainEndsWhileClientsKeepConnecting(t *testing.T) {
 	c := newClientServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	l := listen(t)
-	go func() {
-		for {
-			conn, err := net.Dial("tcp", l.Addr().String())
-			if err != nil {
-				return
-			}
-			conn.Close()
+	go connectUntilRefused(l.Addr().String())
+	done := make(chan error, 1)
+	go func() { done <- c.serve(l) }()
+	c.drain(l, time.Now().Add(time.Minute))
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	for s := range c.stop() {
+		s.Close()
+	}
+}
+
+// connectUntilRefused opens one connection after the other.
+func connectUntilRefused(address string) {
+	for {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return
 		}
-	}()
+		conn.Close()
+	}
+}
+
+// TestDrainEndsWithStop guards against a drain that outlasts a short stop while clients
+// keep opening connections.
+func TestDrainEndsWithStop(t *testing.T) {
+	c := newClientServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	l := listen(t)
+	go connectUntilRefused(l.Addr().String())
 	done := make(chan error, 1)
 	go func() { done <- c.serve(l) }()
-	c.drain(l)
+	began := time.Now()
+	c.drain(l, began.Add(backlogTimeout))
+	if took := time.Since(began); took >= drainTimeout {
+		t.Errorf("the drain took %s, want %s", took, backlogTimeout)
+	}
 	if err := <-done; err != nil {
 		t.Fatal(err)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -253,7 +253,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), plan.ServeUntil)
 	defer cancel()
 	sleep.For(ctx, time.Until(plan.AcceptUntil))
-	g.clients.drain(clientListener)
+	g.clients.drain(clientListener, plan.ServeUntil)
 	if err := g.clients.finish(ctx); err != nil && g.inFlight.Count() > 0 {
 		g.log.Warn().Str("event", "gateway.cut").Int("requests", g.inFlight.Count()).Err(err).Send()
 	}
