Keep missing servers for their whole time to register after an outage

Cause: an entry that expired during an outage of the store was to be dropped 2 s after it expired, and is only kept longer while the store is down. When the store answered again after more than 2 s, the next check dropped it at once, before its server could register again.

Ruled out: that a server is dropped which registered again in between. Its new entry, of the same or a later start, ends the removal that was pending.

Tests: TestEntriesAreKeptAfterLongStoreOutage was red before; TestServerThatRegistersAgainIsKept passed before and was red with a put that leaves the pending removal. Package gateway passes.

--- a/gateway/backends.go
+++ b/gateway/backends.go
@@ -121,7 +121,7 @@
 func (b *backendRegistry) removeExpired(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.storeDown {
+	if b.storeDown || now.Before(b.graceUntil) {
 		return
 	}
 	for id, at := range b.pendingRemoval {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -455,6 +455,47 @@
 	}
 }
 
+// TestEntriesAreKeptAfterLongStoreOutage guards against dropping an entry that expired
+// early in an outage as soon as the store answers, before its server can register again.
+func TestEntriesAreKeptAfterLongStoreOutage(t *testing.T) {
+	f := newFixture(t, route(false))
+	f.addServer(t, answerSigned)
+	now := time.Now()
+	f.SetStoreUnavailable()
+	f.backends.remove("i-1", now)
+	regained := now.Add(time.Hour)
+	f.backends.setStoreAvailable(regained)
+	f.backends.removeExpired(regained.Add(reregisterTimeout - time.Millisecond))
+	if len(f.balancer.ServerIDs()) != 1 {
+		t.Error("the server was dropped within its time to register again")
+	}
+	f.backends.removeExpired(regained.Add(reregisterTimeout + time.Millisecond))
+	if len(f.balancer.ServerIDs()) != 0 {
+		t.Error("the server that did not register again was kept")
+	}
+}
+
+// TestServerThatRegistersAgainIsKept guards against dropping a server whose entry was
+// missing and came back, of the same or of a later start.
+func TestServerThatRegistersAgainIsKept(t *testing.T) {
+	for _, startedAt := range []int64{1, 1000} {
+		f := newFixture(t, route(false))
+		f.addServer(t, answerSigned)
+		entry := routing.Backend{
+			ID: "i-1", StartedAtMs: startedAt, Service: "pay", Address: f.lastServer.Listener.Addr().String(), Zone: "n1", Slots: 4,
+		}
+		now := time.Now()
+		f.SetStoreUnavailable()
+		f.backends.remove("i-1", now)
+		f.backends.put(entry, now.Add(time.Second))
+		f.backends.setStoreAvailable(now.Add(time.Second))
+		f.backends.removeExpired(now.Add(time.Hour))
+		if resp, _ := mustCall(t, f, ""); resp.StatusCode != http.StatusOK {
+			t.Errorf("started at %d ms: got status %d, want 200", startedAt, resp.StatusCode)
+		}
+	}
+}
+
 func TestEveryGatewayMetricIsDocumented(t *testing.T) {
 	page, err := os.ReadFile("../docs/operations/gateway.md")
 	if err != nil {
