Count refusals before the choice of a service with their latency

Cause: they counted as latency 0, so that one that waited for its body until its time was over looked like the quickest. The time now runs from before the parsing; a request that is not refused has the same arrival time as before, to the step.

Tests: TestRefusalCountsWithItsLatency was red before (p50 0.127 ms for a refusal after 50 ms). Package gateway passes.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"expvar"
 	"fmt"
@@ -496,6 +497,28 @@
 	}
 }
 
+// TestRefusalCountsWithItsLatency guards against refusals that count as latency 0, also
+// if the client took long to send the body.
+func TestRefusalCountsWithItsLatency(t *testing.T) {
+	r := route(false)
+	r.Timeout = 50 * time.Millisecond
+	f := newFixture(t, r)
+	conn := dial(t, strings.TrimPrefix(f.url, "http://"))
+	if _, err := io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: a\r\nContent-Length: 10\r\n\r\nx"); err != nil {
+		t.Fatal(err)
+	}
+	if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || resp.StatusCode != http.StatusRequestTimeout {
+		t.Fatalf("got %+v, %v, want status 408", resp, err)
+	}
+	var latency map[string]float64
+	for end := time.Now().Add(20 * time.Second); latency["count"] == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		latency = f.metrics.quantiles().(map[string]map[string]float64)[""]
+	}
+	if latency["count"] != 1 || latency["p50"] < 49 {
+		t.Errorf("got %v, want one request of 50 ms or more", latency)
+	}
+}
+
 func TestEveryGatewayMetricIsDocumented(t *testing.T) {
 	page, err := os.ReadFile("../docs/operations/gateway.md")
 	if err != nil {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -58,10 +58,11 @@
 	if g.isStopping() {
 		w.Header().Set("Connection", "close")
 	}
-	req, resp := g.parseRequest(w, r)
+	arrived := time.Now()
+	req, resp := g.parseRequest(w, r, arrived)
 	if resp != nil {
 		g.writeLocalResponse(w, resp)
-		g.logRefusal(r, resp)
+		g.logRefusal(r, resp, time.Since(arrived))
 		return
 	}
 	d := &dispatcher{g: g, req: req}
@@ -72,8 +73,7 @@
 
 // parseRequest reads a request and matches it to a route, or returns the
 // response that refuses it.
-func (g *Gateway) parseRequest(w http.ResponseWriter, r *http.Request) (*clientRequest, *localResponse) {
-	arrived := time.Now()
+func (g *Gateway) parseRequest(w http.ResponseWriter, r *http.Request, arrived time.Time) (*clientRequest, *localResponse) {
 	c := g.configuration.Load()
 	if c == nil {
 		return nil, &localResponse{status: http.StatusServiceUnavailable, reason: "no_configuration", retryAfter: noConfigurationRetryAfter}
@@ -211,8 +211,8 @@
 	_, _ = w.Write(result.answer.Body)
 }
 
-func (g *Gateway) logRefusal(r *http.Request, resp *localResponse) {
-	g.metrics.observe("", resp.reason, 0)
+func (g *Gateway) logRefusal(r *http.Request, resp *localResponse, latency time.Duration) {
+	g.metrics.observe("", resp.reason, latency)
 	e := g.requestLog.newEvent("request.refused", true).Str("id", r.Header.Get(g.headers.AttemptID)).Str("http_host", r.Host).
 		Str("target", r.RequestURI).Int("status", resp.status).Str("reason", resp.reason).Uint64("version", uint64(resp.version))
 	if resp.version > 0 {
