Report only servers that are avoided as doubted

Cause: backend.doubted was logged for each server that failed three in ten of the region's requests, but a server is avoided only if it fails that much more than the others of its service. Where all fail alike, each was logged and none avoided.

Ruled out: the baseline that choices use. It is up to 200 ms old, so that the first report still logged all servers; and refreshing it for the log would change choices. The same median is computed from the report instead.

Tests: TestOnlyAvoidedServersAreSuspected was red before (six suspected although all fail alike). Packages coordination/upstream and gateway pass.

--- a/coordination/upstream/faults.go
+++ b/coordination/upstream/faults.go
@@ -95,8 +95,8 @@
 }
 
 // SetRegionFailures records the failure counts summed over the daemons of the
-// region. It returns the servers whose failure ratio has risen above
-// regionFailureLimit and those whose ratio is no longer above it.
+// region. It returns the servers whose failure ratio has risen above that of the others
+// of their service by more than regionFailureLimit, and those for which that is over.
 func (b *Balancer) SetRegionFailures(all []FailureCount, now time.Time) (suspected, cleared []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -106,9 +106,15 @@
 			b.recentlyFailed[f.ID] = srv
 		}
 	}
+	baselines := map[string]serviceBaseline{}
 	for id, srv := range b.recentlyFailed {
+		baseline, ok := baselines[srv.Service]
+		if !ok {
+			baseline.regionFailures = b.services[srv.Service].regionFailures(now)
+			baselines[srv.Service] = baseline
+		}
 		wasSuspected := srv.suspected
-		srv.suspected = srv.regionAnswers.failureRatio(now) > regionFailureLimit
+		srv.suspected = srv.failsInRegion(baseline, now)
 		switch {
 		case srv.suspected && !wasSuspected:
 			suspected = append(suspected, id)
--- a/coordination/upstream/server.go
+++ b/coordination/upstream/server.go
@@ -89,7 +89,7 @@
 	// localAnswers counts the answers to this daemon, regionAnswers those to
 	// all daemons of the region.
 	localAnswers, regionAnswers decayingCount
-	// suspected is whether regionAnswers was above regionFailureLimit at the
+	// suspected is whether the server failed in the region, compared with others, at the
 	// last update.
 	suspected bool
 
--- a/coordination/upstream/service.go
+++ b/coordination/upstream/service.go
@@ -47,15 +47,23 @@
 	}
 	svc.baselineAt = now
 	svc.regions = b.measureRegions(svc)
-	var latencies, failures, regionFailures []float64
+	var latencies, failures []float64
 	for _, srv := range svc.servers {
 		if srv.latency > 0 {
 			latencies = append(latencies, srv.latency)
 		}
 		failures = append(failures, srv.failureAverage(now))
-		regionFailures = append(regionFailures, srv.regionAnswers.failureRatio(now))
 	}
-	svc.baseline = serviceBaseline{latency: median(latencies), failures: median(failures), regionFailures: median(regionFailures)}
+	svc.baseline = serviceBaseline{latency: median(latencies), failures: median(failures), regionFailures: svc.regionFailures(now)}
+}
+
+// regionFailures returns the median of the servers' failure ratios in the region.
+func (svc *service) regionFailures(now time.Time) float64 {
+	ratios := make([]float64, 0, len(svc.servers))
+	for _, srv := range svc.servers {
+		ratios = append(ratios, srv.regionAnswers.failureRatio(now))
+	}
+	return median(ratios)
 }
 
 // measureRegions returns the slots in each region that may be used. Demand is
--- a/coordination/upstream/upstream_test.go
+++ b/coordination/upstream/upstream_test.go
@@ -213,6 +213,27 @@
 	}
 }
 
+// TestOnlyAvoidedServersAreSuspected guards against reporting servers that fail as often
+// as the others of their service, and so are not avoided.
+func TestOnlyAvoidedServersAreSuspected(t *testing.T) {
+	balancer := newTestBalancer("n1")
+	var alike []FailureCount
+	for i := range 6 {
+		alike = append(alike, FailureCount{ID: fmt.Sprint("i-", 8001+i), Failed: 5, Total: 10})
+	}
+	if suspected, _ := balancer.SetRegionFailures(alike, start); len(suspected) != 0 {
+		t.Errorf("%v are suspected although all fail alike", suspected)
+	}
+	alike[0].Failed = 9
+	if suspected, _ := balancer.SetRegionFailures(alike, start); len(suspected) != 1 || suspected[0] != "i-8001" {
+		t.Errorf("%v are suspected, want the one that fails more than the others", suspected)
+	}
+	alike[0].Failed = 5
+	if _, cleared := balancer.SetRegionFailures(alike, start); len(cleared) != 1 || cleared[0] != "i-8001" {
+		t.Errorf("%v are cleared, want the one that was suspected", cleared)
+	}
+}
+
 func TestFailureCountsCoverFailedAndSuspectedServers(t *testing.T) {
 	balancer := newTestBalancer("n1")
 	c := mustChoose(t, balancer, newRequest("7"), start)
