--- a/cli/tillerd/gateway_test.go
+++ b/cli/tillerd/gateway_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -29,22 +31,22 @@
 region = "r1"
 ip = "127.0.0.1"
 internal_ports = [%[1]d, %[1]d]
-seeds = [%[4]q]
+seeds = [%[7]q]
 [zones]
 z1 = "r1"
 [listen]
 frontend = %[2]q
-readiness = "127.0.0.1:0"
-directory = "127.0.0.1:0"
-control = "127.0.0.1:0"
+readiness = %[3]q
+directory = %[4]q
+control = %[5]q
 [bounds]
-grace = %[3]q
+grace = %[6]q
 retry_window = "10s"
 retry_budget_ratio = 0.2
 retry_slack = 58
 ttl_max = "5s"
 [platform_settings]
-address = %[4]q
+address = %[7]q
 `
 
 // TestStopEndsInTime guards against a process that is still there when the time for its
@@ -53,9 +55,10 @@
 func TestStopEndsInTime(t *testing.T) {
 	const grace = 3200 * time.Millisecond
 	silent := listen(t)
-	client := freeAddress(t)
+	free := freeAddresses(t, 5)
+	metrics, client := free[0], free[1]
 	path := filepath.Join(t.TempDir(), "node.toml")
-	text := fmt.Sprintf(stopSettings, freePort(t), client, grace, silent)
+	text := fmt.Sprintf(stopSettings, metrics.Port(), client, free[2], free[3], free[4], grace, silent)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -67,6 +70,8 @@
 	}
 	exited := make(chan error, 1)
 	go func() { exited <- cmd.Wait() }()
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
+	awaitMetrics(t, metrics)
 	sendHalfRequest(t, client)
 	began := time.Now()
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
@@ -95,23 +100,37 @@
 	return l.Addr().String()
 }
 
-func freeAddress(t *testing.T) string {
+// freeAddresses returns distinct addresses that nobody listens on.
+func freeAddresses(t *testing.T, n int) []netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	var all []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		all = append(all, l.Addr().(*net.TCPAddr).AddrPort())
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return all
 }
 
-func freePort(t *testing.T) uint16 {
+// awaitMetrics waits until the gateway serves its metrics, on the last address that it
+// listens on.
+func awaitMetrics(t *testing.T, address netip.AddrPort) {
 	t.Helper()
-	address, err := net.ResolveTCPAddr("tcp", freeAddress(t))
-	if err != nil {
-		t.Fatal(err)
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		resp, err := http.Get("http://" + address.String() + "/")
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		if time.Now().After(end) {
+			t.Fatalf("the gateway serves no metrics: %v", err)
+		}
 	}
-	return address.AddrPort().Port()
 }
 
 // fullPipe returns a pipe that accepts no more output.
@@ -131,21 +150,15 @@
 	return w
 }
 
-// sendHalfRequest waits for the client address to accept a connection, and sends the
-// beginning of a request on it.
-func sendHalfRequest(t *testing.T, address string) {
+// sendHalfRequest sends the beginning of a request.
+func sendHalfRequest(t *testing.T, address netip.AddrPort) {
 	t.Helper()
-	for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-		conn, err := net.Dial("tcp", address)
-		if err == nil {
-			t.Cleanup(func() { _ = conn.Close() })
-			if _, err := io.WriteString(conn, "POST /x HTTP/1.1\r\nHost:"); err != nil {
-				t.Fatal(err)
-			}
-			return
-		}
-		if time.Now().After(end) {
-			t.Fatal(err)
-		}
+	conn, err := net.Dial("tcp", address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if _, err := io.WriteString(conn, "POST /x HTTP/1.1\r\nHost:"); err != nil {
+		t.Fatal(err)
 	}
 }
--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -70,6 +70,7 @@
 	failures      *regionalFailures
 	loads         LoadHooks
 	call          CallFunc
+	hosts         HostHooks
 
 	mu       sync.Mutex
 	members  []relay.Member
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,8 +17,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"bilberrytiller.example/tiller/coordination/budget"
+	"bilberrytiller.example/tiller/coordination/connlimit"
+	"bilberrytiller.example/tiller/coordination/memory"
 	"bilberrytiller.example/tiller/coordination/shutdown"
 	"bilberrytiller.example/tiller/coordination/upstream"
+	"bilberrytiller.example/tiller/internal/httpstop"
 	"bilberrytiller.example/tiller/internal/inflight"
 	"bilberrytiller.example/tiller/internal/sleep"
 	"bilberrytiller.example/tiller/state/routing"
@@ -32,6 +35,12 @@
 	// platform and from other daemons.
 	internalHeaderTimeout  = 10 * time.Second
 	internalMaxHeaderBytes = 16 << 10
+	// internalReadTimeout limits how long such a request is read, internalWriteTimeout how
+	// long its answer is written. Neither applies to connections between daemons. The
+	// latter is short, since a connection whose answer is not read keeps its place.
+	internalReadTimeout  = 10 * time.Second
+	internalWriteTimeout = 3 * time.Second
+	internalIdleTimeout  = 2 * time.Minute
 )
 
 // Gateway serves client requests on one host.
@@ -56,11 +65,16 @@
 	crashes        *crashMonitor
 	timeBudgets    timeBudgets
 	daemons        atomic.Int64
+	directory      *directory
 	peerClient     *peer.Client
 	peerServer     *peer.Server
 
-	clients  *clientServer
-	inFlight inflight.Counter
+	memory     *memory.Budget
+	connLimits connlimit.Limits
+	clients    *clientServer
+	// directoryConns is nil until the gateway listens.
+	directoryConns *httpstop.Conns
+	inFlight       inflight.Counter
 	// stopPlan is nil until the gateway is stopping.
 	stopPlan atomic.Pointer[shutdown.Plan]
 }
@@ -86,6 +100,7 @@
 	g.configurationAge = func() time.Duration { return 0 }
 	g.storeEra = func() int64 { return 0 }
 	g.settings.Store(&settings)
+	g.directory = newDirectory(self, &hostLoad{linkMbps: settings.LinkMbps})
 	// The platform gives daemons no shared secret; see docs/QUESTIONS.md.
 	auth := peer.NewAuth(settings.HostID, nil)
 	g.peerClient = peer.NewClient(auth, netip.IPv4Unspecified())
@@ -95,7 +110,8 @@
 	g.metrics = newMetrics(g)
 	g.metrics.root.Add("log_lines_left_out", 0)
 	g.requestLog = newRequestLogger(g.log, func() { g.metrics.root.Add("log_lines_left_out", 1) })
-	g.clients = newClientServer(http.HandlerFunc(g.serveClient))
+	g.setUpLimits(&settings)
+	g.clients = newClientServer(http.HandlerFunc(g.serveClient), g)
 	return g, nil
 }
 
@@ -123,16 +139,22 @@
 	}
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
+	limitRuntimeMemory(g.settings.Load().MemoryBytes)
+	// A listener that fails for good ends the gateway.
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
 	var group errgroup.Group
-	group.Go(func() error { return g.clients.serve(clientListener) })
+	group.Go(func() error { defer stop(); return g.clients.serve(clientListener) })
 	for _, s := range servers {
-		group.Go(func() error { return serveInternal(s) })
+		group.Go(func() error { defer stop(); return serveInternal(s) })
 	}
 	group.Go(func() error { g.upstreamClient.Sweep(background, g.balancer.Addresses); return nil })
 	group.Go(func() error { g.backends.runExpiry(background); return nil })
 	group.Go(func() error { g.measureRoundTrips(background); return nil })
+	group.Go(func() error { g.measureHostLoad(background); return nil })
 	g.log.Info().Str("event", "gateway.start").Str("incarnation", g.self.Incarnation).
 		Str("client", g.self.ClientAddress).Str("zone", g.self.Zone).Send()
+	g.logLimits()
 	<-ctx.Done()
 	g.stop(clientListener)
 	for _, s := range servers {
@@ -145,6 +167,10 @@
 	return err
 }
 
+// directoryListener is the name of the listener whose connections share the limit of
+// clients.
+const directoryListener = "directory"
+
 type internalServer struct {
 	server   *http.Server
 	listener net.Listener
@@ -187,26 +213,55 @@
 		return nil, nil, err
 	}
 	endpoints := []struct {
-		address string
-		handler http.Handler
+		name, address string
+		handler       http.Handler
 	}{
-		{s.ReadyListen, h.Ready},
-		{s.DirectoryListen, h.Directory},
-		{s.PeerListen, g.peerServer},
-		{s.MetricsListen, g.metrics.handler()},
+		{"ready", s.ReadyListen, h.Ready},
+		{directoryListener, s.DirectoryListen, h.Directory},
+		{"peer", s.PeerListen, g.peerServer},
+		{"metrics", s.MetricsListen, g.metrics.handler()},
 	}
 	for _, e := range endpoints {
 		l, err := g.listenOn(ctx, e.address)
 		if err != nil {
 			return nil, nil, err
 		}
-		internal = append(internal, internalServer{newServer(e.handler), l})
+		internal = append(internal, g.newServer(e.name, e.handler, l))
 	}
 	return clientListener, internal, nil
 }
 
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: internalHeaderTimeout, MaxHeaderBytes: internalMaxHeaderBytes}
+// newServer returns a server of internal requests, whose connections are limited.
+func (g *Gateway) newServer(name string, h http.Handler, l net.Listener) internalServer {
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: internalHeaderTimeout, ReadTimeout: internalReadTimeout, WriteTimeout: internalWriteTimeout,
+		IdleTimeout: internalIdleTimeout, MaxHeaderBytes: internalMaxHeaderBytes, ConnContext: httpstop.ConnContext,
+	}
+	conns := httpstop.Track(s)
+	track := s.ConnState
+	s.ConnState = func(conn net.Conn, state http.ConnState) {
+		track(conn, state)
+		switch state {
+		case http.StateNew:
+			g.occupyMemory(1)
+		case http.StateClosed, http.StateHijacked:
+			g.occupyMemory(-1)
+		}
+	}
+	a := &acceptor{name: name, limit: g.connLimits.Internal, conns: func() []*httpstop.Conns { return []*httpstop.Conns{conns} }, g: g}
+	if name == directoryListener {
+		g.directoryConns = conns
+		a.limit, a.conns = g.connLimits.Clients, g.clientConns
+	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !httpstop.Enter(r.Context(), connlimit.Serving) {
+			panic(http.ErrAbortHandler)
+		}
+		// None of these requests has a body.
+		limitUnreadBody(w, r)
+		h.ServeHTTP(w, r)
+	})
+	return internalServer{s, conns.Listener(&boundedListener{l, a})}
 }
 
 func serveInternal(s internalServer) error {
--- a/protocol/wire/objects.go
+++ b/protocol/wire/objects.go
@@ -21,6 +21,26 @@
 	// Loads are the latest loads of backend servers seen by the calling daemon and by
 	// the daemons that call it, as package feed encodes them.
 	Loads []byte `cbor:"l,omitempty"`
+	// Hosts asks a daemon of the same data centre for the statuses of its large entry
+	// hosts, and contains those that the calling daemon knows.
+	Hosts *HostExchange `cbor:"h,omitempty"`
+}
+
+// HostExchange contains the statuses of large entry hosts of a data centre.
+type HostExchange struct {
+	Hosts []HostStatus `cbor:"h,omitempty"`
+}
+
+// HostStatus is the status of an entry host.
+type HostStatus struct {
+	ID       string `cbor:"i"`
+	NotReady bool   `cbor:"n,omitempty"`
+	// LinkPercent is the part of the host's network link that is in use.
+	LinkPercent uint16 `cbor:"u,omitempty"`
+	// Stamp is the host's own time of day in nanoseconds since 1970.
+	Stamp int64 `cbor:"s"`
+	// AgeMs is the time since the host was in this state, in milliseconds.
+	AgeMs uint32 `cbor:"a,omitempty"`
 }
 
 // ServerFailures counts the failed answers among the latest answers of a
@@ -55,6 +75,8 @@
 	Failures []ServerFailures `cbor:"f,omitempty"`
 	// Loads are the latest loads of backend servers seen by the daemons of the region.
 	Loads []byte `cbor:"l,omitempty"`
+	// Hosts replies to the call's Hosts.
+	Hosts *HostExchange `cbor:"h,omitempty"`
 }
 
 // KindReply contains the changes of a kind.
