Measure the end of a stop without the sleep of the race detector

Cause: TestStopEndsInTime failed under -race, where the process sleeps for a second before it exits: 3.8 s of 3.2 s.

--- a/cli/tillerd/gateway_test.go
+++ b/cli/tillerd/gateway_test.go
@@ -63,7 +63,8 @@
 		t.Fatal(err)
 	}
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), childEnv+"=1", platform.SettingsEnv+"="+path)
+	// A program built with the race detector sleeps for a second before it exits.
+	cmd.Env = append(os.Environ(), childEnv+"=1", platform.SettingsEnv+"="+path, "GORACE=atexit_sleep_ms=0")
 	cmd.Stdout = fullPipe(t)
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
