Keep the test of a whole stop with the other tests of processes

Cause: it held the names of the settings file, which only platform/ and standin/ may know; TestOnlyPlatformFolderContainsPlatformNames was red since.

--- a/cli/tillerd/gateway_test.go
+++ b/standin/soak/stop_test.go
@@ -1,4 +1,4 @@
-package tillerd
+package soak
 
 import (
 	"fmt"
@@ -12,20 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
-
-	"bilberrytiller.example/tiller/platform"
 )
 
-// childEnv makes the test program run the gateway.
-const childEnv = "TILLERD_TEST_GATEWAY"
-
-func TestMain(m *testing.M) {
-	if os.Getenv(childEnv) != "" {
-		os.Exit(run([]string{gatewayCommand}, os.Stdout, os.Stderr))
-	}
-	os.Exit(m.Run())
-}
-
 const stopSettings = `node_name = "h1"
 zone = "z1"
 region = "r1"
@@ -62,9 +50,8 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(os.Args[0])
-	// A program built with the race detector sleeps for a second before it exits.
-	cmd.Env = append(os.Environ(), childEnv+"=1", platform.SettingsEnv+"="+path, "GORACE=atexit_sleep_ms=0")
+	cmd := exec.Command(program, "gateway")
+	cmd.Env = append(os.Environ(), "BILBERRYTILLER_NODE_FILE="+path)
 	cmd.Stdout = fullPipe(t)
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
