--- a/gateway/runlog.go
+++ b/gateway/runlog.go
@@ -30,7 +30,7 @@
 		g.metrics.refusals.Add(outcome+"."+rankName(req.rank), 1)
 	}
 	e := g.requestLog.newEvent("request.done", res.answer == nil).Str("id", clip(req.id)).Str("route", req.route.Name).
-		Str("service", req.service.Name).Uint64("version", uint64(req.version)).Str("key", clip(req.key)).
+		Str("service", req.service.Name).Uint64("version", uint64(req.version)).Str("key", clip(req.key)).Str("organisation", req.organisationName()).
 		Int("status", status).Str("outcome", outcome).Int("sends", d.sends).Int("connects", d.failedConnects).Dur("ms", latency).Int("rank", req.rank)
 	if d.waited > 0 {
 		e = e.Dur("waited_ms", d.waited)
