--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -294,6 +294,16 @@
 
 func (g *Gateway) isStopping() bool { return g.stopPlan.Load() != nil }
 
+// LeaveUntil returns when a stopping gateway must have removed its member entry, or the
+// zero time if it is not stopping.
+func (g *Gateway) LeaveUntil() time.Time {
+	plan := g.stopPlan.Load()
+	if plan == nil {
+		return time.Time{}
+	}
+	return plan.LeaveUntil
+}
+
 // stop withdraws the gateway from the directory, keeps serving clients that
 // still hold a cached directory answer, and then waits for requests in flight and for
 // connections that may still carry one.
@@ -304,7 +314,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), plan.ServeUntil)
 	defer cancel()
 	sleep.For(ctx, time.Until(plan.AcceptUntil))
-	g.clients.drain(clientListener)
+	g.clients.drain(clientListener, plan.ServeUntil)
 	if err := g.clients.finish(ctx); err != nil && g.inFlight.Count() > 0 {
 		g.log.Warn().Str("event", "gateway.cut").Int("requests", g.inFlight.Count()).Err(err).Send()
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"expvar"
 	"fmt"
@@ -455,6 +456,69 @@
 	}
 }
 
+// TestEntriesAreKeptAfterLongStoreOutage guards against dropping an entry that expired
+// early in an outage as soon as the store answers, before its server can register again.
+func TestEntriesAreKeptAfterLongStoreOutage(t *testing.T) {
+	f := newFixture(t, route(false))
+	f.addServer(t, answerSigned)
+	now := time.Now()
+	f.SetStoreUnavailable()
+	f.backends.remove("i-1", now)
+	regained := now.Add(time.Hour)
+	f.backends.setStoreAvailable(regained)
+	f.backends.removeExpired(regained.Add(reregisterTimeout - time.Millisecond))
+	if len(f.balancer.ServerIDs()) != 1 {
+		t.Error("the server was dropped within its time to register again")
+	}
+	f.backends.removeExpired(regained.Add(reregisterTimeout + time.Millisecond))
+	if len(f.balancer.ServerIDs()) != 0 {
+		t.Error("the server that did not register again was kept")
+	}
+}
+
+// TestServerThatRegistersAgainIsKept guards against dropping a server whose entry was
+// missing and came back, of the same or of a later start.
+func TestServerThatRegistersAgainIsKept(t *testing.T) {
+	for _, startedAt := range []int64{1, 1000} {
+		f := newFixture(t, route(false))
+		f.addServer(t, answerSigned)
+		entry := routing.Backend{
+			ID: "i-1", StartedAtMs: startedAt, Service: "pay", Address: f.lastServer.Listener.Addr().String(), Zone: "n1", Slots: 4,
+		}
+		now := time.Now()
+		f.SetStoreUnavailable()
+		f.backends.remove("i-1", now)
+		f.backends.put(entry, now.Add(time.Second))
+		f.backends.setStoreAvailable(now.Add(time.Second))
+		f.backends.removeExpired(now.Add(time.Hour))
+		if resp, _ := mustCall(t, f, ""); resp.StatusCode != http.StatusOK {
+			t.Errorf("started at %d ms: got status %d, want 200", startedAt, resp.StatusCode)
+		}
+	}
+}
+
+// TestRefusalCountsWithItsLatency guards against refusals that count as latency 0, also
+// if the client took long to send the body.
+func TestRefusalCountsWithItsLatency(t *testing.T) {
+	r := route(false)
+	r.Timeout = 50 * time.Millisecond
+	f := newFixture(t, r)
+	conn := dial(t, strings.TrimPrefix(f.url, "http://"))
+	if _, err := io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: a\r\nContent-Length: 10\r\n\r\nx"); err != nil {
+		t.Fatal(err)
+	}
+	if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || resp.StatusCode != http.StatusRequestTimeout {
+		t.Fatalf("got %+v, %v, want status 408", resp, err)
+	}
+	var latency map[string]float64
+	for end := time.Now().Add(20 * time.Second); latency["count"] == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		latency = f.metrics.quantiles().(map[string]map[string]float64)[""]
+	}
+	if latency["count"] != 1 || latency["p50"] < 49 {
+		t.Errorf("got %v, want one request of 50 ms or more", latency)
+	}
+}
+
 func TestEveryGatewayMetricIsDocumented(t *testing.T) {
 	page, err := os.ReadFile("../docs/operations/gateway.md")
 	if err != nil {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -60,6 +60,7 @@
 	if g.isStopping() {
 		w.Header().Set("Connection", "close")
 	}
+	arrived := time.Now()
 	if !httpstop.Enter(r.Context(), connlimit.Serving) {
 		// The client has got no answer, and its request is not passed on.
 		panic(http.ErrAbortHandler)
@@ -77,7 +78,7 @@
 		limitUnreadBody(w, r)
 		httpstop.AllowWrite(r.Context(), writeTimeout)
 		g.writeLocalResponse(w, resp)
-		g.logRefusal(r, resp)
+		g.logRefusal(r, resp, time.Since(arrived))
 		return
 	}
 	defer req.body.release()
@@ -215,8 +216,8 @@
 	g.writeAnswer(w, result.answer.Body)
 }
 
-func (g *Gateway) logRefusal(r *http.Request, resp *localResponse) {
-	g.metrics.observe("", resp.reason, 0)
+func (g *Gateway) logRefusal(r *http.Request, resp *localResponse, latency time.Duration) {
+	g.metrics.observe("", resp.reason, latency)
 	e := g.requestLog.newEvent("request.refused", true).Str("id", clip(r.Header.Get(g.headers.AttemptID))).Str("http_host", clip(r.Host)).
 		Str("target", clip(r.RequestURI)).Int("status", resp.status).Str("reason", resp.reason).Str("organisation", resp.organisation).
 		Dur("retry_after_ms", resp.retryAfter).Uint64("version", uint64(resp.version))
