Obey what a backend server announces in its answers

Change: transport/upstreamhttp decodes both headers, whose names only platform/names.go knows, into availability.Signal. It believes only an answer that carries the request's ID, or the first answer on its connection, and nothing of a 421. A header that differs from its other copy or cannot be parsed announces nothing and loses nothing: one log line for each incarnation. A pause counts in a 503 answer to a request that was not run, up to one minute.

coordination/availability says whether an incarnation may get a request, and if not, until when and why, from its entry, leaving and pause. A leaving is final for the incarnation, also when its entry is ready, or goes and comes back; pauses are never shortened. After a pause, which each daemon prolongs by its own random delay, one request is sent at a time until one is answered, and the objects then return within a second. First sends, retries and second copies ask it when they choose; all are asked again when their connection is open. The gateway sends no health checks: probes are ordinary requests. Connections for measuring round trips avoid such servers.

If all servers pause, requests are refused at once, with the time until the first pause ends in Retry-After, also when the last attempt brought the last pause.

Rate limits, cold rates, ejection and load are not yet under the same question.

Tests red without the mechanism, one change each: no leaving, no pause, no random delay, no gradual return, no single request after a pause, pauses that are shortened, no check after the connect (gateway).

--- a/cli/tillerctl/trace.go
+++ b/cli/tillerctl/trace.go
@@ -29,6 +29,8 @@
 	"body_unread":      "the body could not be read from the client completely",
 	"no_server":        "no backend server of the service was usable: see the backend lines before it; the request was not run",
 	"rate_limit":       "the backend servers named limits of which this daemon had used its share; the request was not run",
+	"paused":           "all backend servers that might be used had asked for a pause: see the backend.paused lines; the request was not run",
+	"leaving":          "all backend servers that might be used leave: see the backend.leaving and backend.entry lines; the request was not run",
 	"cold_limit":       "the backend servers were cold and had reached their request limit; the request was not run",
 	"full":             "the queue of the object's backend server was longer than the request could wait; the request was not run",
 	"may_have_run":     "a backend server received the request and its answer was lost: see the send line; the request must not run again",
--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/affinity"
+	"bilberrytiller.example/tiller/coordination/availability"
 	"bilberrytiller.example/tiller/state/routing"
 )
 
@@ -73,6 +74,10 @@
 	// ReasonRateLimit means that no server is left but those whose limit, as named
 	// by themselves, this daemon has used its share of.
 	ReasonRateLimit Reason = "rate_limit"
+	// ReasonPaused means that all servers that might be used have asked for a pause.
+	ReasonPaused Reason = "paused"
+	// ReasonLeaving means that all servers that might be used leave.
+	ReasonLeaving Reason = "leaving"
 )
 
 // Choice is the server chosen for a request. The request counts as in flight
@@ -86,6 +91,9 @@
 	EstimatedRequests int
 	LoadAge           time.Duration
 
+	// Announced is what the server's answer changed. Done sets it.
+	Announced availability.Change
+
 	balancer *Balancer
 	server   *server
 	chosenAt time.Time
@@ -123,7 +131,7 @@
 		}
 		sel.leaveOutLimited(srv)
 	}
-	return nil, sel.refuseWithoutCandidate()
+	return nil, b.refuseWithTruePause(svc, sel)
 }
 
 // reasonToUse returns why the server may get the request, or false if its queue is
@@ -153,6 +161,7 @@
 		srv.ejectedUntil = now.Add(baseEjection)
 	}
 	estimated := srv.estimatedRequests(now)
+	srv.availability.Sent(now)
 	srv.inflight++
 	return &Choice{Backend: srv.Backend, Reason: reason, EstimatedRequests: estimated, LoadAge: srv.loadAge(now), balancer: b, server: srv, chosenAt: now}
 }
@@ -191,10 +200,18 @@
 	// rateLimitWait is the shortest time until such a server may be used.
 	rateLimited   bool
 	rateLimitWait time.Duration
+	// returning are servers after a pause to which the object has not returned yet.
+	// They become candidates only if there are no others.
+	returning   []*server
+	returnPlace float64
+	// leaving and paused are set if a server was left out because it leaves or has
+	// asked for a pause, and pauseEnds is when the first pause ends.
+	leaving, paused bool
+	pauseEnds       time.Time
 }
 
 func (b *Balancer) newSelection(svc *service, r Request, now time.Time) *selection {
-	sel := &selection{request: r, locality: b.locality, baseline: svc.baseline, coldLatency: svc.coldLatency.seconds, now: now}
+	sel := &selection{request: r, locality: b.locality, baseline: svc.baseline, coldLatency: svc.coldLatency.seconds, now: now, returnPlace: b.returnPlace(r)}
 	if r.Key != "" {
 		sel.objectHash = affinity.Hash(r.Service, r.Key)
 		sel.plan = affinity.NewPlan(svc.regions, b.locality.Region, b.localityOf(r.Route))
@@ -204,6 +221,7 @@
 		switch {
 		case srv.missing && avoidMissing:
 		case !b.usable(srv, r, now):
+		case !sel.available(srv):
 		case srv.isCold(now) && !srv.coldLimiter.Ready(r.ColdRate, r.DaemonCount, now):
 			sel.coldLimited++
 		case srv.atRateLimit(r.DaemonCount, now):
@@ -215,14 +233,14 @@
 		}
 	}
 	if len(sel.candidates) == 0 {
-		sel.candidates = sel.unhealthy
+		sel.candidates = append(sel.unhealthy, sel.returning...)
 	}
 	return sel
 }
 
 // usable reports whether the request may go to a server at all.
 func (b *Balancer) usable(srv *server, r Request, now time.Time) bool {
-	if srv.Draining || srv.misdirected || b.evacuated[srv.Zone] || now.Before(srv.ejectedUntil) {
+	if srv.misdirected || b.evacuated[srv.Zone] || now.Before(srv.ejectedUntil) {
 		return false
 	}
 	if r.Route != nil && !r.Route.AllowsRegion(srv.region) || !r.Organisation.AllowsRegion(srv.region) {
@@ -335,10 +353,14 @@
 // refuseWithoutCandidate returns a refusal because no server may get the request.
 func (sel *selection) refuseWithoutCandidate() *Refusal {
 	switch {
+	case sel.paused && !sel.rateLimited && sel.coldLimited == 0:
+		return &Refusal{Reason: ReasonPaused, RetryAfter: max(minRetryAfter, sel.pauseEnds.Sub(sel.now))}
 	case sel.rateLimited:
 		return &Refusal{Reason: ReasonRateLimit, RetryAfter: min(maxRetryAfter, max(minRetryAfter, sel.rateLimitWait))}
 	case sel.coldLimited > 0:
 		return &Refusal{Reason: ReasonColdLimit, RetryAfter: maxRetryAfter / 4}
+	case sel.leaving:
+		return &Refusal{Reason: ReasonLeaving, RetryAfter: maxRetryAfter / 4}
 	}
 	return &Refusal{Reason: ReasonNoServer, RetryAfter: maxRetryAfter / 4}
 }
--- a/coordination/upstream/machine_test.go
+++ b/coordination/upstream/machine_test.go
@@ -64,7 +64,7 @@
 	id := fmt.Sprint("i-", 8001+rapid.IntRange(0, 5).Draw(t, "server"))
 	delete(m.entries, id)
 	delete(m.cold, id)
-	m.balancer.Remove(id)
+	m.balancer.Remove(id, m.now)
 }
 
 func (m *model) evacuate(t *rapid.T) {
--- a/coordination/upstream/outcome.go
+++ b/coordination/upstream/outcome.go
@@ -1,6 +1,10 @@
 package upstream
 
-import "time"
+import (
+	"time"
+
+	"bilberrytiller.example/tiller/coordination/availability"
+)
 
 // Outcome is how a request to a server ended.
 type Outcome int
@@ -21,9 +25,12 @@
 	Unreachable
 	// Abandoned means that this daemon cancelled the request.
 	Abandoned
+	// Withdrawn means that nothing was sent, since the server had announced in the
+	// meantime that it leaves, or asked for a pause.
+	Withdrawn
 )
 
-var outcomeNames = [...]string{"answered", "failed", "shed", "misdirected", "lost", "unreachable", "abandoned"}
+var outcomeNames = [...]string{"answered", "failed", "shed", "misdirected", "lost", "unreachable", "abandoned", "withdrawn"}
 
 // String returns the name of the outcome.
 func (o Outcome) String() string { return outcomeNames[o] }
@@ -44,6 +51,8 @@
 	ColdLeft time.Duration
 	// RateLimit is the limit that the server named in its answer, or nil.
 	RateLimit *RateLimit
+	// Signal is what the server announced in its answer.
+	Signal availability.Signal
 }
 
 // Done ends a request that was in flight at the chosen server and records its
@@ -54,6 +63,7 @@
 	srv := c.server
 	srv.inflight--
 	limitChanged = srv.recordRateLimit(r, c.chosenAt, now)
+	c.recordSignal(r, now)
 	srv.recordRoundTrip(r.RoundTrip)
 	c.balancer.recordRegionRoundTrip(srv.region, r.RoundTrip)
 	if r.Load != nil {
@@ -103,7 +113,8 @@
 		s.updateFailureAverage(failureWeight, 1, now)
 		s.localAnswers.add(true, now)
 	case Shed:
-		if estimated < s.slots() {
+		// A rejection with a pause is no failure.
+		if estimated < s.slots() && !s.availability.PausedAt(now) {
 			s.updateFailureAverage(failureWeight, 1, now)
 		}
 	case Lost:
@@ -113,6 +124,6 @@
 		s.misdirected = true
 	case Unreachable:
 		s.eject(now)
-	case Abandoned:
+	case Abandoned, Withdrawn:
 	}
 }
--- a/coordination/upstream/server.go
+++ b/coordination/upstream/server.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"bilberrytiller.example/tiller/coordination/availability"
 	"bilberrytiller.example/tiller/coordination/coldrate"
 	"bilberrytiller.example/tiller/coordination/serverlimit"
 	"bilberrytiller.example/tiller/state/routing"
@@ -106,11 +107,13 @@
 	rateLimit    *RateLimit
 	limitNamedAt time.Time
 	rateLimiter  serverlimit.Limiter
+	// availability is what the server and its entry say about whether it may get
+	// requests. It is kept when the entry goes and comes back.
+	availability *availability.State
 }
 
 func newServer(b routing.Backend, region string) *server {
-	s := &server{Backend: b, region: region, hash: xxhash.Sum64String(b.ID)}
-	return s
+	return &server{Backend: b, region: region, hash: xxhash.Sum64String(b.ID), availability: &availability.State{}}
 }
 
 // estimatedRequests returns the estimated number of requests at the server: the
--- a/coordination/upstream/set.go
+++ b/coordination/upstream/set.go
@@ -37,6 +37,8 @@
 	// recentlyFailed holds the servers that recently failed a request of this
 	// daemon or of another one.
 	recentlyFailed map[string]*server
+	// announcements are those of the servers whose entries are gone.
+	announcements announcements
 	// coldPeriods is how long the servers of each service are cold after a
 	// start.
 	coldPeriods map[string]time.Duration
@@ -78,15 +80,19 @@
 	old := b.servers[entry.ID]
 	if old == nil || old.Incarnation() != entry.Incarnation() || old.Service != entry.Service {
 		if old != nil {
+			b.announcements.keep(old, now)
 			b.dropServer(old)
 		}
 		srv := newServer(entry, b.regions[entry.Zone])
+		b.announcements.restore(srv)
+		srv.availability.SetDraining(entry.Draining)
 		srv.markCold(now.Add(entry.ColdRemaining), now, b.random())
 		b.addServer(srv)
 		return
 	}
 	old.missing = false
 	old.Backend.Draining = entry.Draining
+	old.availability.SetDraining(entry.Draining)
 	old.Backend.Zone, old.region = entry.Zone, b.regions[entry.Zone]
 	if entry.Slots > 0 {
 		old.Backend.Slots = entry.Slots
@@ -105,11 +111,13 @@
 	}
 }
 
-// Remove forgets a server and its history.
-func (b *Balancer) Remove(id string) {
+// Remove forgets a server and its history, except for what its incarnation has announced
+// about itself.
+func (b *Balancer) Remove(id string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if old := b.servers[id]; old != nil {
+		b.announcements.keep(old, now)
 		b.dropServer(old)
 	}
 }
--- a/coordination/upstream/upstream_test.go
+++ b/coordination/upstream/upstream_test.go
@@ -67,7 +67,7 @@
 			balancer.Put(b, start)
 			return newRequest(key)
 		},
-		"removed": func(balancer *Balancer) Request { balancer.Remove(home.ID); return newRequest(key) },
+		"removed": func(balancer *Balancer) Request { balancer.Remove(home.ID, start); return newRequest(key) },
 		"evacuated": func(balancer *Balancer) Request {
 			balancer.SetEvacuated(home.Zone, true, start)
 			return newRequest(key)
--- a/gateway/backends.go
+++ b/gateway/backends.go
@@ -66,12 +66,12 @@
 		b.log.Info().Str("event", "backend.missing").Str("backend", id).Send()
 		return
 	}
-	b.drop(id)
+	b.drop(id, now)
 }
 
-func (b *backendRegistry) drop(id string) {
+func (b *backendRegistry) drop(id string, now time.Time) {
 	delete(b.pendingRemoval, id)
-	b.balancer.Remove(id)
+	b.balancer.Remove(id, now)
 	b.log.Info().Str("event", "backend.gone").Str("backend", id).Send()
 }
 
@@ -126,7 +126,7 @@
 	}
 	for id, at := range b.pendingRemoval {
 		if now.After(at) {
-			b.drop(id)
+			b.drop(id, now)
 		}
 	}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -30,6 +30,7 @@
 	h.HeaderNames.ExpectedServerID, h.HeaderNames.Signature, h.HeaderNames.NotExecuted = "X-Expect", "X-Signed", "X-Not-Run"
 	h.HeaderNames.Organisation = "X-Org"
 	h.HeaderNames.Load, h.HeaderNames.ColdMs, h.HeaderNames.RateLimit = "X-Load", "X-Cold", "X-Limit"
+	h.HeaderNames.Leaving, h.HeaderNames.Pause = "X-Leaving", "X-Pause"
 	return h
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,6 +24,8 @@
 	outcomes *expvar.Map
 	// sends counts sends to backend servers by outcome.
 	sends *expvar.Map
+	// announced counts the starts of servers' leavings and pauses.
+	announced *expvar.Map
 
 	mu      sync.Mutex
 	latency map[string]*hdrhistogram.Histogram
@@ -31,11 +33,12 @@
 
 func newMetrics(g *Gateway) *metrics {
 	m := &metrics{
-		root: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), sends: new(expvar.Map).Init(),
+		root: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), sends: new(expvar.Map).Init(), announced: new(expvar.Map).Init(),
 		latency: map[string]*hdrhistogram.Histogram{},
 	}
 	m.root.Set("requests", m.outcomes)
 	m.root.Set("sends", m.sends)
+	m.root.Set("backend_announcements", m.announced)
 	m.root.Set("requests_in_flight", expvar.Func(func() any { return g.inFlight.Count() }))
 	m.root.Set("connections_opened", expvar.Func(func() any { return g.upstreamClient.Dials.Load() }))
 	m.root.Set("connections_reused", expvar.Func(func() any { return g.upstreamClient.Reuses.Load() }))
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -37,7 +37,8 @@
 	// estimated to have free slots.
 	unexpectedSheds int
 	// sends counts the sends that may have reached a server, failedConnects those
-	// for which no connection could be opened.
+	// that did not begin, since no connection could be opened or the server was not to
+	// be used any more.
 	sends, failedConnects int
 	// pending counts the sends that have no result yet.
 	pending int
@@ -136,11 +137,7 @@
 	if !d.g.crashes.mayRun(d.req, now) {
 		return d.failureResponse(reasonCrashes, retryAfterCrashes)
 	}
-	choice, refusal := d.g.balancer.Choose(upstream.Request{
-		Service: d.req.service.Name, Key: d.req.key, Route: d.req.route, Organisation: d.req.organisation, Rank: d.req.rank, Tried: d.tried,
-		ObjectiveLeft: d.req.route.LatencyObjective - now.Sub(d.req.arrived), TimeLeft: d.req.deadline.Sub(now),
-		ColdRate: d.req.service.ColdRate, DaemonCount: d.g.daemonCount(),
-	}, now)
+	choice, refusal := d.g.balancer.Choose(d.balancerRequest(now), now)
 	if refusal != nil {
 		d.refusal = refusal
 		return d.failureResponse(string(refusal.Reason), refusal.RetryAfter)
@@ -151,17 +148,28 @@
 	d.pending++
 	message := d.req.message
 	message.ServerID = choice.Backend.ID
+	message.MaySend = choice.MaySend
 	message.MaxIdleConns = idleConnLimit(d.req.service, d.g.daemonCount())
 	go func() {
 		exchange := d.g.upstreamClient.Run(ctx, choice.Backend.Address, &message)
 		if choice.Done(exchange.Result, time.Now()) {
 			d.g.logRateLimit(choice.Backend.ID, exchange.Result.RateLimit)
 		}
+		d.g.logAnnounced(choice, exchange.Answer)
 		d.results <- sendResult{choice, exchange}
 	}()
 	return nil
 }
 
+// balancerRequest returns the inputs for choosing a server.
+func (d *dispatcher) balancerRequest(now time.Time) upstream.Request {
+	return upstream.Request{
+		Service: d.req.service.Name, Key: d.req.key, Route: d.req.route, Organisation: d.req.organisation, Rank: d.req.rank, Tried: d.tried,
+		ObjectiveLeft: d.req.route.LatencyObjective - now.Sub(d.req.arrived), TimeLeft: d.req.deadline.Sub(now),
+		ColdRate: d.req.service.ColdRate, DaemonCount: d.g.daemonCount(),
+	}
+}
+
 const (
 	// maxIdleConns bounds the idle connections to one server.
 	maxIdleConns = 64
@@ -219,7 +227,7 @@
 // had free slots: its cache is warm for the request's object, and no other
 // server's is.
 func (d *dispatcher) handleShed(res sendResult) {
-	if res.exchange.Result.Outcome != upstream.Shed || res.choice.EstimatedRequests >= res.choice.Backend.Slots {
+	if res.exchange.Result.Outcome != upstream.Shed || res.exchange.Result.Signal.Pause > 0 || res.choice.EstimatedRequests >= res.choice.Backend.Slots {
 		return
 	}
 	if d.unexpectedSheds++; d.unexpectedSheds == 1 {
@@ -256,6 +264,10 @@
 )
 
 func (d *dispatcher) noRetryResponse(reason string) *localResponse {
+	now := time.Now()
+	if after, paused := d.g.balancer.AllPaused(d.balancerRequest(now), now); paused {
+		return d.failureResponse(reason, after)
+	}
 	if d.unexpectedSheds > 0 {
 		return d.failureResponse(reason, retryAfterShed)
 	}
--- a/gateway/runlog.go
+++ b/gateway/runlog.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"bilberrytiller.example/tiller/coordination/upstream"
+	"bilberrytiller.example/tiller/transport/upstreamhttp"
 )
 
 // logSend logs a send whose outcome is not a successful answer.
@@ -44,6 +45,22 @@
 	g.log.Info().Str("event", "backend.limited").Str("backend", backend).Float64("per_second", float64(*limit)).Send()
 }
 
+// logAnnounced logs and counts the start of a server's leaving or pause.
+// The first signal of a server that could not be read is logged.
+func (g *Gateway) logAnnounced(choice *upstream.Choice, answer *upstreamhttp.Answer) {
+	if choice.Announced.Leaving {
+		g.metrics.announced.Add("leaving", 1)
+		g.log.Info().Str("event", "backend.leaving").Str("backend", choice.Backend.ID).Send()
+	}
+	if choice.Announced.Paused {
+		g.metrics.announced.Add("pause", 1)
+		g.requestLog.newEvent("backend.paused", true).Str("backend", choice.Backend.ID).Dur("pause_ms", answer.Signal.Pause).Send()
+	}
+	if choice.Announced.Unreadable {
+		g.log.Warn().Str("event", "backend.signal_unreadable").Str("backend", choice.Backend.ID).Strs("headers", answer.UnreadableSignals).Send()
+	}
+}
+
 // addBackendFields adds the inputs of the latest server choice to a log line.
 func (d *dispatcher) addBackendFields(e *zerolog.Event) *zerolog.Event {
 	if d.refusal != nil {
--- a/transport/upstreamhttp/client.go
+++ b/transport/upstreamhttp/client.go
@@ -89,6 +89,10 @@
 		}
 		return Exchange{Result: upstream.Result{Outcome: outcome}, Err: fmt.Errorf("connect: %w", err)}
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		_ = cn.Close()
+		return Exchange{Result: upstream.Result{Outcome: upstream.Withdrawn, RoundTrip: roundTrip}, Err: ErrWithdrawn}
+	}
 	start := time.Now()
 	answer, keep, err := cn.exchange(ctx, c.names, r)
 	if keep {
@@ -105,7 +109,7 @@
 	}
 	return Exchange{Sent: true, Answer: answer, Result: upstream.Result{
 		Outcome: answer.outcome(), Load: answer.Load, Latency: time.Since(start), RoundTrip: roundTrip, ColdLeft: answer.ColdLeft,
-		RateLimit: answer.RateLimit,
+		RateLimit: answer.RateLimit, Signal: answer.Signal,
 	}}
 }
 
--- a/transport/upstreamhttp/client_test.go
+++ b/transport/upstreamhttp/client_test.go
@@ -18,6 +18,7 @@
 var testHeaders = HeaderNames{
 	AttemptID: "X-Id", DeadlineMs: "X-Left", AffinityKey: "X-Key", ExpectedServerID: "X-Expect", Signature: "X-Signed",
 	NotExecuted: "X-Not-Run", Load: "X-Load", ColdMs: "X-Cold", RateLimit: "X-Limit",
+	Leaving: "X-Leaving", Pause: "X-Pause",
 }
 
 // startScriptedServer starts a server and returns its address. Its n-th
--- a/transport/upstreamhttp/conn.go
+++ b/transport/upstreamhttp/conn.go
@@ -59,6 +59,8 @@
 	// rejected holds the IDs of the requests that the connection carried and that
 	// were not run. A second copy of such an answer may still arrive.
 	rejected []string
+	// carried is the number of requests that were sent on the connection.
+	carried int
 	// writeDone receives the result of a concurrent write of the request. It is
 	// nil if the request was written before the answer was read.
 	writeDone chan error
@@ -89,6 +91,7 @@
 func (c *conn) exchange(ctx context.Context, n HeaderNames, r *Request) (answer *Answer, keep bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
+	c.carried++
 	if err := c.send(n, r); err != nil {
 		return nil, false, err
 	}
@@ -100,6 +103,9 @@
 	if err != nil {
 		return nil, false, err
 	}
+	if c.isOwn(n, r, resp) {
+		answer.parseSignal(n)
+	}
 	if !c.requestWritten() || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return answer, false, nil
 	}
--- a/transport/upstreamhttp/message.go
+++ b/transport/upstreamhttp/message.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"bilberrytiller.example/tiller/coordination/availability"
 	"bilberrytiller.example/tiller/coordination/upstream"
 )
 
@@ -37,6 +38,11 @@
 	// RateLimit is the number of requests per second that the server accepts from
 	// all daemons together, as a decimal number.
 	RateLimit string
+	// Leaving is "1" in the answers of a server that leaves.
+	Leaving string
+	// Pause is the number of seconds for which a server that rejects a request accepts
+	// no others, as a decimal number.
+	Pause string
 }
 
 // Request is a request to a backend server.
@@ -56,6 +62,9 @@
 	Deadline time.Time
 	// MaxIdleConns limits the idle connections to the server.
 	MaxIdleConns int
+	// MaySend, unless it is nil, is asked once the connection is open. If it returns
+	// false, nothing is sent.
+	MaySend func() bool
 }
 
 // Answer is the complete answer of a backend server to a request.
@@ -75,9 +84,13 @@
 	ColdLeft time.Duration
 	// RateLimit is nil if the server named no limit.
 	RateLimit *upstream.RateLimit
+	// Signal is what the server announces about itself.
+	Signal availability.Signal
 	// UnreadableHeaders names the load, cold and limit headers that could not be
 	// parsed.
 	UnreadableHeaders []string
+	// UnreadableSignals names the headers of Signal that could not be parsed.
+	UnreadableSignals []string
 }
 
 // hopByHopHeaders apply to a single connection and must not be forwarded.
