--- a/coordination/upstream/set.go
+++ b/coordination/upstream/set.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"bilberrytiller.example/tiller/coordination/overload"
 	"bilberrytiller.example/tiller/state/routing"
 )
 
@@ -42,6 +43,16 @@
 	// coldPeriods is how long the servers of each service are cold after a
 	// start.
 	coldPeriods map[string]time.Duration
+	// competitions holds the state of the services whose ranks compete, and
+	// nearbyLoads the load of their servers by region.
+	competitions map[string]*competition
+	nearbyLoads  map[loadKey]*nearbyLoad
+	// bySharedID holds the servers by the ID that messages use. selectedLoads holds
+	// the loads for calls to the relay and for replies to other daemons.
+	bySharedID    map[uint32]*server
+	selectedLoads [2]loadSelection
+	// queue holds the requests that wait for room.
+	queue overload.Queue
 	// random returns a uniformly distributed number in [0, 1).
 	random func() float64
 }
@@ -58,6 +69,9 @@
 		roundTrips:     map[string]time.Duration{},
 		recentlyFailed: map[string]*server{},
 		coldPeriods:    map[string]time.Duration{},
+		bySharedID:     map[uint32]*server{},
+		nearbyLoads:    map[loadKey]*nearbyLoad{},
+		queue:          overload.Queue{Capacity: maxWaiters},
 		random:         rand.Float64,
 	}
 }
@@ -72,6 +86,13 @@
 	}
 }
 
+// ConfigureRanks sets which ranks compete for each service.
+func (b *Balancer) ConfigureRanks(c *routing.Configuration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.configureRanks(c)
+}
+
 // Put adds or updates a server from its entry. A new incarnation starts without
 // history.
 func (b *Balancer) Put(entry routing.Backend, now time.Time) {
@@ -177,6 +198,7 @@
 
 func (b *Balancer) addServer(srv *server) {
 	b.servers[srv.ID] = srv
+	b.bySharedID[srv.sharedID()] = srv
 	svc := b.services[srv.Service]
 	if svc == nil {
 		svc = &service{}
@@ -187,6 +209,7 @@
 
 func (b *Balancer) dropServer(srv *server) {
 	delete(b.servers, srv.ID)
+	delete(b.bySharedID, srv.sharedID())
 	delete(b.recentlyFailed, srv.ID)
 	svc := b.services[srv.Service]
 	for i, other := range svc.servers {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -26,6 +26,8 @@
 	sends *expvar.Map
 	// announced counts the starts of servers' leavings and pauses.
 	announced *expvar.Map
+	// refusals counts refused requests by reason and rank.
+	refusals *expvar.Map
 
 	mu      sync.Mutex
 	latency map[string]*hdrhistogram.Histogram
@@ -33,16 +35,27 @@
 
 func newMetrics(g *Gateway) *metrics {
 	m := &metrics{
-		root: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), sends: new(expvar.Map).Init(), announced: new(expvar.Map).Init(),
+		root: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), sends: new(expvar.Map).Init(),
+		refusals: new(expvar.Map).Init(), announced: new(expvar.Map).Init(),
 		latency: map[string]*hdrhistogram.Histogram{},
 	}
 	m.root.Set("requests", m.outcomes)
 	m.root.Set("sends", m.sends)
 	m.root.Set("backend_announcements", m.announced)
+	m.root.Set("refusals", m.refusals)
+	m.root.Set("waiting", expvar.Func(g.waitingByRank))
 	m.root.Set("requests_in_flight", expvar.Func(func() any { return g.inFlight.Count() }))
 	m.root.Set("connections_opened", expvar.Func(func() any { return g.upstreamClient.Dials.Load() }))
 	m.root.Set("connections_reused", expvar.Func(func() any { return g.upstreamClient.Reuses.Load() }))
+	m.root.Set("connections_to_servers", expvar.Func(func() any { return g.upstreamClient.OpenConns() }))
+	m.root.Set("memory", expvar.Func(func() any { return g.memory.Usage() }))
+	for _, name := range []string{"accept_errors", "connections_displaced", "connections_refused", "answers_unread"} {
+		m.root.Add(name, 0)
+	}
 	m.root.Set("latency_ms", expvar.Func(m.quantiles))
+	m.root.Add("directory_answers_large", 0)
+	m.root.Set("link_utilisation", expvar.Func(func() any { return g.directory.load.utilisation() }))
+	m.root.Set("store_era", expvar.Func(func() any { return g.storeEra() }))
 	m.root.Set("daemons", expvar.Func(func() any { return g.daemonCount() }))
 	return m
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -25,6 +25,14 @@
 	local  *localResponse
 }
 
+// bodyBytes returns the size of the server's answer.
+func (r result) bodyBytes() int {
+	if r.answer == nil {
+		return 0
+	}
+	return len(r.answer.Body)
+}
+
 // dispatcher sends one request to backend servers and decides about retries and
 // hedging.
 type dispatcher struct {
@@ -52,6 +60,8 @@
 	// by the balancer.
 	lastChoice *upstream.Choice
 	refusal    *upstream.Refusal
+	// waited is how long the request waited here for room at a server.
+	waited time.Duration
 }
 
 // sendResult is the result of one send to a backend server.
@@ -137,7 +147,7 @@
 	if !d.g.crashes.mayRun(d.req, now) {
 		return d.failureResponse(reasonCrashes, retryAfterCrashes)
 	}
-	choice, refusal := d.g.balancer.Choose(d.balancerRequest(now), now)
+	choice, refusal := d.choose(ctx)
 	if refusal != nil {
 		d.refusal = refusal
 		return d.failureResponse(string(refusal.Reason), refusal.RetryAfter)
@@ -161,15 +171,6 @@
 	return nil
 }
 
-// balancerRequest returns the inputs for choosing a server.
-func (d *dispatcher) balancerRequest(now time.Time) upstream.Request {
-	return upstream.Request{
-		Service: d.req.service.Name, Key: d.req.key, Route: d.req.route, Organisation: d.req.organisation, Rank: d.req.rank, Tried: d.tried,
-		ObjectiveLeft: d.req.route.LatencyObjective - now.Sub(d.req.arrived), TimeLeft: d.req.deadline.Sub(now),
-		ColdRate: d.req.service.ColdRate, DaemonCount: d.g.daemonCount(),
-	}
-}
-
 const (
 	// maxIdleConns bounds the idle connections to one server.
 	maxIdleConns = 64
@@ -265,7 +266,7 @@
 
 func (d *dispatcher) noRetryResponse(reason string) *localResponse {
 	now := time.Now()
-	if after, paused := d.g.balancer.AllPaused(d.balancerRequest(now), now); paused {
+	if after, paused := d.g.balancer.AllPaused(d.upstreamRequest(&wait{}), now); paused {
 		return d.failureResponse(reason, after)
 	}
 	if d.unexpectedSheds > 0 {
--- a/protocol/wire/objects.go
+++ b/protocol/wire/objects.go
@@ -18,6 +18,29 @@
 	// Failures are the failures of backend servers seen by the calling daemon
 	// and by the daemons that call it.
 	Failures []ServerFailures `cbor:"f,omitempty"`
+	// Loads are the latest loads of backend servers seen by the calling daemon and by
+	// the daemons that call it, as package feed encodes them.
+	Loads []byte `cbor:"l,omitempty"`
+	// Hosts asks a daemon of the same data centre for the statuses of its large entry
+	// hosts, and contains those that the calling daemon knows.
+	Hosts *HostExchange `cbor:"h,omitempty"`
+}
+
+// HostExchange contains the statuses of large entry hosts of a data centre.
+type HostExchange struct {
+	Hosts []HostStatus `cbor:"h,omitempty"`
+}
+
+// HostStatus is the status of an entry host.
+type HostStatus struct {
+	ID       string `cbor:"i"`
+	NotReady bool   `cbor:"n,omitempty"`
+	// LinkPercent is the part of the host's network link that is in use.
+	LinkPercent uint16 `cbor:"u,omitempty"`
+	// Stamp is the host's own time of day in nanoseconds since 1970.
+	Stamp int64 `cbor:"s"`
+	// AgeMs is the time since the host was in this state, in milliseconds.
+	AgeMs uint32 `cbor:"a,omitempty"`
 }
 
 // ServerFailures counts the failed answers among the latest answers of a
@@ -33,6 +56,10 @@
 type KindCall struct {
 	Kind     string `cbor:"k"`
 	Revision int64  `cbor:"r"`
+	// Era is the store's era of Revision. HasEra is set by daemons that know eras. The
+	// revision of another one is taken as one of the replying daemon's era.
+	Era    int64 `cbor:"e,omitempty"`
+	HasEra bool  `cbor:"h,omitempty"`
 	// HasRevision says that the calling daemon knows the kind up to Revision.
 	HasRevision bool `cbor:"n,omitempty"`
 	// Age is the time since the calling daemon's copy was last confirmed to match
@@ -46,6 +73,10 @@
 	// Failures are the failures of backend servers seen by all daemons of the
 	// region.
 	Failures []ServerFailures `cbor:"f,omitempty"`
+	// Loads are the latest loads of backend servers seen by the daemons of the region.
+	Loads []byte `cbor:"l,omitempty"`
+	// Hosts replies to the call's Hosts.
+	Hosts *HostExchange `cbor:"h,omitempty"`
 }
 
 // KindReply contains the changes of a kind.
@@ -59,6 +90,9 @@
 	Objects  []objects.Object `cbor:"o,omitempty"`
 	Events   []objects.Event  `cbor:"e,omitempty"`
 	Revision int64            `cbor:"r"`
+	// Era is the store's era of Revision. If it is lower than that of the call, the
+	// replying daemon has nothing to tell.
+	Era int64 `cbor:"j,omitempty"`
 	// Age is the time since the copy was last confirmed to match the store.
 	Age time.Duration `cbor:"a"`
 	// Unconfirmed says that the replying daemon has no relay, and that its last
