Have stand-in servers announce their leaving and ask for pauses

Change: originserver sends Server-Leaving and rejects with Retry-After, and records arrivals.

The store down, a gateway cut off, a restart at the same address and the soak are not played yet.

--- a/standin/originserver/server.go
+++ b/standin/originserver/server.go
@@ -25,6 +25,8 @@
 	loadHeader      = "X-Bilberrytiller-Server-Load"
 	instanceHeader  = "X-Bilberrytiller-Instance-Id"
 	rateLimitHeader = "Server-Limit"
+	leavingHeader   = "Server-Leaving"
+	pauseHeader     = "Retry-After"
 )
 
 // warmSpeedup is how many times faster a request for a warm object is.
@@ -91,6 +93,12 @@
 	waiting   int
 	rateLimit float64
 	endless   float64
+	// leaving is set while the server announces that it leaves. Until pausedUntil it
+	// rejects all requests and asks for a pause.
+	leaving     bool
+	pausedUntil time.Time
+	// arrivals holds when requests arrived, those that were rejected included.
+	arrivals  []time.Time
 	warmKeys  map[string]bool
 	freeSlots chan struct{}
 }
@@ -112,6 +120,46 @@
 	s.rateLimit = perSecond
 }
 
+// SetLeaving sets whether the server announces in its answers that it leaves. It serves
+// requests all the same.
+func (s *Server) SetLeaving(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = on
+}
+
+// Pause makes the server reject all requests for a time and ask for a pause of the rest
+// of it.
+func (s *Server) Pause(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pausedUntil = time.Now().Add(d)
+}
+
+// Arrivals returns when requests arrived, those that were rejected included.
+func (s *Server) Arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrivals)
+}
+
+// announce records the arrival of a request and sets the headers of what the server
+// announces. It returns false if the server pauses.
+func (s *Server) announce(h http.Header) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.arrivals = append(s.arrivals, now)
+	if s.leaving {
+		h.Set(leavingHeader, "1")
+	}
+	if !now.Before(s.pausedUntil) {
+		return true
+	}
+	h.Set(pauseHeader, strconv.FormatFloat(s.pausedUntil.Sub(now).Seconds(), 'f', 3, 64))
+	return false
+}
+
 // SetEndlessRate sets Options.EndlessRate.
 func (s *Server) SetEndlessRate(rate float64) {
 	s.mu.Lock()
@@ -130,7 +178,8 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if !s.acquireSlot(r) {
+	if !s.announce(w.Header()) || !s.acquireSlot(r) {
+		w.Header().Set(attemptHeader, r.Header.Get(attemptHeader))
 		w.Header().Set(notRunHeader, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -164,6 +164,9 @@
 	return kb >> 10, nil
 }
 
+// Origin returns a backend server.
+func (c *Cluster) Origin(id string) *originserver.Server { return c.origins[id].server }
+
 // SetRateLimit sets the limit that a backend server names.
 func (c *Cluster) SetRateLimit(id string, perSecond float64) {
 	c.origins[id].server.SetRateLimit(perSecond)
