Keep an announcement that comes after its entry went and came back

Cause: a request's choice held the state of the entry that it was chosen by. If that entry went and came back before the answer, the announcement was recorded for the old copy only, and a request that waited was checked against it.

Change: the state is looked up by incarnation. The model of the balancer draws announcements, and checks choices and waiting requests against them.

Seen red: TestLateAnnouncementIsKept without the look-up; the model TestExcludedServersAreNeverChosen with leavings ignored, with pauses ignored, and with announcements forgotten when an entry goes.

--- a/coordination/upstream/announced.go
+++ b/coordination/upstream/announced.go
@@ -52,7 +52,7 @@
 	if r.Outcome == Misdirected {
 		return
 	}
-	state := c.server.availability
+	state := c.availability()
 	c.Announced = state.Record(r.Signal, c.balancer.random(), now)
 	if r.Outcome == Answered || r.Outcome == Failed {
 		state.Answered(c.chosenAt, now)
@@ -62,6 +62,20 @@
 	}
 }
 
+// availability returns that of the chosen incarnation, whose entry may have gone, or have
+// gone and come back, since the choice.
+func (c *Choice) availability() *availability.State {
+	current := c.balancer.servers[c.server.ID]
+	switch {
+	case current == c.server:
+	case current != nil && current.Incarnation() == c.server.Incarnation():
+		c.server.availability = current.availability
+	default:
+		c.balancer.announcements.restore(c.server)
+	}
+	return c.server.availability
+}
+
 // MaySend reports whether the request may still be sent to the chosen server. It is
 // asked again when the request has waited since it was chosen, such as for a connection.
 func (c *Choice) MaySend() bool { return c.maySendAt(time.Now()) }
@@ -69,7 +83,7 @@
 func (c *Choice) maySendAt(now time.Time) bool {
 	c.balancer.mu.Lock()
 	defer c.balancer.mu.Unlock()
-	return c.server.availability.MaySend(now)
+	return c.availability().MaySend(now)
 }
 
 // available reports whether a server that the request may go to may get it now.
--- a/coordination/upstream/announced_test.go
+++ b/coordination/upstream/announced_test.go
@@ -62,15 +62,20 @@
 }
 
 // TestLateAnnouncementIsKept guards against an answer that is lost on the balancer since
-// the entry of its server has gone in the meantime.
+// the entry of its server has gone in the meantime, or has gone and come back.
 func TestLateAnnouncementIsKept(t *testing.T) {
-	b := newTestBalancer("n1")
-	choice := mustChoose(t, b, newRequest("7"), start)
-	b.Remove(choice.Backend.ID, start)
-	choice.Done(leaves, start)
-	b.Put(choice.Backend, start)
-	if homeOf(t, b, "7", start).ID == choice.Backend.ID {
-		t.Error("a server was chosen that had announced its leaving")
+	for _, comesBack := range []bool{false, true} {
+		b := newTestBalancer("n1")
+		choice, waiting := mustChoose(t, b, newRequest("7"), start), mustChoose(t, b, newRequest("7"), start)
+		b.Remove(choice.Backend.ID, start)
+		if comesBack {
+			b.Put(choice.Backend, start)
+		}
+		choice.Done(leaves, start)
+		b.Put(choice.Backend, start)
+		if homeOf(t, b, "7", start).ID == choice.Backend.ID || waiting.maySendAt(start) {
+			t.Errorf("entry back before the answer %t: a server may get requests that had announced its leaving", comesBack)
+		}
 	}
 }
 
--- a/coordination/upstream/machine_test.go
+++ b/coordination/upstream/machine_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"bilberrytiller.example/tiller/coordination/availability"
 	"bilberrytiller.example/tiller/state/routing"
 )
 
@@ -30,6 +31,10 @@
 	evacuated map[string]bool
 	// misdirected are the incarnations whose address belongs to another server.
 	misdirected map[routing.Incarnation]bool
+	// leaving are the incarnations that announced that they leave, and pausedUntil when
+	// the pauses end that incarnations asked for.
+	leaving     map[routing.Incarnation]bool
+	pausedUntil map[routing.Incarnation]time.Time
 	open        []*Choice
 	// cold holds the times of requests to each server while it was cold.
 	cold map[string][]time.Time
@@ -39,6 +44,7 @@
 	m := &model{
 		balancer: NewBalancer(Locality{Zone: "n1", Region: "north"}, regions), now: start, entries: map[string]routing.Backend{},
 		evacuated: map[string]bool{}, misdirected: map[routing.Incarnation]bool{}, cold: map[string][]time.Time{},
+		leaving: map[routing.Incarnation]bool{}, pausedUntil: map[routing.Incarnation]time.Time{},
 	}
 	m.balancer.random = func() float64 { return 0 }
 	m.balancer.Configure(map[string]routing.Service{"stock": {ColdPeriod: 3 * time.Second, ColdRate: coldRate}})
@@ -105,6 +111,8 @@
 		t.Fatalf("chose %v, which was removed or replaced", c.Backend.Incarnation())
 	case entry.Draining || m.evacuated[entry.Zone] || m.misdirected[entry.Incarnation()]:
 		t.Fatalf("chose %+v, which is draining, evacuated or misdirected", entry)
+	case m.leaving[entry.Incarnation()] || m.now.Before(m.pausedUntil[entry.Incarnation()]) || !c.maySendAt(m.now):
+		t.Fatalf("chose %v, which announced that it leaves or asked for a pause", entry.Incarnation())
 	case !r.Route.AllowsRegion(regions[entry.Zone]):
 		t.Fatalf("chose zone %s, which the route does not allow", entry.Zone)
 	}
@@ -147,12 +155,33 @@
 		m.misdirected[c.Backend.Incarnation()] = true
 	}
 	latency := time.Duration(rapid.IntRange(1, 500).Draw(t, "latency")) * time.Millisecond
-	c.Done(Result{Outcome: outcome, Latency: latency, Load: &Load{Running: rapid.IntRange(0, 4).Draw(t, "running"), Slots: 4}}, m.now)
+	signal := m.drawSignal(t, c.Backend.Incarnation(), outcome)
+	c.Done(Result{Outcome: outcome, Latency: latency, Load: &Load{Running: rapid.IntRange(0, 4).Draw(t, "running"), Slots: 4}, Signal: signal}, m.now)
+	for _, waiting := range m.open {
+		if i := waiting.Backend.Incarnation(); waiting.maySendAt(m.now) && (m.leaving[i] || m.now.Before(m.pausedUntil[i])) {
+			t.Fatalf("a request that waits may be sent to %v after its announcement", i)
+		}
+	}
 	if c.server.inflight < 0 {
 		t.Fatalf("%d requests in flight at %s, want 0 or more", c.server.inflight, c.Backend.ID)
 	}
 }
 
+// drawSignal returns what an answer announces, and records it.
+func (m *model) drawSignal(t *rapid.T, i routing.Incarnation, outcome Outcome) (signal availability.Signal) {
+	kind := rapid.IntRange(0, 9).Draw(t, "signal")
+	switch {
+	case kind == 0 && (outcome == Answered || outcome == Failed || outcome == Shed):
+		signal.Leaving, m.leaving[i] = true, true
+	case kind <= 2 && outcome == Shed:
+		signal.Pause = time.Duration(rapid.IntRange(1, 3000).Draw(t, "paused")) * time.Millisecond
+		if until := m.now.Add(signal.Pause); until.After(m.pausedUntil[i]) {
+			m.pausedUntil[i] = until
+		}
+	}
+	return signal
+}
+
 func (m *model) advance(t *rapid.T) {
 	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "pause")) * time.Millisecond)
 }
