Restart a leaving server at its address in the process test

Change: the servers of TestGatewaysObeyAnnouncements that left come back as new incarnations at the same address, and must be used again.

Seen red with the announcements of one incarnation given to the next: the wait for requests had not ended when the run was cut off after 50 s.

--- a/standin/soak/announced_test.go
+++ b/standin/soak/announced_test.go
@@ -9,8 +9,9 @@
 )
 
 // TestGatewaysObeyAnnouncements has servers under load announce in their answers that they
-// leave, while their entries stay ready, and ask for a pause.
-// It counts what arrives at them after the gateways must know.
+// leave, while their entries stay ready, and ask for a pause. It counts what arrives at
+// them after the gateways must know. Servers that left are used again after a restart at
+// the same address, and the others after their pause.
 func TestGatewaysObeyAnnouncements(t *testing.T) {
 	const (
 		gateways, clients = 2, 8
@@ -59,6 +60,19 @@
 		return true
 	})
 	ended := time.Now()
+	restarted := map[string]int{}
+	for _, id := range ids["-leaving"] {
+		restarted[id] = len(cluster.Origin(id).Arrivals())
+		must(t, cluster.RestartServer(id))
+	}
+	waitFor(t, func() bool {
+		for id, n := range restarted {
+			if len(cluster.Origin(id).Arrivals()) < n+20 {
+				return false
+			}
+		}
+		return true
+	})
 	close(stop)
 	answered := 0
 	for range clients {
--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -184,6 +184,16 @@
 	return c.Store.Put("servers", id, entry)
 }
 
+// RestartServer registers a new incarnation of a backend server, which has the address of
+// the one before.
+func (c *Cluster) RestartServer(id string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	entry := c.origins[id].entry
+	entry["born"] = time.Now().UnixMilli()
+	return c.Store.Put("servers", id, entry)
+}
+
 // VersionPath returns the path of the route that only the given version of the
 // configuration has.
 func VersionPath(version int) string { return fmt.Sprintf("/only-%d/", version) }
