--- a/gateway/announced_test.go
+++ b/gateway/announced_test.go
@@ -151,7 +151,7 @@
 			rt := route(false)
 			req.route = &rt
 			req.message = upstreamhttp.Request{Method: http.MethodGet, Target: "/x", Host: "h", ID: "a1", Deadline: req.deadline, Header: http.Header{"X-Id": {"a1"}}}
-			d := &dispatcher{g: f.Gateway, req: req}
+			d := newDispatcher(f.Gateway, req)
 			res := d.serve(ctx)
 			if res.answer == nil || string(res.answer.Body) != "done" || first.received.Load() != 0 || second.received.Load() != 1 {
 				t.Errorf("got %+v, %d requests at the first server, want the second server's answer and none", res.local, first.received.Load())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,7 @@
 	directory      *directory
 	peerClient     *peer.Client
 	peerServer     *peer.Server
+	quotas         *quotaKeeper
 
 	memory     *memory.Budget
 	connLimits connlimit.Limits
@@ -110,6 +111,8 @@
 	g.metrics = newMetrics(g)
 	g.metrics.root.Add("log_lines_left_out", 0)
 	g.requestLog = newRequestLogger(g.log, func() { g.metrics.root.Add("log_lines_left_out", 1) })
+	g.quotas = newQuotaKeeper(self, settings.QuotaBounds, g.quotaOf, g.peerClient, g.requestLog)
+	g.quotas.serve(g.peerServer)
 	g.setUpLimits(&settings)
 	g.clients = newClientServer(http.HandlerFunc(g.serveClient), g)
 	return g, nil
@@ -137,6 +140,8 @@
 	if err != nil {
 		return err
 	}
+	// The addresses are in use until an earlier process has ended.
+	g.quotas.ledger.EarlierProcessEnded(time.Now())
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	limitRuntimeMemory(g.settings.Load().MemoryBytes)
@@ -152,6 +157,7 @@
 	group.Go(func() error { g.backends.runExpiry(background); return nil })
 	group.Go(func() error { g.measureRoundTrips(background); return nil })
 	group.Go(func() error { g.measureHostLoad(background); return nil })
+	group.Go(func() error { g.quotas.run(background); return nil })
 	g.log.Info().Str("event", "gateway.start").Str("incarnation", g.self.Incarnation).
 		Str("client", g.self.ClientAddress).Str("zone", g.self.Zone).Send()
 	g.logLimits()
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -5,6 +5,8 @@
 
 	"bilberrytiller.example/tiller/coordination/budget"
 	"bilberrytiller.example/tiller/coordination/poison"
+	"bilberrytiller.example/tiller/coordination/quota"
+	"bilberrytiller.example/tiller/coordination/relay"
 	"bilberrytiller.example/tiller/coordination/upstream"
 	"bilberrytiller.example/tiller/transport/upstreamhttp"
 )
@@ -38,6 +40,8 @@
 	MaxDenialAge time.Duration
 	// RetryLimits bound the retries of the whole fleet.
 	RetryLimits budget.Limits
+	// QuotaBounds say how exactly quotas are kept. Without a window, there are none.
+	QuotaBounds quota.Bounds
 }
 
 // Headers are the names of the headers that the gateway reads and writes.
@@ -63,3 +67,8 @@
 	// they are attributed to.
 	Crashes []poison.Crash
 }
+
+// Relay returns the daemon as a relay and as a parent for quotas.
+func (m Member) Relay() relay.Member {
+	return relay.Member{ID: m.ID, Zone: m.Zone, Region: m.Region, Address: m.PeerAddress, Capacity: m.Capacity}
+}
