--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,6 +24,8 @@
 	outcomes *expvar.Map
 	// sends counts sends to backend servers by outcome.
 	sends *expvar.Map
+	// announced counts the starts of servers' leavings and pauses.
+	announced *expvar.Map
 	// refusals counts refused requests by reason and rank.
 	refusals *expvar.Map
 
@@ -34,11 +36,12 @@
 func newMetrics(g *Gateway) *metrics {
 	m := &metrics{
 		root: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), sends: new(expvar.Map).Init(),
-		refusals: new(expvar.Map).Init(),
-		latency:  map[string]*hdrhistogram.Histogram{},
+		refusals: new(expvar.Map).Init(), announced: new(expvar.Map).Init(),
+		latency: map[string]*hdrhistogram.Histogram{},
 	}
 	m.root.Set("requests", m.outcomes)
 	m.root.Set("sends", m.sends)
+	m.root.Set("backend_announcements", m.announced)
 	m.root.Set("refusals", m.refusals)
 	m.root.Set("waiting", expvar.Func(g.waitingByRank))
 	m.root.Set("requests_in_flight", expvar.Func(func() any { return g.inFlight.Count() }))
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -49,7 +49,8 @@
 	// estimated to have free slots.
 	unexpectedSheds int
 	// sends counts the sends that may have reached a server, failedConnects those
-	// for which no connection could be opened.
+	// that did not begin, since no connection could be opened or the server was not to
+	// be used any more.
 	sends, failedConnects int
 	// pending counts the sends that have no result yet.
 	pending int
@@ -181,6 +182,7 @@
 	d.pending++
 	message := d.req.message
 	message.ServerID = choice.Backend.ID
+	message.MaySend = choice.MaySend
 	message.MaxIdleConns = idleConnLimit(d.req.service, d.g.daemonCount())
 	last := len(d.units) - 1
 	unit := d.units[last]
@@ -190,6 +192,7 @@
 		if choice.Done(exchange.Result, time.Now()) {
 			d.g.logRateLimit(choice.Backend.ID, exchange.Result.RateLimit)
 		}
+		d.g.logAnnounced(choice, exchange.Answer)
 		d.results <- sendResult{choice, exchange, unit}
 	}()
 	return nil
@@ -254,7 +257,7 @@
 // had free slots: its cache is warm for the request's object, and no other
 // server's is.
 func (d *dispatcher) handleShed(res sendResult) {
-	if res.exchange.Result.Outcome != upstream.Shed || res.choice.EstimatedRequests >= res.choice.Backend.Slots {
+	if res.exchange.Result.Outcome != upstream.Shed || res.exchange.Result.Signal.Pause > 0 || res.choice.EstimatedRequests >= res.choice.Backend.Slots {
 		return
 	}
 	if d.unexpectedSheds++; d.unexpectedSheds == 1 {
@@ -291,6 +294,10 @@
 )
 
 func (d *dispatcher) noRetryResponse(reason string) *localResponse {
+	now := time.Now()
+	if after, paused := d.g.balancer.AllPaused(d.upstreamRequest(&wait{}), now); paused {
+		return d.failureResponse(reason, after)
+	}
 	if d.unexpectedSheds > 0 {
 		return d.failureResponse(reason, retryAfterShed)
 	}
