--- a/gateway/body.go
+++ b/gateway/body.go
@@ -138,18 +138,22 @@
 }
 
 // holdHeader counts the memory of a header with many fields, each of which takes more than
-// its bytes. The error is memory.ErrShortage. The holder is nil for a usual header.
-func (g *Gateway) holdHeader(h http.Header) (*memory.Holder, error) {
+// its bytes, until release is called. It returns the response that refuses the request if
+// there is none.
+func (g *Gateway) holdHeader(h http.Header) (release func(), resp *localResponse) {
 	fields := 0
 	for _, values := range h {
 		fields += len(values)
 	}
 	if fields <= freeHeaderFields {
-		return nil, nil
+		return func() {}, nil
 	}
 	now := time.Now()
 	holder := g.memory.Hold(now, nil)
-	return holder, holder.Grow(int64(fields-freeHeaderFields)*headerFieldBytes, now)
+	if err := holder.Grow(int64(fields-freeHeaderFields)*headerFieldBytes, now); err != nil {
+		return holder.Release, shortageResponse()
+	}
+	return holder.Release, nil
 }
 
 // limitUnreadBody bounds how long the server reads the rest of a refused request's body.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -65,23 +65,30 @@
 		// The client has got no answer, and its request is not passed on.
 		panic(http.ErrAbortHandler)
 	}
-	header, err := g.holdHeader(r.Header)
-	if header != nil {
-		defer header.Release()
-	}
+	releaseHeader, resp := g.holdHeader(r.Header)
+	defer releaseHeader()
 	var req *clientRequest
-	resp := shortageResponse()
-	if err == nil {
+	if resp == nil {
 		req, resp = g.parseRequest(w, r)
 	}
 	if resp != nil {
-		limitUnreadBody(w, r)
-		httpstop.AllowWrite(r.Context(), writeTimeout)
-		g.writeLocalResponse(w, resp)
-		g.logRefusal(r, resp, time.Since(arrived))
+		g.refuse(w, r, resp, time.Since(arrived))
 		return
 	}
 	defer req.body.release()
+	g.forward(w, r, req)
+}
+
+// refuse answers a request that is not passed on.
+func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, resp *localResponse, latency time.Duration) {
+	limitUnreadBody(w, r)
+	httpstop.AllowWrite(r.Context(), writeTimeout)
+	g.writeLocalResponse(w, resp)
+	g.logRefusal(r, resp, latency)
+}
+
+// forward sends a request to backend servers and answers it.
+func (g *Gateway) forward(w http.ResponseWriter, r *http.Request, req *clientRequest) {
 	d := newDispatcher(g, req)
 	result := d.serve(r.Context())
 	g.directory.load.add(req.body.size() + result.bodyBytes())
@@ -96,56 +103,82 @@
 	g.logResult(req, d, result)
 }
 
-// parseRequest reads a request and matches it to a route, or returns the
-// response that refuses it.
-func (g *Gateway) parseRequest(w http.ResponseWriter, r *http.Request) (*clientRequest, *localResponse) {
-	arrived := time.Now()
+// destination is where a request goes by the configuration in force, and whose it is.
+type destination struct {
+	configuration *routing.Configuration
+	route         *routing.Route
+	organisation  *routing.Organisation
+}
+
+// match returns the destination of a request, or the response that refuses it. It removes
+// the key of the request's organisation from the header.
+func (g *Gateway) match(r *http.Request) (destination, *localResponse) {
 	c := g.configuration.Load()
 	if c == nil {
-		return nil, &localResponse{status: http.StatusServiceUnavailable, reason: "no_configuration", retryAfter: noConfigurationRetryAfter}
+		return destination{}, &localResponse{status: http.StatusServiceUnavailable, reason: "no_configuration", retryAfter: noConfigurationRetryAfter}
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route, ok := c.Match(r.Host, path)
 	if !ok {
-		return nil, g.denial(http.StatusNotFound, "no_route", c)
+		return destination{}, g.denial(http.StatusNotFound, "no_route", c)
 	}
 	organisation, resp := g.authenticate(r.Header, c, route)
+	return destination{c, route, organisation}, resp
+}
+
+// parseRequest reads a request and matches it to a route, or returns the
+// response that refuses it.
+func (g *Gateway) parseRequest(w http.ResponseWriter, r *http.Request) (*clientRequest, *localResponse) {
+	arrived := time.Now()
+	to, resp := g.match(r)
 	if resp != nil {
 		return nil, resp
 	}
 	budget := g.clientBudget(r)
-	deadline := requestDeadline(budget, route, arrived)
+	deadline := requestDeadline(budget, to.route, arrived)
 	if plan := g.stopPlan.Load(); plan != nil && !plan.Admits(arrived, deadline) {
 		return nil, &localResponse{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: stoppingRetryAfter}
 	}
-	unit, resp := g.quotas.admit(r.Context(), organisation, quotaWaitFor(route, deadline, time.Now()))
+	unit, resp := g.quotas.admit(r.Context(), to.organisation, quotaWaitFor(to.route, deadline, time.Now()))
 	if resp != nil {
 		return nil, resp
 	}
-	body, err := g.readBody(w, r, c.Limits.BodyBytes, deadline)
+	body, err := g.readBody(w, r, to.configuration.Limits.BodyBytes, deadline)
 	if err != nil {
-		g.quotas.release(organisation, unit)
+		g.quotas.release(to.organisation, unit)
 		body.release()
 		return nil, bodyErrorResponse(err)
 	}
-	id := r.Header.Get(g.headers.AttemptID)
-	service := route.PickService(affinity.Fraction(affinity.Hash("split", id)))
 	req := &clientRequest{
-		id: id, route: route, organisation: organisation, unit: unit, rank: route.Rank(organisation), service: c.Services[service], version: c.Version, arrived: arrived,
-		deadline: deadline, body: body, clientDeadline: arrived.Add(budget), returning: g.timeBudgets.returning(route.Name, budget, arrived),
+		id: r.Header.Get(g.headers.AttemptID), route: to.route, organisation: to.organisation, unit: unit, rank: to.route.Rank(to.organisation),
+		version: to.configuration.Version, body: body, arrived: arrived, deadline: deadline,
+		clientDeadline: arrived.Add(budget), returning: g.timeBudgets.returning(to.route.Name, budget, arrived),
 	}
-	req.service.Name = service
-	if route.SessionAffinity {
+	req.chooseService(to.configuration)
+	if to.route.SessionAffinity {
 		req.key = r.Header.Get(g.headers.AffinityKey)
 	}
+	req.message = g.newMessage(r, req)
+	return req, nil
+}
+
+// chooseService chooses the service by the weights of the route's traffic split.
+func (r *clientRequest) chooseService(c *routing.Configuration) {
+	name := r.route.PickService(affinity.Fraction(affinity.Hash("split", r.id)))
+	r.service = c.Services[name]
+	r.service.Name = name
+}
+
+// newMessage returns the request as it is sent to a backend server.
+func (g *Gateway) newMessage(r *http.Request, req *clientRequest) upstreamhttp.Request {
 	upstreamhttp.RemoveHopHeaders(r.Header)
-	req.message = upstreamhttp.Request{
-		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body.pieces, ID: id, Deadline: req.deadline,
+	message := upstreamhttp.Request{
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: req.body.pieces, ID: req.id, Deadline: req.deadline,
 	}
-	if organisation != nil {
-		req.message.Organisation = organisation.Name
+	if req.organisation != nil {
+		message.Organisation = req.organisation.Name
 	}
-	return req, nil
+	return message
 }
 
 // clientBudget returns how long the client waits for its answer.
