--- a/cli/tillerctl/trace_test.go
+++ b/cli/tillerctl/trace_test.go
@@ -1,6 +1,9 @@
 package tillerctl
 
 import (
+	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 )
@@ -32,3 +35,39 @@
 		t.Errorf("got cause %q of a request without a final line", cause)
 	}
 }
+
+// reasonPatterns match where the gateway and the choice of a server name the reason of a
+// request's end.
+var reasonPatterns = regexp.MustCompile(`reason: "(\w+)"|reason\w* *= "(\w+)"|Reason\w* +Reason = "(\w+)"|noRetryResponse\("(\w+)"\)|denial\([^"]*"(\w+)"`)
+
+// TestEveryReasonHasCause guards against reasons in the log that trace cannot explain.
+func TestEveryReasonHasCause(t *testing.T) {
+	// These say why a server was chosen.
+	chosen := map[string]bool{"room": true, "queue": true, "rank": true}
+	found := 0
+	for _, pattern := range []string{"../../gateway/*.go", "../../coordination/upstream/*.go", "../../coordination/overload/*.go"} {
+		files, err := filepath.Glob(pattern)
+		if err != nil || len(files) == 0 {
+			t.Fatalf("%s: got %d files and error %v", pattern, len(files), err)
+		}
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, match := range reasonPatterns.FindAllStringSubmatch(string(text), -1) {
+				reason := strings.Join(match[1:], "")
+				found++
+				if causes[reason] == "" && !chosen[reason] {
+					t.Errorf("%s: reason %q has no cause", file, reason)
+				}
+			}
+		}
+	}
+	if found < 20 {
+		t.Errorf("found %d reasons, want 20 or more", found)
+	}
+}
