Count 1 KB for each of many header fields

At 256 B a field, 27 requests with 3,000 fields each were served at once, and each held more than was counted.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -24,9 +24,10 @@
 	// memoryRetryAfter is the Retry-After of requests for which there is no memory.
 	memoryRetryAfter = 250 * time.Millisecond
 	// freeHeaderFields is the number of header fields whose memory is that of the connection,
-	// and headerFieldBytes the memory of each further one besides its text.
+	// and headerFieldBytes what is counted for each further one: the parsed field, its copies
+	// for a server, and garbage that is not collected yet.
 	freeHeaderFields = 64
-	headerFieldBytes = 256
+	headerFieldBytes = 1 << 10
 )
 
 // body is the body of a request, in pieces.
