Leave other hosts their shares when the first one is written

Cause: an equal share counted only hosts with an entry, so the first daemon that wrote the shares of a group took all parts. It gives them up when it learns of the others' entries, and these learn of that by facts between peers. In TestRateLimitHoldsDuringPartition host-3 had written first; the regions were disconnected before it had learned of the others. It kept all parts until its renewal after 10 minutes, and the hosts that reach the server had none. A host that is killed at that time would keep all parts for two hours.

Ruled out: loans and rounds of borrowing (the lender was disconnected; a request waits at most 300 ms for a round), the wait after a restart (no host had restarted), the platform being down (it was not).

Change: for a minute from a daemon's first plan of a group, its live members, and listed hosts that have not been heard from, count as owners. A daemon that knows no other member owns nothing in the first 2 s after its start.

Changed tests: "own" of TestSumStaysUnderTheLimit draws the expected hosts too.

--- a/coordination/limit/limit_test.go
+++ b/coordination/limit/limit_test.go
@@ -79,15 +79,23 @@
 	n.quota = NewQuota(f.policy)
 }
 
+func (f *fleet) ids() []string {
+	var out []string
+	for _, n := range f.nodes {
+		out = append(out, n.id)
+	}
+	return out
+}
+
 func (n *node) incarnation() string { return fmt.Sprintf("%s/%d", n.id, n.generation) }
 
 // updateOwnership runs one round of a daemon's periodic ownership update. If
 // loseAnswer is set, the daemon does not learn that its write succeeded.
-func (f *fleet) updateOwnership(n *node, loseAnswer bool) {
+func (f *fleet) updateOwnership(n *node, loseAnswer bool, expected ...string) {
 	if !f.platformDown {
 		n.ownership.Update(f.version, f.stored, f.now)
 	}
-	changed := n.ownership.Plan(f.now)
+	changed := n.ownership.Plan(expected, f.now)
 	n.ownership.Apply(n.quota, f.limit)
 	if planned, version := n.ownership.Planned(); changed && !f.platformDown && version == f.version && n.quota.Covered(f.now) {
 		f.version++
@@ -246,7 +254,10 @@
 			}
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"own":  alive(func(n *node) { f.updateOwnership(n, rapid.IntRange(0, 4).Draw(t, "lost") == 0) }),
+			"own": alive(func(n *node) {
+				expected := rapid.SliceOfDistinct(rapid.SampledFrom(f.ids()), rapid.ID[string]).Draw(t, "expected")
+				f.updateOwnership(n, rapid.IntRange(0, 4).Draw(t, "lost") == 0, expected...)
+			}),
 			"take": alive(func(n *node) { f.take(n) }),
 			"take all": alive(func(n *node) {
 				for f.take(n) {
@@ -350,7 +361,7 @@
 func TestOwnershipEndsBeforeOthersTakeIt(t *testing.T) {
 	now := time.Unix(1000, 0)
 	o := NewOwnership("h", "h/1")
-	o.Plan(now)
+	o.Plan(nil, now)
 	shares, _ := o.Planned()
 	o.Update(1, shares, now)
 	quota := NewQuota(UsePolicy{MaxDuration: time.Second})
@@ -359,8 +370,8 @@
 	if !quota.Acquire(last, 1, last.Add(time.Second)) || quota.Acquire(last.Add(time.Second), 1, last.Add(2*time.Second)) {
 		t.Error("ownership does not end MaxClockSkew before the end of its lease")
 	}
-	early, _ := shares.Plan("other", "other/1", now.Add(LeaseDuration+MaxClockSkew))
-	late, _ := shares.Plan("other", "other/1", now.Add(LeaseDuration+MaxClockSkew+time.Second))
+	early, _ := shares.Plan("other", "other/1", nil, now.Add(LeaseDuration+MaxClockSkew))
+	late, _ := shares.Plan("other", "other/1", nil, now.Add(LeaseDuration+MaxClockSkew+time.Second))
 	if got, want := early.Owners["other"].Parts(), 0; got != want {
 		t.Errorf("another host took %d parts before the lease had ended on every clock", got)
 	}
@@ -369,6 +380,26 @@
 	}
 }
 
+// A host that is killed or cut off right after it was the first to own parts must not
+// have taken those of the others, which they could have back only when its lease ends.
+func TestFirstOwnerLeavesExpectedHostsTheirShares(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := newFleet(3, 30, UsePolicy{MaxDuration: time.Second})
+	for _, n := range f.nodes {
+		f.updateOwnership(n, false, f.ids()...)
+		f.platformDown = n == f.nodes[1]
+	}
+	for i, want := range []int{10, 10, 0} {
+		if got := Units(f.stored.Owners[f.nodes[i].id].Spans, f.limit); got != want {
+			t.Errorf("%s owns %d of 30 units, want %d", f.nodes[i].id, got, want)
+		}
+	}
+	all := Shares{Owners: map[string]Owner{"h0": {Incarnation: "h0/1", Spans: []Span{{0, TotalParts}}, ExpiresMs: now.Add(LeaseDuration).UnixMilli()}}}
+	if next, changed := all.Plan("h0", "h0/1", f.ids(), now); !changed || next.Owners["h0"].Parts() != TotalParts/3 {
+		t.Errorf("the owner of all parts keeps %d of %d beside two hosts without an entry", next.Owners["h0"].Parts(), TotalParts)
+	}
+}
+
 func TestReturnedUnitsAreNotUsed(t *testing.T) {
 	now := time.Unix(1000, 0)
 	quota := NewQuota(UsePolicy{MaxDuration: time.Second})
--- a/coordination/limit/ownership.go
+++ b/coordination/limit/ownership.go
@@ -50,12 +50,13 @@
 }
 
 // Plan computes the shares that the daemon wants, stops using the units that
-// it gives up, and reports whether the shares must be written to the platform.
-func (o *Ownership) Plan(now time.Time) bool {
+// it gives up, and reports whether the shares must be written to the platform. The
+// expected hosts are those of Shares.Plan.
+func (o *Ownership) Plan(expected []string, now time.Time) bool {
 	if o.Superseded() {
 		return false
 	}
-	next, changed := o.shares.Plan(o.host, o.incarnation, now)
+	next, changed := o.shares.Plan(o.host, o.incarnation, expected, now)
 	o.planned = next
 	o.spans = Intersect(o.spans, next.Owners[o.host].Spans)
 	return changed
--- a/coordination/limit/shares.go
+++ b/coordination/limit/shares.go
@@ -53,8 +53,9 @@
 
 // Plan returns the shares that a host wants and whether they differ from the
 // current ones. A host with more than an equal share gives up the rest; a host
-// with less takes parts that nobody owns.
-func (s Shares) Plan(host, incarnation string, now time.Time) (Shares, bool) {
+// with less takes parts that nobody owns. Expected hosts that have no entry yet
+// count as owners, so that the first host leaves them their shares.
+func (s Shares) Plan(host, incarnation string, expected []string, now time.Time) (Shares, bool) {
 	next := Shares{Owners: maps.Clone(s.Owners)}
 	if next.Owners == nil {
 		next.Owners = map[string]Owner{}
@@ -65,7 +66,7 @@
 		own.Spans = nil
 	}
 	next.Owners[host] = own
-	equalShare := TotalParts / len(next.Owners)
+	equalShare := TotalParts / next.countWith(expected)
 	held := own.Parts()
 	switch {
 	case held > equalShare:
@@ -81,6 +82,17 @@
 	return next, changed
 }
 
+// countWith returns the number of owners and of the given hosts that own nothing.
+func (s Shares) countWith(hosts []string) int {
+	n := len(s.Owners)
+	for _, host := range hosts {
+		if _, ok := s.Owners[host]; !ok {
+			n++
+		}
+	}
+	return n
+}
+
 // Leave returns the shares after a host stops. Other hosts may take its parts
 // once the loans that it gave have ended.
 func (s Shares) Leave(host string, loansEnd time.Time) Shares {
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -33,7 +33,8 @@
 
 // limits manages this daemon's part of the limits that the daemons share.
 type limits struct {
-	d *Daemon
+	d       *Daemon
+	started time.Time
 
 	mu     sync.Mutex
 	set    *catalogue.Set
@@ -67,7 +68,7 @@
 }
 
 func newLimits(d *Daemon) *limits {
-	l := &limits{d: d, set: catalogue.Empty(), shares: map[string]*groupShares{}, quotas: map[limitID]*sharedQuota{}}
+	l := &limits{d: d, started: time.Now(), set: catalogue.Empty(), shares: map[string]*groupShares{}, quotas: map[limitID]*sharedQuota{}}
 	for _, group := range []string{fleetGroup, regionGroup(d.self.Region)} {
 		l.shares[group] = newGroupShares(d, group)
 	}
--- a/daemon/shares.go
+++ b/daemon/shares.go
@@ -28,6 +28,13 @@
 	// maxReleaseAttempts bounds the writes by which a stopping daemon releases
 	// its shares.
 	maxReleaseAttempts = 3
+	// firstMemberTimeout is how long after its start a daemon that knows no other
+	// member owns nothing, since it may not be alone. It is less than
+	// firstSharesTimeout.
+	firstMemberTimeout = 2 * time.Second
+	// firstSharesPeriod is how long, from its first plan for a group, a daemon
+	// leaves a share to each host that has not taken one.
+	firstSharesPeriod = time.Minute
 )
 
 // factShares is the kind of facts that hold the shares of a group. Key is the
@@ -40,6 +47,9 @@
 	group string
 	// ownership is guarded by the lock of limits.
 	ownership *limit.Ownership
+	// firstPlan is when the shares were planned first. It is guarded by the lock
+	// of limits.
+	firstPlan time.Time
 	// needsRead is true if the platform object must be read before it is
 	// written, because it has not been read yet or the outcome of a write is
 	// unknown.
@@ -116,12 +126,37 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	changed := !l.closed && s.ownership.Plan(now)
+	changed := !l.closed && l.mayOwn(now) && s.ownership.Plan(l.expectedOwners(s, now), now)
 	l.applyOwnership()
 	planned, version := s.ownership.Planned()
 	return planned, version, changed && l.usesCovered(s.group, now)
 }
 
+// mayOwn reports whether this daemon knows other members or has waited for them.
+func (l *limits) mayOwn(now time.Time) bool {
+	return len(l.d.view.Load().Members()) > 1 || now.Sub(l.started) >= firstMemberTimeout
+}
+
+// expectedOwners returns the hosts to leave a share to although they may own
+// nothing yet: for firstSharesPeriod, the group's live members and the listed hosts
+// that have not been heard from, which may be starting. The lock must be held.
+func (l *limits) expectedOwners(s *groupShares, now time.Time) []string {
+	if s.firstPlan.IsZero() {
+		s.firstPlan = now
+	}
+	if now.Sub(s.firstPlan) >= firstSharesPeriod {
+		return nil
+	}
+	var out []string
+	for _, m := range l.d.view.Load().Members() {
+		inGroup := s.group == fleetGroup || m.Region == l.d.self.Region
+		if inGroup && (m.Usable() || m.Incarnation == "") {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
 // writeShares writes shares if the platform object still has the given version,
 // and publishes them. On a conflict it publishes the current object instead and
 // returns the error.
