Wait in the tests until a paused daemon has stopped

Cause: TestDelayedDuplicateDoesNotRunAfterNotRun assumed that SIGSTOP takes effect before the next line. On a busy machine the daemon's threads ran on. host-2 then forwarded its copy of the payment, with the service's 10 s, to the owner, which queued it. The copy with 100 ms joined that run and was answered unknown at its deadline, since the run was still queued for the other copy. That is right by docs/design/at-most-once.md (rule 2, a copy joins the run): in the run caught below the payment ran once afterwards. Not-run would have been false.

The owner was the holder too, so the request was not dispatched to a peer; it was in the scheduler's queue.

Seen: of 60 trials with the states of the threads printed after the pause, 12 at a time, 18 returned from Pause with a thread that had not stopped. In the one of these that was answered unknown the states were "RSSSSSSSSSS", the owner held 2 keys, and the copy of host-2 was done with one run.

Change: Pause returns once every thread is stopped.

Seen red: TestPauseStopsEveryThread without the wait, 5 of 5 runs, for example `states of the threads after a pause are "TTTRRRRRRRRT", want T`.

TestDelayedDuplicateDoesNotRunAfterNotRun, 13 at a time: 6 of 120 failed before, 0 of 120 after; 10 at a time, 0 of 100 after. The tests of the files that pause daemons, atmostonce, membership, slots and manyfaults, passed in one run after.

--- a/standin/fleet/host.go
+++ b/standin/fleet/host.go
@@ -5,10 +5,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"os/exec"
+	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -88,8 +92,26 @@
 	<-h.exited
 }
 
-// Pause suspends the daemon's process until Resume.
-func (h *Host) Pause() { h.signal(syscall.SIGSTOP) }
+// Pause suspends the daemon's process until Resume. It returns once all of its threads
+// have stopped, since they run on for a while on a busy machine.
+func (h *Host) Pause() {
+	h.signal(syscall.SIGSTOP)
+	Eventually(h.t, h.ID+" has stopped", func() bool { return !slices.ContainsFunc(h.ThreadStates(), func(s string) bool { return s != "T" }) })
+}
+
+// ThreadStates returns the state of each thread of the daemon's process, as in
+// /proc/PID/task/TID/stat.
+func (h *Host) ThreadStates() []string {
+	var states []string
+	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", h.PID()))
+	for _, file := range files {
+		stat, err := os.ReadFile(file)
+		if _, rest, ok := strings.Cut(string(stat), ") "); ok && err == nil {
+			states = append(states, rest[:1])
+		}
+	}
+	return states
+}
 
 // Resume resumes a paused daemon.
 func (h *Host) Resume() { h.signal(syscall.SIGCONT) }
--- a/standin/proofs/membership_test.go
+++ b/standin/proofs/membership_test.go
@@ -137,6 +137,19 @@
 	}
 }
 
+// TestPauseStopsEveryThread guards against pauses that begin later than their tests
+// assume, so that a paused daemon still takes a request.
+func TestPauseStopsEveryThread(t *testing.T) {
+	h := fleet.Start(t, threeHostFleet()).Hosts[0]
+	for range 100 {
+		h.Pause()
+		if states := strings.Join(h.ThreadStates(), ""); states != strings.Repeat("T", max(1, len(states))) {
+			t.Fatalf("states of the threads after a pause are %q, want T", states)
+		}
+		h.Resume()
+	}
+}
+
 // TestPausedHostIsDeadThenAliveAgain guards against a paused daemon that does not
 // return with its old incarnation when it resumes, and against one that marks
 // other hosts dead because it received no heartbeats while it was paused.
