--- a/coordination/link/scheduler_test.go
+++ b/coordination/link/scheduler_test.go
@@ -11,12 +11,14 @@
 	"bilberrytiller.example/tiller/state/request"
 )
 
-// TestMain fixes the seed so that runs are reproducible. It parses the command
-// line first, so the flags set here override those given there.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "4")
-	_ = flag.Set("rapid.nofailfile", "true")
+	// These are defaults: m.Run parses the command line later, so flags given
+	// there take precedence.
+	for name, value := range map[string]string{"rapid.seed": "4", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
 	os.Exit(m.Run())
 }
 
