Deliver the messages in flight in the recovery of the limits' model

recoverAll dropped them, so that a late message could do no harm after a recovery. They are now delivered once the nodes own units again, long enough before the end for the loans to be over.

Seen red on a mutation, loans that never end, with the other actions that deliver taken out of the model: "after recovery 5 of 6 units can be used"; with the messages dropped it passed 4,000 cases. Without the mutation it passes.

--- a/coordination/limit/limit_test.go
+++ b/coordination/limit/limit_test.go
@@ -205,21 +205,28 @@
 	}
 }
 
-// recoverAll ends an outage of the platform, drops the messages in flight,
-// restarts the stopped nodes, and lets time pass until all loans have expired.
+// recoverAll ends an outage of the platform, restarts the stopped nodes, delivers the
+// messages in flight once the nodes own units again, and lets time pass until all loans
+// have expired.
 func (f *fleet) recoverAll() {
-	f.platformDown, f.inFlight = false, nil
+	f.platformDown = false
 	for _, n := range f.nodes {
 		if !n.alive {
 			f.start(n)
 		}
 	}
-	for range 100 {
+	const ownedAfterRounds = 50
+	for round := range 100 {
 		f.now = f.now.Add(500 * time.Millisecond)
 		f.endExpired()
 		for _, n := range f.nodes {
 			f.updateOwnership(n, false)
 		}
+		if round == ownedAfterRounds {
+			for len(f.inFlight) > 0 {
+				f.deliver(0)
+			}
+		}
 	}
 }
 
