Remember the newest request of a borrower for a minute

Cause: the sequence number of a borrower's latest request was kept in its loan, which was deleted at its end, or at once if nothing was lent. An older request that arrived after that was granted, and its units were unused for the duration of a loan.

Change: the entry stays for requestMemory after the latest request, without units once the loan is over.

Seen without the mend: "request of other got 1, extended true, 0s after a newer one, want 0, false", the same for peer after 3.02s. TestSumStaysUnderTheLimit now checks each late request and found it unaided: "failed after 1842 tests: a request that arrived after a newer one had an effect".

TestLateRequestDoesNotChangeLoan checks more times and a borrower without a loan, and that the memory ends; its checks before are kept.

--- a/coordination/limit/limit_test.go
+++ b/coordination/limit/limit_test.go
@@ -47,6 +47,13 @@
 	quota      *Quota
 	seq        uint64
 	useEnds    []time.Time
+	// heard holds the newest request that the node has had from each incarnation.
+	heard map[string]heardRequest
+}
+
+type heardRequest struct {
+	seq uint64
+	at  time.Time
 }
 
 // fleet is a model of daemons that share a limit. Messages between them and
@@ -61,6 +68,8 @@
 	platformDown bool
 	inFlight     []message
 	uses         []use
+	// lateChanges counts older requests that arrived late and had an effect.
+	lateChanges int
 }
 
 func newFleet(hosts, limit int, policy UsePolicy) *fleet {
@@ -74,7 +83,7 @@
 
 func (f *fleet) start(n *node) {
 	n.generation++
-	n.alive, n.seq, n.useEnds = true, 0, nil
+	n.alive, n.seq, n.useEnds, n.heard = true, 0, nil, map[string]heardRequest{}
 	n.ownership = NewOwnership(n.id, n.incarnation())
 	n.quota = NewQuota(f.policy)
 }
@@ -193,7 +202,14 @@
 		borrower.quota.RecordLoan(lender.id, m.units, m.sentAt.Add(f.policy.LoanDuration()))
 	case !m.answer && lender.alive:
 		m.answer = true
-		m.units, m.isExtended = lender.quota.Lend(f.now, fmt.Sprintf("%s/%d", borrower.id, m.generation), m.seq, m.want)
+		from := fmt.Sprintf("%s/%d", borrower.id, m.generation)
+		m.units, m.isExtended = lender.quota.Lend(f.now, from, m.seq, m.want)
+		heard := lender.heard[from]
+		if m.seq > heard.seq {
+			lender.heard[from] = heardRequest{m.seq, f.now}
+		} else if f.now.Sub(heard.at) < requestMemory && (m.units > 0 || m.isExtended) {
+			f.lateChanges++
+		}
 		f.inFlight = append(f.inFlight, m)
 	}
 }
@@ -203,6 +219,9 @@
 	if len(f.uses) > f.limit {
 		t.Fatalf("%d units in use, limit is %d", len(f.uses), f.limit)
 	}
+	if f.lateChanges > 0 {
+		t.Fatal("a request that arrived after a newer one had an effect")
+	}
 }
 
 // recoverAll ends an outage of the platform, restarts the stopped nodes, delivers the
@@ -357,11 +376,21 @@
 	if units, extended := quota.Lend(now, "peer", 2, 5); units != 5 || !extended {
 		t.Fatalf("lent %d, extended %v, want 5, true", units, extended)
 	}
-	if units, extended := quota.Lend(now, "peer", 1, 1); units != 0 || extended {
-		t.Errorf("late request got %d, extended %v, want 0, false", units, extended)
+	if units, extended := quota.Lend(now, "other", 2, 0); units != 0 || extended {
+		t.Fatalf("lent %d, extended %v, want 0, false", units, extended)
+	}
+	for _, late := range []time.Duration{0, quota.Policy().LoanDuration(), requestMemory - 1} {
+		for _, borrower := range []string{"peer", "other"} {
+			if units, extended := quota.Lend(now.Add(late), borrower, 1, 1); units != 0 || extended {
+				t.Errorf("request of %s got %d, extended %v, %v after a newer one, want 0, false", borrower, units, extended, late)
+			}
+		}
+		if late == 0 && quota.Acquire(now, 6, now.Add(time.Second)) {
+			t.Error("lent units could be acquired")
+		}
 	}
-	if quota.Acquire(now, 6, now.Add(time.Second)) {
-		t.Error("lent units could be acquired")
+	if quota.Acquire(now.Add(requestMemory), 1, now.Add(requestMemory+time.Second)); len(quota.lent) != 0 {
+		t.Errorf("%d borrowers are remembered after %v, want 0", len(quota.lent), requestMemory)
 	}
 }
 
--- a/coordination/limit/quota.go
+++ b/coordination/limit/quota.go
@@ -18,6 +18,9 @@
 	// reserveDivisor sets the reserve that is kept when units are returned:
 	// the units in use divided by it.
 	reserveDivisor = 4
+	// requestMemory is how long after a borrower's latest request older ones are
+	// recognised.
+	requestMemory = time.Minute
 	// useSteps is the number of steps that the duration of one use is divided
 	// into.
 	useSteps = 50
@@ -48,8 +51,9 @@
 	// units.
 	notBefore time.Time
 
-	mu       sync.Mutex
-	owned    ownedUnits
+	mu    sync.Mutex
+	owned ownedUnits
+	// lent holds, by borrower, the loans and for requestMemory the latest requests.
 	lent     map[string]*loan
 	borrowed map[string]loan
 	active   activeUses
@@ -66,8 +70,10 @@
 type loan struct {
 	units int
 	until time.Time
-	// seq is the sequence number of the borrower's latest request.
-	seq uint64
+	// seq is the sequence number of the borrower's latest request, which arrived at
+	// heardAt.
+	seq     uint64
+	heardAt time.Time
 }
 
 // refusals counts the units that were refused in one period.
@@ -174,7 +180,7 @@
 // fewer units than are lent returns the rest of the loan. The loan is renewed
 // or enlarged only if extended is true; otherwise its end does not change. A loan
 // grows by at most half of the spare units, rounded up. A request that is not
-// newer than the borrower's latest one has no effect.
+// newer than the borrower's latest one, of the last requestMemory, has no effect.
 func (q *Quota) Lend(now time.Time, borrower string, seq uint64, want int) (units int, extended bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -184,7 +190,7 @@
 	if seq <= l.seq {
 		return 0, false
 	}
-	l.seq = seq
+	l.seq, l.heardAt = seq, now
 	l.units = min(l.units, max(want, 0))
 	spare := q.usableOwned(now, until) - q.active.total
 	if spare < 0 || q.refusedUnits(now) > 0 || want <= 0 {
@@ -313,7 +319,11 @@
 		q.active.expire(now)
 	}
 	for borrower, l := range q.lent {
-		if !now.Before(l.until) {
+		if now.Before(l.until) {
+			continue
+		}
+		l.units = 0
+		if now.Sub(l.heardAt) >= requestMemory {
 			delete(q.lent, borrower)
 		}
 	}
