--- a/coordination/limit/limit_test.go
+++ b/coordination/limit/limit_test.go
@@ -11,14 +11,14 @@
 	"pgregory.net/rapid"
 )
 
-// TestMain fixes the seed so that runs are reproducible. It parses the command
-// line first, so the flags set here override those given there.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "4")
-	_ = flag.Set("rapid.checks", "4000")
-	_ = flag.Set("rapid.steps", "200")
-	_ = flag.Set("rapid.nofailfile", "true")
+	// These are defaults: m.Run parses the command line later, so flags given
+	// there take precedence.
+	for name, value := range map[string]string{"rapid.seed": "4", "rapid.checks": "4000", "rapid.steps": "200", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
 	os.Exit(m.Run())
 }
 
@@ -47,6 +47,13 @@
 	quota      *Quota
 	seq        uint64
 	useEnds    []time.Time
+	// heard holds the newest request that the node has had from each incarnation.
+	heard map[string]heardRequest
+}
+
+type heardRequest struct {
+	seq uint64
+	at  time.Time
 }
 
 // fleet is a model of daemons that share a limit. Messages between them and
@@ -61,6 +68,8 @@
 	platformDown bool
 	inFlight     []message
 	uses         []use
+	// lateChanges counts older requests that arrived late and had an effect.
+	lateChanges int
 }
 
 func newFleet(hosts, limit int, policy UsePolicy) *fleet {
@@ -74,20 +83,28 @@
 
 func (f *fleet) start(n *node) {
 	n.generation++
-	n.alive, n.seq, n.useEnds = true, 0, nil
+	n.alive, n.seq, n.useEnds, n.heard = true, 0, nil, map[string]heardRequest{}
 	n.ownership = NewOwnership(n.id, n.incarnation())
 	n.quota = NewQuota(f.policy)
 }
 
+func (f *fleet) ids() []string {
+	var out []string
+	for _, n := range f.nodes {
+		out = append(out, n.id)
+	}
+	return out
+}
+
 func (n *node) incarnation() string { return fmt.Sprintf("%s/%d", n.id, n.generation) }
 
 // updateOwnership runs one round of a daemon's periodic ownership update. If
 // loseAnswer is set, the daemon does not learn that its write succeeded.
-func (f *fleet) updateOwnership(n *node, loseAnswer bool) {
+func (f *fleet) updateOwnership(n *node, loseAnswer bool, expected ...string) {
 	if !f.platformDown {
 		n.ownership.Update(f.version, f.stored, f.now)
 	}
-	changed := n.ownership.Plan(f.now)
+	changed := n.ownership.Plan(expected, f.now)
 	n.ownership.Apply(n.quota, f.limit)
 	if planned, version := n.ownership.Planned(); changed && !f.platformDown && version == f.version && n.quota.Covered(f.now) {
 		f.version++
@@ -185,7 +202,14 @@
 		borrower.quota.RecordLoan(lender.id, m.units, m.sentAt.Add(f.policy.LoanDuration()))
 	case !m.answer && lender.alive:
 		m.answer = true
-		m.units, m.isExtended = lender.quota.Lend(f.now, fmt.Sprintf("%s/%d", borrower.id, m.generation), m.seq, m.want)
+		from := fmt.Sprintf("%s/%d", borrower.id, m.generation)
+		m.units, m.isExtended = lender.quota.Lend(f.now, from, m.seq, m.want)
+		heard := lender.heard[from]
+		if m.seq > heard.seq {
+			lender.heard[from] = heardRequest{m.seq, f.now}
+		} else if f.now.Sub(heard.at) < requestMemory && (m.units > 0 || m.isExtended) {
+			f.lateChanges++
+		}
 		f.inFlight = append(f.inFlight, m)
 	}
 }
@@ -195,23 +219,33 @@
 	if len(f.uses) > f.limit {
 		t.Fatalf("%d units in use, limit is %d", len(f.uses), f.limit)
 	}
+	if f.lateChanges > 0 {
+		t.Fatal("a request that arrived after a newer one had an effect")
+	}
 }
 
-// recoverAll ends an outage of the platform, drops the messages in flight,
-// restarts the stopped nodes, and lets time pass until all loans have expired.
+// recoverAll ends an outage of the platform, restarts the stopped nodes, delivers the
+// messages in flight once the nodes own units again, and lets time pass until all loans
+// have expired.
 func (f *fleet) recoverAll() {
-	f.platformDown, f.inFlight = false, nil
+	f.platformDown = false
 	for _, n := range f.nodes {
 		if !n.alive {
 			f.start(n)
 		}
 	}
-	for range 100 {
+	const ownedAfterRounds = 50
+	for round := range 100 {
 		f.now = f.now.Add(500 * time.Millisecond)
 		f.endExpired()
 		for _, n := range f.nodes {
 			f.updateOwnership(n, false)
 		}
+		if round == ownedAfterRounds {
+			for len(f.inFlight) > 0 {
+				f.deliver(0)
+			}
+		}
 	}
 }
 
@@ -246,7 +280,10 @@
 			}
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"own":  alive(func(n *node) { f.updateOwnership(n, rapid.IntRange(0, 4).Draw(t, "lost") == 0) }),
+			"own": alive(func(n *node) {
+				expected := rapid.SliceOfDistinct(rapid.SampledFrom(f.ids()), rapid.ID[string]).Draw(t, "expected")
+				f.updateOwnership(n, rapid.IntRange(0, 4).Draw(t, "lost") == 0, expected...)
+			}),
 			"take": alive(func(n *node) { f.take(n) }),
 			"take all": alive(func(n *node) {
 				for f.take(n) {
@@ -339,18 +376,28 @@
 	if units, extended := quota.Lend(now, "peer", 2, 5); units != 5 || !extended {
 		t.Fatalf("lent %d, extended %v, want 5, true", units, extended)
 	}
-	if units, extended := quota.Lend(now, "peer", 1, 1); units != 0 || extended {
-		t.Errorf("late request got %d, extended %v, want 0, false", units, extended)
+	if units, extended := quota.Lend(now, "other", 2, 0); units != 0 || extended {
+		t.Fatalf("lent %d, extended %v, want 0, false", units, extended)
 	}
-	if quota.Acquire(now, 6, now.Add(time.Second)) {
-		t.Error("lent units could be acquired")
+	for _, late := range []time.Duration{0, quota.Policy().LoanDuration(), requestMemory - 1} {
+		for _, borrower := range []string{"peer", "other"} {
+			if units, extended := quota.Lend(now.Add(late), borrower, 1, 1); units != 0 || extended {
+				t.Errorf("request of %s got %d, extended %v, %v after a newer one, want 0, false", borrower, units, extended, late)
+			}
+		}
+		if late == 0 && quota.Acquire(now, 6, now.Add(time.Second)) {
+			t.Error("lent units could be acquired")
+		}
+	}
+	if quota.Acquire(now.Add(requestMemory), 1, now.Add(requestMemory+time.Second)); len(quota.lent) != 0 {
+		t.Errorf("%d borrowers are remembered after %v, want 0", len(quota.lent), requestMemory)
 	}
 }
 
 func TestOwnershipEndsBeforeOthersTakeIt(t *testing.T) {
 	now := time.Unix(1000, 0)
 	o := NewOwnership("h", "h/1")
-	o.Plan(now)
+	o.Plan(nil, now)
 	shares, _ := o.Planned()
 	o.Update(1, shares, now)
 	quota := NewQuota(UsePolicy{MaxDuration: time.Second})
@@ -359,8 +406,8 @@
 	if !quota.Acquire(last, 1, last.Add(time.Second)) || quota.Acquire(last.Add(time.Second), 1, last.Add(2*time.Second)) {
 		t.Error("ownership does not end MaxClockSkew before the end of its lease")
 	}
-	early, _ := shares.Plan("other", "other/1", now.Add(LeaseDuration+MaxClockSkew))
-	late, _ := shares.Plan("other", "other/1", now.Add(LeaseDuration+MaxClockSkew+time.Second))
+	early, _ := shares.Plan("other", "other/1", nil, now.Add(LeaseDuration+MaxClockSkew))
+	late, _ := shares.Plan("other", "other/1", nil, now.Add(LeaseDuration+MaxClockSkew+time.Second))
 	if got, want := early.Owners["other"].Parts(), 0; got != want {
 		t.Errorf("another host took %d parts before the lease had ended on every clock", got)
 	}
@@ -369,6 +416,26 @@
 	}
 }
 
+// A host that is killed or cut off right after it was the first to own parts must not
+// have taken those of the others, which they could have back only when its lease ends.
+func TestFirstOwnerLeavesExpectedHostsTheirShares(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := newFleet(3, 30, UsePolicy{MaxDuration: time.Second})
+	for _, n := range f.nodes {
+		f.updateOwnership(n, false, f.ids()...)
+		f.platformDown = n == f.nodes[1]
+	}
+	for i, want := range []int{10, 10, 0} {
+		if got := Units(f.stored.Owners[f.nodes[i].id].Spans, f.limit); got != want {
+			t.Errorf("%s owns %d of 30 units, want %d", f.nodes[i].id, got, want)
+		}
+	}
+	all := Shares{Owners: map[string]Owner{"h0": {Incarnation: "h0/1", Spans: []Span{{0, TotalParts}}, ExpiresMs: now.Add(LeaseDuration).UnixMilli()}}}
+	if next, changed := all.Plan("h0", "h0/1", f.ids(), now); !changed || next.Owners["h0"].Parts() != TotalParts/3 {
+		t.Errorf("the owner of all parts keeps %d of %d beside two hosts without an entry", next.Owners["h0"].Parts(), TotalParts)
+	}
+}
+
 func TestReturnedUnitsAreNotUsed(t *testing.T) {
 	now := time.Unix(1000, 0)
 	quota := NewQuota(UsePolicy{MaxDuration: time.Second})
