Release processes that all start at once

Cause: a process waits for 1.3 s before it uses its part of the quotas, since an earlier one may have handed it over. After a restart of all daemons no part was in use for that time, and all requests of organisations with a quota got 429.

Ruled out: asking the possible parents, which the earlier process may have chosen from another list or by another capacity; asking all daemons, which opens a connection between each two just after a start; handing parts over for less time, since one late call would then take them out of use.

Change: a waiting process gives no mark, so nobody can hand it parts. The fleet's first daemon collects pledges by which processes say that they still wait, each to one process only, and releases all when all wait at the same moment.

The model restarts all in turn with lists that arrive late, repeats messages and delivers calls of earlier processes to later ones.

--- a/coordination/quota/fleet_test.go
+++ b/coordination/quota/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/relay"
@@ -15,8 +16,8 @@
 	parents *Parents
 	process int
 	up, cut bool
-	// callAt is when the node calls its parent next.
-	callAt time.Time
+	// callAt is when the node calls its parent next, and startAt the first daemon.
+	callAt, startAt time.Time
 	// frozenUntil is when a node that stands still goes on.
 	frozenUntil time.Time
 }
@@ -33,8 +34,9 @@
 	asked    map[string]int
 	// late are calls that arrive after their sender has given up.
 	late []func()
-	// lossy is the fraction of calls and of replies that are lost.
-	lossy float64
+	// lossy is the fraction of calls and of replies that are lost, and repeated that of
+	// calls and of replies that arrive a second time, up to a few seconds later.
+	lossy, repeated float64
 	// mostHeld are the most parts that all nodes issued units from at one time.
 	mostHeld float64
 }
@@ -60,7 +62,7 @@
 
 func (f *fleet) start(n *node) {
 	n.process++
-	n.up, n.callAt, n.frozenUntil = true, f.now, time.Time{}
+	n.up, n.callAt, n.startAt, n.frozenUntil = true, f.now, f.now, time.Time{}
 	n.parents = NewParents(n.member)
 	limit := func(name string) Limit { return f.limits[name] }
 	n.ledger = New(fmt.Sprint(n.member.ID, "/", n.process), f.bounds, limit, f.now)
@@ -81,6 +83,13 @@
 		if n.up && !n.cut {
 			n.parents.SetMembers(members)
 			n.ledger.SetDaemons(len(members), true, f.now)
+			others := []string{}
+			for _, m := range members {
+				if m.ID != n.member.ID {
+					others = append(others, m.ID)
+				}
+			}
+			n.ledger.SetFleet(others, n.parents.First().ID == n.member.ID)
 		}
 	}
 }
@@ -115,6 +124,7 @@
 		return f.ask(n, depth)
 	}
 	reply, short := p.ledger.Handle(n.member.ID, call, f.now)
+	f.repeat(func() { p.ledger.Handle(n.member.ID, call, f.now) })
 	if short && f.ask(p, depth+1) {
 		p.ledger.Fill(call, reply, f.now)
 	}
@@ -128,6 +138,35 @@
 	return true
 }
 
+// repeat lets a message arrive again later.
+func (f *fleet) repeat(deliver func()) {
+	if f.repeated > 0 && f.random.Float64() < f.repeated {
+		f.late = append(f.late, deliver)
+	}
+}
+
+// callFirst makes a node that waits call the first daemon.
+func (f *fleet) callFirst(n *node) {
+	n.startAt = f.now.Add(50 * time.Millisecond)
+	call, p, l := n.ledger.NewStartCall(f.now), f.nodeByID(n.parents.First().ID), n.ledger
+	if call == nil || p == nil || p.cut != n.cut {
+		return
+	}
+	f.repeat(func() { p.ledger.HandleStart(n.member.ID, call, f.now) })
+	lost := func() bool { return f.lossy > 0 && f.random.Float64() < f.lossy }
+	if !f.runs(p) || lost() {
+		return
+	}
+	reply := p.ledger.HandleStart(n.member.ID, call, f.now)
+	f.repeat(func() { l.ApplyStart(reply, f.now) })
+	if !lost() {
+		l.ApplyStart(reply, f.now)
+		if reply.Released != "" {
+			n.callAt = f.now
+		}
+	}
+}
+
 // askPeers makes a node ask other issuers for units that are left over.
 func (f *fleet) askPeers(n *node) bool {
 	call := n.ledger.NewSpareCall(f.now)
@@ -165,11 +204,22 @@
 	const step = 10 * time.Millisecond
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
 		for _, n := range f.nodes {
+			if f.runs(n) && !f.now.Before(n.startAt) {
+				f.callFirst(n)
+			}
 			if f.runs(n) && !f.now.Before(n.callAt) {
-				n.callAt = f.now.Add(250 * time.Millisecond)
 				f.ask(n, 0)
+				n.callAt = f.now.Add(250 * time.Millisecond)
+				if n.ledger.Settles(f.now) {
+					n.callAt = f.now.Add(50 * time.Millisecond)
+				}
 			}
 		}
+		if len(f.late) > 0 && f.repeated > 0 && f.random.Float64() < 4*f.repeated {
+			i := f.random.IntN(len(f.late))
+			f.late[i]()
+			f.late = slices.Delete(f.late, i, i+1)
+		}
 		held := 0.0
 		for _, n := range f.nodes {
 			if f.runs(n) {
--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -45,6 +45,7 @@
 
 	mu       sync.Mutex
 	holding  holding
+	start    start
 	accounts map[string]*account
 	// parent is the daemon that is asked, and echo the mark of its latest reply.
 	parent string
@@ -237,7 +238,10 @@
 	defer l.mu.Unlock()
 	l.receiveParts(child, call, now)
 	held := l.holding.held(now)
-	reply = &Reply{Mark: Mark{l.process, now.Sub(l.holding.started)}}
+	reply = &Reply{}
+	if !l.holding.waits(now) {
+		reply.Mark = l.mark(now)
+	}
 	for _, w := range call.Wants {
 		a := l.account(w.Organisation, held, now)
 		if a == nil || w.Units <= 0 {
@@ -298,6 +302,8 @@
 	return g
 }
 
+func (l *Ledger) mark(now time.Time) Mark { return Mark{l.process, now.Sub(l.holding.started)} }
+
 func (l *Ledger) receiveParts(child string, call *Call, now time.Time) {
 	if call.Echo.Process != l.process || call.Parts < 0 || call.Parts > 1 {
 		return
--- a/coordination/quota/message.go
+++ b/coordination/quota/message.go
@@ -45,7 +45,8 @@
 
 // Reply is the reply to a Call.
 type Reply struct {
-	Mark   Mark    `cbor:"m"`
+	// Mark is zero if the daemon cannot be handed parts.
+	Mark   Mark    `cbor:"m,omitzero"`
 	Grants []Grant `cbor:"g,omitempty"`
 }
 
--- a/coordination/quota/model_test.go
+++ b/coordination/quota/model_test.go
@@ -35,6 +35,18 @@
 	since time.Time
 }
 
+func newModel(t *rapid.T) *model {
+	limit := Limit{float64(rapid.IntRange(2, 80).Draw(t, "rate")), float64(rapid.IntRange(0, 30).Draw(t, "burst"))}
+	f := newFleet(rapid.IntRange(2, 7).Draw(t, "daemons"), rapid.IntRange(1, 3).Draw(t, "regions"), map[string]Limit{modelOrganisation: limit}, rapid.Uint64().Draw(t, "seed"))
+	m := &model{fleet: f}
+	m.bounds.Slack = 4
+	for _, n := range m.nodes {
+		m.start(n)
+	}
+	m.publish()
+	return m
+}
+
 func (m *model) check(t *rapid.T) {
 	if e := m.excess(modelOrganisation, m.limits[modelOrganisation], m.since); e > 0 {
 		t.Fatalf("quota exceeded by %v requests", e)
@@ -48,6 +60,10 @@
 	return slices.ContainsFunc(m.nodes, func(n *node) bool { return n.cut })
 }
 
+func (m *model) pick(t *rapid.T) *node {
+	return m.nodes[rapid.IntRange(0, len(m.nodes)-1).Draw(t, "node")]
+}
+
 func (m *model) join() {
 	m.joined++
 	n := &node{member: relay.Member{ID: fmt.Sprint("j", m.joined), Region: fmt.Sprint("r", m.joined%3), Zone: fmt.Sprint("z", m.joined%3), Capacity: float64(m.joined % 4)}}
@@ -110,6 +126,49 @@
 	}
 }
 
+// loseCall makes a call, and returns a function that delivers it to whatever process the
+// parent then is.
+func (m *model) loseCall(n *node) func() {
+	parent, ok := n.parents.Pick(m.now)
+	if !ok {
+		return func() {}
+	}
+	call := n.ledger.NewCall(parent.ID, m.now)
+	return func() {
+		if p := m.nodeByID(parent.ID); p != nil {
+			p.ledger.Handle(n.member.ID, call, m.now)
+		}
+	}
+}
+
+// restartAll restarts the nodes one after the other, or all but one.
+func (m *model) restartAll(t *rapid.T) {
+	m.restarted = true
+	gap := rapid.SampledFrom([]int{0, 20, 60, 300}).Draw(t, "gap")
+	lag, pause := rapid.IntRange(0, 1500).Draw(t, "lag"), rapid.SampledFrom([]int{0, 50, 600}).Draw(t, "pause")
+	last, listed := m.pick(t), rapid.Bool().Draw(t, "list is known at once")
+	for _, n := range m.nodes {
+		if n != last {
+			m.start(n)
+			if listed {
+				m.publish()
+			}
+			m.rush(gap)
+		}
+	}
+	m.rush(lag)
+	m.publish()
+	m.rush(pause)
+	if rapid.IntRange(0, 5).Draw(t, "spare") > 0 {
+		deliver := m.loseCall(last)
+		m.start(last)
+		m.publish()
+		m.rush(rapid.SampledFrom([]int{60, 160, 400}).Draw(t, "delay"))
+		deliver()
+	}
+	m.rush(2000)
+}
+
 // rush plays several times the requests of the limit at all nodes.
 func (m *model) rush(ms int) {
 	m.play(time.Duration(ms)*time.Millisecond, map[string]float64{modelOrganisation: 6 * m.limits[modelOrganisation].RatePerSecond}, m.nodes)
@@ -128,15 +187,8 @@
 // units from, and against units that are used again after a fault.
 func TestQuotaHoldsThroughFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limit := Limit{float64(rapid.IntRange(2, 80).Draw(t, "rate")), float64(rapid.IntRange(0, 30).Draw(t, "burst"))}
-		f := newFleet(rapid.IntRange(2, 7).Draw(t, "daemons"), rapid.IntRange(1, 3).Draw(t, "regions"), map[string]Limit{modelOrganisation: limit}, rapid.Uint64().Draw(t, "seed"))
-		m := &model{fleet: f}
-		m.bounds.Slack = 4
-		for _, n := range m.nodes {
-			m.start(n)
-		}
-		m.publish()
-		pick := func(t *rapid.T) *node { return m.nodes[rapid.IntRange(0, len(m.nodes)-1).Draw(t, "node")] }
+		m := newModel(t)
+		pick := m.pick
 		m.play(3*time.Second, nil, nil)
 		rush := m.rush
 		t.Repeat(map[string]func(*rapid.T){
@@ -150,17 +202,10 @@
 			"freeze": func(t *rapid.T) {
 				m.freezeOften(rapid.SampledFrom([]int{1, 3}).Draw(t, "times"), rapid.SampledFrom([]int{200, 1300, 3000}).Draw(t, "ms"))
 			},
-			"kill":    func(t *rapid.T) { pick(t).up = false },
-			"restart": func(t *rapid.T) { m.restarted = true; m.start(pick(t)); m.publish() },
-			"restart all in turn": func(t *rapid.T) {
-				m.restarted = true
-				for _, n := range m.nodes {
-					m.start(n)
-					m.publish()
-					rush(300)
-				}
-			},
-			"cut": func(t *rapid.T) { pick(t).cut = true; rush(2000) },
+			"kill":                func(t *rapid.T) { pick(t).up = false },
+			"restart":             func(t *rapid.T) { m.restarted = true; m.start(pick(t)); m.publish() },
+			"restart all in turn": m.restartAll,
+			"cut":                 func(t *rapid.T) { pick(t).cut = true; rush(2000) },
 			"cut region": func(t *rapid.T) {
 				region := pick(t).member.Region
 				for _, n := range m.nodes {
@@ -182,7 +227,8 @@
 				m.restarted = false
 				m.publish()
 			},
-			"lose": func(t *rapid.T) { m.lossy = rapid.SampledFrom([]float64{0, 0, 0.1, 0.5}).Draw(t, "fraction") },
+			"lose":   func(t *rapid.T) { m.lossy = rapid.SampledFrom([]float64{0, 0, 0.1, 0.5}).Draw(t, "fraction") },
+			"repeat": func(t *rapid.T) { m.repeated = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "fraction") },
 			"deliver late": func(*rapid.T) {
 				for _, deliver := range m.late {
 					deliver()
@@ -222,6 +268,21 @@
 	})
 }
 
+// TestQuotaHoldsThroughRestartsOfAll guards against processes that release each other while
+// one of them holds what an earlier process handed over.
+func TestQuotaHoldsThroughRestartsOfAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		m.lossy = rapid.SampledFrom([]float64{0, 0, 0.2}).Draw(t, "lost")
+		m.repeated = rapid.SampledFrom([]float64{0, 0, 0.2}).Draw(t, "repeated")
+		m.play(3*time.Second, nil, nil)
+		for range 3 {
+			m.restartAll(t)
+			m.check(t)
+		}
+	})
+}
+
 // TestQuotaHoldsWhileDaemonsStandStill guards against daemons that stand still for longer
 // than their parts are handed over, and issue units for that time too.
 func TestQuotaHoldsWhileDaemonsStandStill(t *testing.T) {
--- a/coordination/quota/parent.go
+++ b/coordination/quota/parent.go
@@ -35,6 +35,7 @@
 	// peers are the first daemons of each other issuing group.
 	peers  [][]relay.Member
 	failed map[string]failure
+	first  relay.Member
 }
 
 // failure is how often a daemon did not reply, and when it may be asked again.
@@ -59,6 +60,7 @@
 		members = append(slices.Clip(members), self)
 	}
 	groups, groupOf := groupMembers(members)
+	p.first = groups[0][0]
 	own := slices.IndexFunc(groups, func(g []relay.Member) bool { return groupOf(g[0]) == groupOf(self) })
 	for _, m := range groups[own] {
 		if compareRank(m, self) < 0 && len(p.parents) < headsPerGroup {
@@ -104,6 +106,9 @@
 	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.ID, b.ID))
 }
 
+// First returns the first daemon of the fleet, which releases those that start together.
+func (p *Parents) First() relay.Member { return p.first }
+
 // Pick returns the parent to ask, or false if there is none.
 func (p *Parents) Pick(now time.Time) (relay.Member, bool) { return p.firstWorking(p.parents, now) }
 
--- a/coordination/quota/parts.go
+++ b/coordination/quota/parts.go
@@ -32,7 +32,9 @@
 	count     int
 	listed    bool
 	countedAt time.Time
-	children  map[string]handed
+	// releasedAt is when the process learned that no earlier process's part is in use.
+	releasedAt time.Time
+	children   map[string]handed
 	// awayUntil is when the parts that were handed to a parent are back.
 	awayUntil time.Time
 
@@ -53,9 +55,25 @@
 	}
 }
 
+// waits reports whether the process has used no parts yet, since those of an earlier
+// process of the host may be in use.
+func (h *holding) waits(now time.Time) bool {
+	return h.releasedAt.IsZero() && (h.count == 0 || now.Before(h.waitsUntil()))
+}
+
+func (h *holding) waitsUntil() time.Time { return h.aloneAt.Add(restartDelay) }
+
+// release ends the wait of a process in a fleet of count daemons.
+func (h *holding) release(count int, now time.Time) {
+	h.releasedAt = now
+	if count > h.count {
+		h.count, h.countedAt = count, now
+	}
+}
+
 // own returns the daemon's own part.
 func (h *holding) own(now time.Time) float64 {
-	if !h.listed || h.count == 0 || now.Sub(h.aloneAt) < restartDelay {
+	if !h.listed || h.waits(now) {
 		return 0
 	}
 	return 1 / float64(h.count)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -157,6 +157,7 @@
 	group.Go(func() error { g.backends.runExpiry(background); return nil })
 	group.Go(func() error { g.measureRoundTrips(background); return nil })
 	group.Go(func() error { g.measureHostLoad(background); return nil })
+	group.Go(func() error { g.quotas.runStart(background); return nil })
 	group.Go(func() error { g.quotas.run(background); return nil })
 	g.log.Info().Str("event", "gateway.start").Str("incarnation", g.self.Incarnation).
 		Str("client", g.self.ClientAddress).Str("zone", g.self.Zone).Send()
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -25,6 +25,9 @@
 	// the shortest pause between calls for requests that wait.
 	quotaCallInterval    = 250 * time.Millisecond
 	minQuotaCallInterval = 10 * time.Millisecond
+	// quotaStartInterval is the pause between calls for the release of a process that has
+	// started, and after it until the parts have come together.
+	quotaStartInterval = 50 * time.Millisecond
 	// quotaRoundTimeout bounds the calls of a round, and quotaNearCallTimeout one to a
 	// daemon of the same region.
 	quotaRoundTimeout    = 300 * time.Millisecond
@@ -101,20 +104,68 @@
 func (k *quotaKeeper) setMembers(all []Member, self string) {
 	listed := false
 	parents := make([]relay.Member, 0, len(all))
+	others := make([]string, 0, len(all))
 	for _, m := range all {
-		listed = listed || m.ID == self
+		if m.ID == self {
+			listed = true
+		} else {
+			others = append(others, m.ID)
+		}
 		parents = append(parents, m.Relay())
 	}
 	k.ledger.SetDaemons(len(all), listed, time.Now())
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.parents.SetMembers(parents)
+	k.ledger.SetFleet(others, k.parents.First().ID == self)
+}
+
+// runStart calls the fleet's first daemon until the process may use its part.
+func (k *quotaKeeper) runStart(ctx context.Context) {
+	if !k.enabled {
+		return
+	}
+	began := time.Now()
+	for k.ledger.Waits(time.Now()) && sleep.For(ctx, quotaStartInterval) {
+		if call := k.ledger.NewStartCall(time.Now()); call != nil {
+			k.callFirst(ctx, call)
+		}
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	k.limited.log.newEvent("quota.start", true).Bool("released", k.ledger.Settles(time.Now())).
+		Dur("waited_ms", time.Since(began)).Send()
+	k.wake()
+}
+
+func (k *quotaKeeper) callFirst(ctx context.Context, call *quota.StartCall) {
+	ctx, cancel := context.WithTimeout(ctx, quotaRoundTimeout)
+	defer cancel()
+	k.mu.Lock()
+	first := k.parents.First()
+	k.mu.Unlock()
+	addr, err := netip.ParseAddrPort(first.Address)
+	if err != nil {
+		return
+	}
+	if reply, err := peer.Call[quota.StartReply](ctx, k.peers, addr, wire.TypeQuotaStart, call); err == nil {
+		k.ledger.ApplyStart(reply, time.Now())
+	}
+}
+
+func (k *quotaKeeper) handleStart(_ context.Context, from string, call *quota.StartCall) (*quota.StartReply, error) {
+	return k.ledger.HandleStart(from, call, time.Now()), nil
 }
 
 // run calls the parent until ctx ends.
 func (k *quotaKeeper) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		timer := time.NewTimer(quotaCallInterval)
+		interval := quotaCallInterval
+		if k.ledger.Settles(time.Now()) {
+			interval = quotaStartInterval
+		}
+		timer := time.NewTimer(interval)
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -145,10 +196,7 @@
 	k.mu.Lock()
 	round := k.next
 	k.mu.Unlock()
-	select {
-	case k.kick <- struct{}{}:
-	default:
-	}
+	k.wake()
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
@@ -160,6 +208,14 @@
 	return false
 }
 
+// wake makes the loop call the parent now.
+func (k *quotaKeeper) wake() {
+	select {
+	case k.kick <- struct{}{}:
+	default:
+	}
+}
+
 // sources returns the parent, or the other issuers if there is none.
 func (k *quotaKeeper) sources() (*relay.Member, []relay.Member) {
 	k.mu.Lock()
@@ -256,7 +312,10 @@
 }
 
 // serve answers calls of other daemons.
-func (k *quotaKeeper) serve(s *peer.Server) { peer.Handle(s, wire.TypeQuota, k.handleCall) }
+func (k *quotaKeeper) serve(s *peer.Server) {
+	peer.Handle(s, wire.TypeQuota, k.handleCall)
+	peer.Handle(s, wire.TypeQuotaStart, k.handleStart)
+}
 
 func (k *quotaKeeper) handleCall(ctx context.Context, from string, call *quota.Call) (*quota.Reply, error) {
 	reply, short := k.ledger.Handle(from, call, time.Now())
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -150,7 +150,8 @@
 }
 
 // TestDaemonsShareQuota guards against calls between daemons that do not carry the
-// parts and the units of quotas.
+// parts and the units of quotas, and against daemons that start together and do not
+// release each other.
 func TestDaemonsShareQuota(t *testing.T) {
 	root, child := newQuotaFixture(t, route(true), 4), newQuotaFixture(t, route(true), 4)
 	root.self.Region, child.self.ID, child.self.Region = "north", "host-2", "north"
@@ -171,6 +172,8 @@
 	}
 	for _, f := range []*fixture{root, child} {
 		f.SetMembers(members)
+		f.quotas.ledger.EarlierProcessEnded(time.Now().Add(time.Hour))
+		go f.quotas.runStart(t.Context())
 		go f.quotas.run(t.Context())
 	}
 	child.addServer(t, answerSigned)
