Ask the next parent for units before a silent one has used the round

Cause: a parent in another region that accepts connections and does not answer took all 300 ms of a round, since a fixed limit of 100 ms would cut off those far away. The next parent was asked only in the next round.

Ruled out: 150 ms for each call, since a parent 250 ms away would never be reached.

Change: a daemon counts as silent after 100 ms, or after twice its usual time and 60 ms. The next one is then asked, and the late reply is still applied.

Result: both parents are asked in one round; a parent that takes 150 ms for its first reply is used.

Seen to fail: TestSilentParentLeavesTimeForNext with the code before ("{region:d silent:1 delay:0}: got 0 units, want 1").

--- a/coordination/quota/fleet_test.go
+++ b/coordination/quota/fleet_test.go
@@ -133,7 +133,7 @@
 		n.ledger.Fail(call)
 		return true
 	}
-	n.parents.MarkWorking(parent.ID)
+	n.parents.MarkWorking(parent.ID, 0)
 	n.ledger.Apply(call, reply, f.now, f.now)
 	return true
 }
--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -168,7 +168,7 @@
 func (l *Ledger) NewCall(parent string, now time.Time) *Call {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	call := &Call{}
+	call := &Call{parent: parent}
 	if l.parent != parent {
 		l.parent, l.echo = parent, Mark{}
 	}
@@ -316,7 +316,8 @@
 func (l *Ledger) Apply(call *Call, reply *Reply, sent, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !call.Spare {
+	// A silent parent may reply when the next one has been asked.
+	if !call.Spare && call.parent == l.parent {
 		l.echo = reply.Mark
 	}
 	held := l.holding.held(now)
--- a/coordination/quota/message.go
+++ b/coordination/quota/message.go
@@ -14,6 +14,8 @@
 	// Spare says that the caller issues units itself and asks only for those that are
 	// left over.
 	Spare bool `cbor:"s,omitempty"`
+
+	parent string
 }
 
 // Rest returns a call for the units that a reply did not give.
--- a/coordination/quota/parent.go
+++ b/coordination/quota/parent.go
@@ -21,6 +21,10 @@
 	// doubles with each failure up to maxParentRetryDelay.
 	parentRetryDelay    = 500 * time.Millisecond
 	maxParentRetryDelay = 4 * time.Second
+	// minSilence is the shortest time after which a daemon that has not replied counts as
+	// silent, and replyDelay the time for which one may hold up its reply.
+	minSilence = 100 * time.Millisecond
+	replyDelay = 60 * time.Millisecond
 )
 
 // Parents selects the daemons that a daemon asks for units. The daemons of a group, which
@@ -35,7 +39,9 @@
 	// peers are the first daemons of each other issuing group.
 	peers  [][]relay.Member
 	failed map[string]failure
-	first  relay.Member
+	// usual is about the least time that each daemon took to reply.
+	usual map[string]time.Duration
+	first relay.Member
 }
 
 // failure is how often a daemon did not reply, and when it may be asked again.
@@ -46,13 +52,16 @@
 
 // NewParents returns the selector of a daemon.
 func NewParents(self relay.Member) *Parents {
-	return &Parents{self: self, failed: map[string]failure{}}
+	return &Parents{self: self, failed: map[string]failure{}, usual: map[string]time.Duration{}}
 }
 
 // SetMembers sets the daemons of the fleet. The daemon itself may be missing, since it may
 // not be registered yet.
 func (p *Parents) SetMembers(members []relay.Member) {
 	p.parents, p.peers = nil, nil
+	maps.DeleteFunc(p.usual, func(id string, _ time.Duration) bool {
+		return !slices.ContainsFunc(members, func(m relay.Member) bool { return m.ID == id })
+	})
 	self := p.self
 	if at := slices.IndexFunc(members, func(m relay.Member) bool { return m.ID == self.ID }); at >= 0 {
 		self = members[at]
@@ -138,5 +147,21 @@
 	p.failed[id] = failure{delay, now.Add(delay)}
 }
 
-// MarkWorking records that a daemon replied.
-func (p *Parents) MarkWorking(id string) { delete(p.failed, id) }
+// MarkWorking records that a daemon replied after the given time.
+func (p *Parents) MarkWorking(id string, took time.Duration) {
+	delete(p.failed, id)
+	if usual, ok := p.usual[id]; ok {
+		took = min(took, usual+usual/8+time.Millisecond)
+	}
+	p.usual[id] = took
+}
+
+// SilentAfter returns how long to wait for a daemon's reply before the next one is asked.
+// If it is not known how long the daemon usually takes, its reply may well come later.
+func (p *Parents) SilentAfter(id string) (after time.Duration, known bool) {
+	usual, known := p.usual[id]
+	if !known {
+		return minSilence, false
+	}
+	return max(minSilence, 2*usual+replyDelay), true
+}
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -169,6 +169,28 @@
 	}
 }
 
+// TestSilenceDependsOnUsualReply guards against a daemon that waits long for a silent one,
+// and against one that gives up on a daemon that is far away or holds up its reply.
+func TestSilenceDependsOnUsualReply(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		took  []time.Duration
+		least time.Duration
+		most  time.Duration
+	}{
+		{nil, 100 * ms, 100 * ms}, {[]time.Duration{ms}, 100 * ms, 100 * ms}, {[]time.Duration{41 * ms}, 101 * ms, 150 * ms},
+		{[]time.Duration{101 * ms, 41 * ms, 101 * ms}, 101 * ms, 160 * ms}, {[]time.Duration{250 * ms}, 310 * ms, time.Second},
+	} {
+		p := NewParents(relay.Member{ID: "b"})
+		for _, took := range c.took {
+			p.MarkWorking("a", took)
+		}
+		if got, known := p.SilentAfter("a"); got < c.least || got > c.most || known != (len(c.took) > 0) {
+			t.Errorf("%v: silent after %s, known %v, want %s to %s", c.took, got, known, c.least, c.most)
+		}
+	}
+}
+
 // TestHeadsFormTree guards against daemons that are each other's parents, and against
 // further regions without a parent.
 func TestHeadsFormTree(t *testing.T) {
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -28,10 +27,8 @@
 	// quotaStartInterval is the pause between calls for the release of a process that has
 	// started, and after it until the parts have come together.
 	quotaStartInterval = 50 * time.Millisecond
-	// quotaRoundTimeout bounds the calls of a round, and quotaNearCallTimeout one to a
-	// daemon of the same region.
-	quotaRoundTimeout    = 300 * time.Millisecond
-	quotaNearCallTimeout = 100 * time.Millisecond
+	// quotaRoundTimeout bounds the calls of a round.
+	quotaRoundTimeout = 300 * time.Millisecond
 	// quotaFillTimeout is how long a daemon waits for its own parent before it replies to
 	// a child.
 	quotaFillTimeout = 60 * time.Millisecond
@@ -47,7 +44,6 @@
 type quotaKeeper struct {
 	peers  *peer.Client
 	ledger *quota.Ledger
-	region string
 	// enabled says that the settings have bounds for quotas. They are read at the start
 	// only.
 	enabled bool
@@ -70,7 +66,7 @@
 func newQuotaKeeper(self Member, bounds quota.Bounds, limit func(string) quota.Limit, peers *peer.Client, log *requestLogger) *quotaKeeper {
 	member := relay.Member{ID: self.ID, Zone: self.Zone, Region: self.Region, Address: self.PeerAddress, Capacity: self.Capacity}
 	return &quotaKeeper{
-		peers: peers, ledger: quota.New(self.Incarnation, bounds, limit, time.Now()), region: self.Region,
+		peers: peers, ledger: quota.New(self.Incarnation, bounds, limit, time.Now()),
 		enabled: bounds.Enabled(), kick: make(chan struct{}, 1),
 		limited: &limitedOrganisations{log: log, entries: map[string]*limitedOrganisation{}},
 		parents: quota.NewParents(member), next: &quotaRound{make(chan struct{})},
@@ -233,17 +229,32 @@
 }
 
 // callParent calls the parent, and the next one if it does not reply, for at most
-// quotaRoundTimeout.
+// quotaRoundTimeout. The replies of silent ones are awaited for as long.
 func (k *quotaKeeper) callParent(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, quotaRoundTimeout)
 	defer cancel()
+	var silent []<-chan *quota.Reply
 	for ctx.Err() == nil {
 		parent, peers := k.sources()
 		if parent == nil {
-			k.callPeers(ctx, peers)
+			if len(peers) > 0 || len(silent) == 0 {
+				k.callPeers(ctx, peers)
+				return
+			}
+			break
+		}
+		call := k.ledger.NewCall(parent.ID, time.Now())
+		reply, late := k.exchange(ctx, *parent, call)
+		if reply != nil {
 			return
 		}
-		if k.callOne(ctx, *parent) == nil {
+		k.ledger.Fail(call)
+		if late != nil {
+			silent = append(silent, late)
+		}
+	}
+	for _, late := range silent {
+		if <-late != nil {
 			return
 		}
 	}
@@ -256,53 +267,78 @@
 	if call == nil && len(peers) > 0 {
 		return
 	}
-	replies := 0
+	var silent []<-chan *quota.Reply
+	replied := false
+	apply := func(reply *quota.Reply) {
+		if reply != nil {
+			call, replied = call.Rest(reply), true
+		}
+	}
 	for _, p := range peers {
 		if len(call.Wants) == 0 {
 			return
 		}
-		if reply, err := k.exchange(ctx, p, call, time.Now()); err == nil {
-			call = call.Rest(reply)
-			replies++
+		reply, late := k.exchange(ctx, p, call)
+		apply(reply)
+		if late != nil {
+			silent = append(silent, late)
 		}
 	}
-	if replies == 0 {
-		k.ledger.RoundFailed(time.Now())
+	for _, late := range silent {
+		if len(call.Wants) > 0 {
+			apply(<-late)
+		}
 	}
-}
-
-func (k *quotaKeeper) callOne(ctx context.Context, parent relay.Member) error {
-	sent := time.Now()
-	call := k.ledger.NewCall(parent.ID, sent)
-	_, err := k.exchange(ctx, parent, call, sent)
-	if err != nil {
-		k.ledger.Fail(call)
+	if !replied {
+		k.ledger.RoundFailed(time.Now())
 	}
-	return err
 }
 
-// exchange sends a call that was made at the given time and applies the reply.
-func (k *quotaKeeper) exchange(ctx context.Context, to relay.Member, call *quota.Call, sent time.Time) (*quota.Reply, error) {
+// exchange sends a call that was made now and applies the reply. A daemon that is silent
+// for too long counts as failed. Its reply is applied until ctx ends, and sent to late if
+// it is worth waiting for.
+func (k *quotaKeeper) exchange(ctx context.Context, to relay.Member, call *quota.Call) (reply *quota.Reply, late <-chan *quota.Reply) {
 	addr, err := netip.ParseAddrPort(to.Address)
 	if err != nil {
 		k.markFailed(to)
-		return nil, fmt.Errorf("parse daemon address: %w", err)
-	}
-	if to.Region == k.region {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, quotaNearCallTimeout)
-		defer cancel()
+		return nil, nil
 	}
-	reply, err := peer.Call[quota.Reply](ctx, k.peers, addr, wire.TypeQuota, call)
-	if err != nil {
+	sent := time.Now()
+	replies := make(chan *quota.Reply, 1)
+	go func() {
+		reply, err := peer.Call[quota.Reply](ctx, k.peers, addr, wire.TypeQuota, call)
+		if err != nil {
+			replies <- nil
+			return
+		}
+		k.ledger.Apply(call, reply, sent, time.Now())
+		k.markWorking(to, time.Since(sent))
+		replies <- reply
+	}()
+	k.mu.Lock()
+	after, known := k.parents.SilentAfter(to.ID)
+	k.mu.Unlock()
+	timer := time.NewTimer(after)
+	defer timer.Stop()
+	select {
+	case reply := <-replies:
+		if reply == nil {
+			k.markFailed(to)
+		}
+		return reply, nil
+	case <-timer.C:
 		k.markFailed(to)
-		return nil, err
+		if known {
+			return nil, nil
+		}
+		return nil, replies
 	}
-	k.ledger.Apply(call, reply, sent, time.Now())
+}
+
+func (k *quotaKeeper) markWorking(m relay.Member, took time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.parents.MarkWorking(to.ID)
-	return reply, nil
+	k.parents.MarkWorking(m.ID, took)
 }
 
 func (k *quotaKeeper) markFailed(m relay.Member) {
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/quota"
+	"bilberrytiller.example/tiller/protocol/wire"
 	"bilberrytiller.example/tiller/state/routing"
 	"bilberrytiller.example/tiller/transport/peer"
 )
@@ -259,37 +260,56 @@
 	}
 }
 
-// addParents gives a fixture parents in its region that accept connections and do not
-// answer, and then those given.
-func (f *fixture) addParents(t *testing.T, silent int, others ...Member) {
+// addParents gives a fixture, whose daemon is in the given region, parents in the region
+// "a" that accept connections and do not answer, and then those given.
+func (f *fixture) addParents(t *testing.T, region string, silent int, others ...Member) {
 	t.Helper()
-	f.quotas.region = "north"
-	members := append([]Member{{ID: f.self.ID, Region: "north"}}, others...)
+	members := append([]Member{{ID: f.self.ID, Region: region}}, others...)
+	if region > "c" {
+		members = append(members, Member{ID: "b", Region: "b"}, Member{ID: "c", Region: "c"})
+	}
 	for i := range silent {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { _ = listener.Close() })
-		members = append(members, Member{ID: fmt.Sprint("silent-", i), Region: "north", PeerAddress: listener.Addr().String(), Capacity: 9})
+		members = append(members, Member{ID: fmt.Sprint("silent-", i), Region: "a", PeerAddress: listener.Addr().String(), Capacity: 9})
 	}
 	f.SetMembers(members)
 }
 
+// servePeers returns the address of a fixture's server for other daemons, which answers
+// after a delay.
+func (f *fixture) servePeers(t *testing.T, delay time.Duration) string {
+	t.Helper()
+	f.peerServer = peer.NewServer(peer.NewAuth("root", nil), f.log)
+	peer.Handle(f.peerServer, wire.TypeQuota, func(ctx context.Context, from string, call *quota.Call) (*quota.Reply, error) {
+		time.Sleep(delay)
+		return f.quotas.handleCall(ctx, from, call)
+	})
+	server := httptest.NewServer(f.peerServer)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
 // TestSilentParentLeavesTimeForNext guards against a daemon whose parent hangs, and that
-// does not reach the next one.
+// does not reach the next one in the same round, in its region or another. A parent that
+// takes longer than expected, and is the only one, is still used.
 func TestSilentParentLeavesTimeForNext(t *testing.T) {
-	root, child := newQuotaFixture(t, route(true), 4), newQuotaFixture(t, route(true), 4)
-	root.peerServer = peer.NewServer(peer.NewAuth("root", nil), root.log)
-	root.quotas.serve(root.peerServer)
-	server := httptest.NewServer(root.peerServer)
-	t.Cleanup(server.Close)
-	child.addParents(t, 1, Member{ID: "root", Region: "north", PeerAddress: server.Listener.Addr().String(), Capacity: 8})
-	root.saveUnits(1)
-	child.quotas.ledger.Take("shop", true, time.Now())
-	child.quotas.callParent(t.Context())
-	if n := root.quotas.ledger.Granted(); n != 1 {
-		t.Errorf("the second parent gave %d units, want 1", n)
+	for _, c := range []struct {
+		region string
+		silent int
+		delay  time.Duration
+	}{{"a", 1, 0}, {"d", 1, 0}, {"d", 0, 150 * time.Millisecond}} {
+		root, child := newQuotaFixture(t, route(true), 4), newQuotaFixture(t, route(true), 4)
+		child.addParents(t, c.region, c.silent, Member{ID: "root", Region: "a", PeerAddress: root.servePeers(t, c.delay), Capacity: 8})
+		root.saveUnits(1)
+		child.quotas.ledger.Take("shop", true, time.Now())
+		child.quotas.callParent(t.Context())
+		if n := child.quotas.ledger.Stock(time.Now()); n != 1 {
+			t.Errorf("%+v: got %d units, want 1", c, n)
+		}
 	}
 }
 
@@ -298,7 +318,7 @@
 func TestFailedRoundIsRemembered(t *testing.T) {
 	for _, silent := range []int{1, 3} {
 		f := newQuotaFixture(t, route(true), 4)
-		f.addParents(t, silent)
+		f.addParents(t, "a", silent)
 		f.quotas.callParent(t.Context())
 		now := time.Now()
 		if f.quotas.ledger.Take("shop", true, now).Ask {
@@ -328,7 +348,7 @@
 // asked for.
 func TestCopyDoesNotAsk(t *testing.T) {
 	f := newQuotaFixture(t, route(true), 4)
-	f.addParents(t, 1)
+	f.addParents(t, "a", 1)
 	o := f.configuration.Load().Organisation("shop")
 	if _, admitted := f.quotas.admitCopy(o); admitted || len(f.quotas.kick) > 0 {
 		t.Errorf("copy without a unit: admitted %v, %d calls asked for, want neither", admitted, len(f.quotas.kick))
