Collect the units of waiting requests for one call

Cause: each request without a unit called the parent, at most every 10 ms, so that a busy daemon made up to 95 calls a second.

Change: a request starts a call at once if the latest is 30 ms ago, or a third of the time for which it may wait, else then. Calls that fill a child's reply are not held back.

Seen to fail: with a loop that any request wakes, TestWaitingRequestsShareCall ("the call was made 37.829µs after the latest, want at least 100ms").

--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -36,6 +36,11 @@
 	// latency objective, so does quotaWaitFraction of that.
 	quotaWait         = 400 * time.Millisecond
 	quotaWaitFraction = 1.0 / 8
+	// quotaCallSpacing is the time after the start of a round in which requests that wait
+	// are collected for the next one. It is also at most quotaSpacingFraction of the time
+	// for which the request may wait.
+	quotaCallSpacing     = 30 * time.Millisecond
+	quotaSpacingFraction = 1.0 / 3
 	// minQuotaRetryAfter is the shortest Retry-After of a request above its quota.
 	minQuotaRetryAfter = 50 * time.Millisecond
 )
@@ -56,12 +61,21 @@
 
 	mu      sync.Mutex
 	parents *quota.Parents
-	// next is the next round of calls to the parent.
-	next *quotaRound
+	// next is the next round of calls to the parent, and roundAt the start of the latest.
+	next    *quotaRound
+	roundAt time.Time
 }
 
 // quotaRound is a call to the parent that requests wait for.
-type quotaRound struct{ done chan struct{} }
+type quotaRound struct {
+	done chan struct{}
+	// startBy is when the call is made at the latest.
+	startBy time.Time
+}
+
+func newQuotaRound(interval time.Duration) *quotaRound {
+	return &quotaRound{done: make(chan struct{}), startBy: time.Now().Add(interval)}
+}
 
 func newQuotaKeeper(self Member, bounds quota.Bounds, limit func(string) quota.Limit, peers *peer.Client, log *requestLogger) *quotaKeeper {
 	member := relay.Member{ID: self.ID, Zone: self.Zone, Region: self.Region, Address: self.PeerAddress, Capacity: self.Capacity}
@@ -69,7 +83,7 @@
 		peers: peers, ledger: quota.New(self.Incarnation, bounds, limit, time.Now()),
 		enabled: bounds.Enabled(), kick: make(chan struct{}, 1),
 		limited: &limitedOrganisations{log: log, entries: map[string]*limitedOrganisation{}},
-		parents: quota.NewParents(member), next: &quotaRound{make(chan struct{})},
+		parents: quota.NewParents(member), next: newQuotaRound(quotaCallInterval),
 	}
 }
 
@@ -132,7 +146,7 @@
 	}
 	k.limited.log.newEvent("quota.start", true).Bool("released", k.ledger.Settles(time.Now())).
 		Dur("waited_ms", time.Since(began)).Send()
-	k.wake()
+	k.callAfter(0)
 }
 
 func (k *quotaKeeper) callFirst(ctx context.Context, call *quota.StartCall) {
@@ -157,17 +171,7 @@
 // run calls the parent until ctx ends.
 func (k *quotaKeeper) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		interval := quotaCallInterval
-		if k.ledger.Settles(time.Now()) {
-			interval = quotaStartInterval
-		}
-		timer := time.NewTimer(interval)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-k.kick:
-		}
-		timer.Stop()
+		k.awaitRound(ctx)
 		round := k.startRound()
 		if k.active.Load() {
 			k.callParent(ctx)
@@ -178,21 +182,47 @@
 	}
 }
 
+// awaitRound waits until the next round starts.
+func (k *quotaKeeper) awaitRound(ctx context.Context) {
+	for ctx.Err() == nil {
+		k.mu.Lock()
+		left := time.Until(k.next.startBy)
+		k.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-k.kick:
+		}
+		timer.Stop()
+	}
+}
+
 func (k *quotaKeeper) startRound() *quotaRound {
+	interval := quotaCallInterval
+	if k.ledger.Settles(time.Now()) {
+		interval = quotaStartInterval
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	round := k.next
-	k.next = &quotaRound{make(chan struct{})}
+	k.next, k.roundAt = newQuotaRound(interval), time.Now()
 	return round
 }
 
-// ask waits until the parent has replied to a call that is sent from now on. It
-// returns false if that takes longer than limit.
-func (k *quotaKeeper) ask(ctx context.Context, limit time.Duration) bool {
-	k.mu.Lock()
-	round := k.next
-	k.mu.Unlock()
-	k.wake()
+// quotaSpacingFor returns the time since the start of a round after which a request that
+// may wait for limit starts the next one.
+func quotaSpacingFor(limit time.Duration) time.Duration {
+	return min(quotaCallSpacing, time.Duration(quotaSpacingFraction*float64(limit)))
+}
+
+// ask waits until the parent has replied to a call that is sent from now on, once spacing
+// has passed since the latest one. It returns false if that takes longer than limit.
+func (k *quotaKeeper) ask(ctx context.Context, limit, spacing time.Duration) bool {
+	round := k.callAfter(spacing)
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
@@ -204,7 +234,19 @@
 	return false
 }
 
-// wake makes the loop call the parent now.
+// callAfter returns the next round, which starts once spacing has passed since the start of
+// the latest.
+func (k *quotaKeeper) callAfter(spacing time.Duration) *quotaRound {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if by := k.roundAt.Add(spacing); by.Before(k.next.startBy) {
+		k.next.startBy = by
+		k.wake()
+	}
+	return k.next
+}
+
+// wake makes the loop look when the next round starts.
 func (k *quotaKeeper) wake() {
 	select {
 	case k.kick <- struct{}{}:
@@ -359,7 +401,7 @@
 		return reply, nil
 	}
 	if k.canAsk() {
-		k.ask(ctx, quotaFillTimeout)
+		k.ask(ctx, quotaFillTimeout, 0)
 		k.ledger.Fill(call, reply, time.Now())
 	}
 	return reply, nil
@@ -396,7 +438,7 @@
 func (k *quotaKeeper) take(ctx context.Context, o *routing.Organisation, limit time.Duration) quota.Verdict {
 	verdict := k.ledger.Take(o.Name, k.canAsk(), time.Now())
 	if verdict.Ask {
-		k.ask(ctx, limit)
+		k.ask(ctx, limit, quotaSpacingFor(limit))
 		verdict = k.ledger.TakeAgain(o.Name, time.Now())
 	}
 	return verdict
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -313,6 +313,27 @@
 	}
 }
 
+// TestWaitingRequestsShareCall guards against a call to the parent for each of several
+// requests, and against a request that waits for the call of a more patient one.
+func TestWaitingRequestsShareCall(t *testing.T) {
+	for _, c := range []struct{ first, second, least time.Duration }{
+		{100 * time.Millisecond, 200 * time.Millisecond, 100 * time.Millisecond}, {time.Hour, 0, 0},
+	} {
+		f := newQuotaFixture(t, route(true), 4)
+		latest := time.Now()
+		f.quotas.next, f.quotas.roundAt = newQuotaRound(time.Hour), latest
+		go f.quotas.run(t.Context())
+		first, second := f.quotas.callAfter(c.first), f.quotas.callAfter(c.second)
+		if first != second {
+			t.Error("two requests wait for different calls")
+		}
+		<-first.done
+		if took := time.Since(latest); took < c.least {
+			t.Errorf("%+v: the call was made %s after the latest, want at least %s", c, took, c.least)
+		}
+	}
+}
+
 // TestFailedRoundIsRemembered guards against requests that wait again and again for
 // parents that do not answer.
 func TestFailedRoundIsRemembered(t *testing.T) {
@@ -338,9 +359,13 @@
 		{80 * time.Millisecond, time.Minute, 10 * time.Millisecond}, {0, time.Minute, quotaWait},
 		{time.Minute, time.Minute, quotaWait}, {time.Minute, time.Millisecond, time.Millisecond},
 	} {
-		if got := quotaWaitFor(&routing.Route{LatencyObjective: c.objective}, now.Add(c.left), now); got != c.want {
+		got := quotaWaitFor(&routing.Route{LatencyObjective: c.objective}, now.Add(c.left), now)
+		if got != c.want {
 			t.Errorf("%+v: a request waits for %s", c, got)
 		}
+		if spacing := quotaSpacingFor(got); spacing > got/3 {
+			t.Errorf("%+v: a request that waits for %s is held back for %s", c, got, spacing)
+		}
 	}
 }
 
