Let the daemons of a large group call a tree of 16 children

Cause: the head of a group answered calls of all its daemons: in the model of 300 daemons in three regions 396 a second idle and 830 under load.

Ruled out: a tree in groups of up to 32, which need none; longer hand-overs, which take longer to come back from a lost daemon.

Change: in groups of more than 32 the daemon of rank i has that of rank (i - 1) / 16 as its parent, or else the heads. Parts now end on the way through the tree unless each level gets all of its 1.2 s, so a child adds the time since the reply to the parent's clock in it. The parent accepts no clock ahead of its own, and uses parts 10 ms less than the child leaves them alone.

--- a/coordination/quota/doc.go
+++ b/coordination/quota/doc.go
@@ -10,6 +10,6 @@
 // the units of others, and a daemon that is lost takes nothing with it but its units.
 //
 // A part is used by one holder at a time, whatever the daemons believe of each other:
-// it counts for the parent from the parent's own time in the reply before, and for the
-// owner from the moment of the call, which is later.
+// it counts for both from the moment of the call, for which the owner tells the parent its
+// own time: that in the reply before, and what has passed since.
 package quota
--- a/coordination/quota/fleet_test.go
+++ b/coordination/quota/fleet_test.go
@@ -18,6 +18,12 @@
 	up, cut bool
 	// callAt is when the node calls its parent next, and startAt the first daemon.
 	callAt, startAt time.Time
+	// pending are the organisations of the requests that wait for the call at askAt, and
+	// askedAt is the time of the latest call.
+	pending        []string
+	askAt, askedAt time.Time
+	// handled counts the calls that the node answered.
+	handled int
 	// frozenUntil is when a node that stands still goes on.
 	frozenUntil time.Time
 }
@@ -37,6 +43,10 @@
 	// lossy is the fraction of calls and of replies that are lost, and repeated that of
 	// calls and of replies that arrive a second time, up to a few seconds later.
 	lossy, repeated float64
+	// collect is the time after a call in which requests are held back for the next one.
+	collect time.Duration
+	// maxChildren is the fan-out of groups of any size, or 0 for that of real ones.
+	maxChildren int
 	// mostHeld are the most parts that all nodes issued units from at one time.
 	mostHeld float64
 }
@@ -46,7 +56,7 @@
 func newFleet(daemons, regions int, limits map[string]Limit, seed uint64) *fleet {
 	f := &fleet{
 		now: time.Unix(1000, 0), limits: limits, bounds: testBounds, random: rand.New(rand.NewPCG(seed, 0)),
-		admitted: map[string][]time.Time{}, asked: map[string]int{},
+		admitted: map[string][]time.Time{}, asked: map[string]int{}, collect: 30 * time.Millisecond,
 	}
 	for i := range daemons {
 		n := &node{member: relay.Member{ID: fmt.Sprint("d", i), Region: fmt.Sprint("r", i%regions), Zone: fmt.Sprint("z", i%(2*regions)), Capacity: float64(i % 4)}}
@@ -64,6 +74,9 @@
 	n.process++
 	n.up, n.callAt, n.startAt, n.frozenUntil = true, f.now, f.now, time.Time{}
 	n.parents = NewParents(n.member)
+	if f.maxChildren > 0 {
+		n.parents.maxChildren, n.parents.maxFlatGroup = f.maxChildren, 0
+	}
 	limit := func(name string) Limit { return f.limits[name] }
 	n.ledger = New(fmt.Sprint(n.member.ID, "/", n.process), f.bounds, limit, f.now)
 }
@@ -112,7 +125,7 @@
 	if !ok {
 		return f.askPeers(n)
 	}
-	n.callAt = f.now.Add(250 * time.Millisecond)
+	n.callAt, n.askedAt = f.now.Add(250*time.Millisecond), f.now
 	call := n.ledger.NewCall(parent.ID, f.now)
 	p := f.nodeByID(parent.ID)
 	if p == nil || !f.runs(p) || p.cut != n.cut || f.random.Float64() < f.lossy {
@@ -124,6 +137,7 @@
 		return f.ask(n, depth)
 	}
 	reply, short := p.ledger.Handle(n.member.ID, call, f.now)
+	p.handled++
 	f.repeat(func() { p.ledger.Handle(n.member.ID, call, f.now) })
 	if short && f.ask(p, depth+1) {
 		p.ledger.Fill(call, reply, f.now)
@@ -180,6 +194,7 @@
 			continue
 		}
 		reply, _ := p.ledger.Handle(n.member.ID, call, f.now)
+		p.handled++
 		n.ledger.Apply(call, reply, f.now, f.now)
 		call = call.Rest(reply)
 	}
@@ -190,9 +205,29 @@
 func (f *fleet) request(n *node, organisation string) {
 	f.asked[organisation]++
 	v := n.ledger.Take(organisation, true, f.now)
+	if v.Ask && f.now.Before(n.askedAt.Add(f.collect)) {
+		if len(n.pending) == 0 {
+			n.askAt = n.askedAt.Add(f.collect)
+		}
+		n.pending = append(n.pending, organisation)
+		return
+	}
 	if v.Ask && f.ask(n, 0) {
 		v = n.ledger.TakeAgain(organisation, f.now)
 	}
+	f.record(organisation, v)
+}
+
+// askForPending calls the parent for the requests that were held back.
+func (f *fleet) askForPending(n *node) {
+	f.ask(n, 0)
+	for _, organisation := range n.pending {
+		f.record(organisation, n.ledger.TakeAgain(organisation, f.now))
+	}
+	n.pending = nil
+}
+
+func (f *fleet) record(organisation string, v Verdict) {
 	if v.Admitted {
 		f.admitted[organisation] = append(f.admitted[organisation], f.now)
 	}
@@ -207,6 +242,9 @@
 			if f.runs(n) && !f.now.Before(n.startAt) {
 				f.callFirst(n)
 			}
+			if f.runs(n) && len(n.pending) > 0 && !f.now.Before(n.askAt) {
+				f.askForPending(n)
+			}
 			if f.runs(n) && !f.now.Before(n.callAt) {
 				f.ask(n, 0)
 				n.callAt = f.now.Add(250 * time.Millisecond)
--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -47,9 +47,11 @@
 	holding  holding
 	start    start
 	accounts map[string]*account
-	// parent is the daemon that is asked, and echo the mark of its latest reply.
+	// parent is the daemon that is asked, and echo the mark of its latest reply, received
+	// at echoAt.
 	parent string
 	echo   Mark
+	echoAt time.Time
 	// holder is the process to which the parts were handed last. An earlier process of
 	// the same daemon may have handed them on.
 	holder string
@@ -177,7 +179,8 @@
 	if l.echo == (Mark{}) || elsewhere {
 		return call
 	}
-	call.Echo = l.echo
+	// The parent's clock has advanced by as much since.
+	call.Echo = Mark{l.echo.Process, l.echo.Clock + now.Sub(l.echoAt)}
 	call.Parts, call.PartsFor = l.holding.handOver(now)
 	if call.Parts > 0 {
 		l.holder = l.echo.Process
@@ -308,7 +311,11 @@
 	if call.Echo.Process != l.process || call.Parts < 0 || call.Parts > 1 {
 		return
 	}
-	until := l.holding.started.Add(call.Echo.Clock + min(call.PartsFor, ownPartsFor))
+	sent := l.holding.started.Add(call.Echo.Clock)
+	if sent.After(now) {
+		sent = now
+	}
+	until := sent.Add(min(call.PartsFor, ownPartsFor) - clockMargin)
 	l.holding.children[child] = handed{call.Parts, until}
 }
 
@@ -318,7 +325,7 @@
 	defer l.mu.Unlock()
 	// A silent parent may reply when the next one has been asked.
 	if !call.Spare && call.parent == l.parent {
-		l.echo = reply.Mark
+		l.echo, l.echoAt = reply.Mark, now
 	}
 	held := l.holding.held(now)
 	for _, g := range reply.Grants {
--- a/coordination/quota/message.go
+++ b/coordination/quota/message.go
@@ -8,7 +8,7 @@
 	Parts float64 `cbor:"p,omitempty"`
 	// PartsFor is how long the parent may use them, counted from Echo.
 	PartsFor time.Duration `cbor:"f,omitempty"`
-	// Echo is the mark of the parent's latest reply.
+	// Echo is the mark of the parent's latest reply, advanced by the time since.
 	Echo  Mark   `cbor:"e,omitzero"`
 	Wants []Want `cbor:"w,omitempty"`
 	// Spare says that the caller issues units itself and asks only for those that are
--- a/coordination/quota/model_test.go
+++ b/coordination/quota/model_test.go
@@ -40,6 +40,7 @@
 	f := newFleet(rapid.IntRange(2, 7).Draw(t, "daemons"), rapid.IntRange(1, 3).Draw(t, "regions"), map[string]Limit{modelOrganisation: limit}, rapid.Uint64().Draw(t, "seed"))
 	m := &model{fleet: f}
 	m.bounds.Slack = 4
+	m.maxChildren = rapid.IntRange(0, 2).Draw(t, "children")
 	for _, n := range m.nodes {
 		m.start(n)
 	}
--- a/coordination/quota/parent.go
+++ b/coordination/quota/parent.go
@@ -17,6 +17,10 @@
 	issuingGroups = 3
 	// maxRegionGroup is the number of daemons of a region up to which one head serves them.
 	maxRegionGroup = 100
+	// maxChildren is how many daemons of its group have the same parent, in groups of more
+	// than maxFlatGroup. In smaller ones all have the head.
+	maxChildren  = 16
+	maxFlatGroup = 32
 	// parentRetryDelay is how long a daemon that did not reply is not asked. The delay
 	// doubles with each failure up to maxParentRetryDelay.
 	parentRetryDelay    = 500 * time.Millisecond
@@ -29,7 +33,8 @@
 
 // Parents selects the daemons that a daemon asks for units. The daemons of a group, which
 // is a region or, in a fleet of one region or of large ones, a data centre, have the group's first
-// daemon as their parent, its head. The heads of the first issuingGroups groups have
+// daemon as their parent, its head, or in large groups form a tree below it. The heads of
+// the first issuingGroups groups have
 // no parent and ask each other for units that are left over. The other heads have one
 // of those as their parent. Daemons are ordered the same everywhere and a parent comes
 // before its children, so that there is no cycle. It is not safe for concurrent use.
@@ -42,6 +47,8 @@
 	// usual is about the least time that each daemon took to reply.
 	usual map[string]time.Duration
 	first relay.Member
+
+	maxChildren, maxFlatGroup int
 }
 
 // failure is how often a daemon did not reply, and when it may be asked again.
@@ -52,7 +59,7 @@
 
 // NewParents returns the selector of a daemon.
 func NewParents(self relay.Member) *Parents {
-	return &Parents{self: self, failed: map[string]failure{}, usual: map[string]time.Duration{}}
+	return &Parents{self: self, failed: map[string]failure{}, usual: map[string]time.Duration{}, maxChildren: maxChildren, maxFlatGroup: maxFlatGroup}
 }
 
 // SetMembers sets the daemons of the fleet. The daemon itself may be missing, since it may
@@ -71,11 +78,12 @@
 	groups, groupOf := groupMembers(members)
 	p.first = groups[0][0]
 	own := slices.IndexFunc(groups, func(g []relay.Member) bool { return groupOf(g[0]) == groupOf(self) })
-	for _, m := range groups[own] {
-		if compareRank(m, self) < 0 && len(p.parents) < headsPerGroup {
-			p.parents = append(p.parents, m)
-		}
+	group := groups[own]
+	rank := slices.IndexFunc(group, func(m relay.Member) bool { return m.ID == self.ID })
+	if len(group) > p.maxFlatGroup && rank > p.maxChildren {
+		p.parents = append(p.parents, group[(rank-1)/p.maxChildren])
 	}
+	p.parents = append(p.parents, group[:min(rank, headsPerGroup)]...)
 	for i, g := range groups[:min(issuingGroups, len(groups))] {
 		heads := g[:min(headsPerGroup, len(g))]
 		switch {
--- a/coordination/quota/parts.go
+++ b/coordination/quota/parts.go
@@ -5,6 +5,8 @@
 const (
 	// ownPartsFor is how long a daemon hands over its own part with each call.
 	ownPartsFor = 1200 * time.Millisecond
+	// clockMargin covers the difference in the rates of two clocks over ownPartsFor.
+	clockMargin = 10 * time.Millisecond
 	// minPartsFor is the shortest time for which parts are handed on.
 	minPartsFor = 400 * time.Millisecond
 	// restartDelay is how long a new process leaves its own part unused after the end of
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -26,7 +26,7 @@
 			const duration = 20 * time.Second
 			var admitted, owed float64
 			// One run of a small quota differs from the next by more than the bound leaves.
-			for seed := range uint64(max(1, min(10, 770/c.daemons))) {
+			for seed := range uint64(min(40, 1+3000/(c.rate*c.demand*duration.Seconds()))) {
 				f := newFleet(c.daemons, c.regions, map[string]Limit{"shop": l}, seed)
 				f.play(15*time.Second, nil, nil)
 				f.play(duration, map[string]float64{"shop": c.rate * c.demand}, f.nodes[:c.busy])
@@ -191,34 +191,44 @@
 	}
 }
 
-// TestHeadsFormTree guards against daemons that are each other's parents, and against
-// further regions without a parent.
+// TestHeadsFormTree guards against daemons that are each other's parents, against further
+// regions without a parent, and against parents of all daemons of a large region.
 func TestHeadsFormTree(t *testing.T) {
-	var members []relay.Member
-	for i := range 60 {
-		members = append(members, relay.Member{ID: fmt.Sprintf("d%02d", i), Region: fmt.Sprintf("r%02d", i%16), Zone: fmt.Sprintf("z%02d", i%32), Capacity: float64(i % 3)})
-	}
-	now, roots := time.Unix(1000, 0), 0
-	parentOf := map[string]string{}
-	for _, m := range members {
-		p := NewParents(m)
-		p.SetMembers(members)
-		if parent, ok := p.Pick(now); ok {
-			parentOf[m.ID] = parent.ID
-		} else if roots++; len(p.Peers(now)) != issuingGroups-1 {
-			t.Errorf("%s has %d other issuers, want %d", m.ID, len(p.Peers(now)), issuingGroups-1)
+	for _, c := range []struct{ daemons, regions, mostSteps int }{{60, 16, 2}, {74, 3, 1}, {1000, 16, 3}} {
+		var members []relay.Member
+		for i := range c.daemons {
+			members = append(members, relay.Member{ID: fmt.Sprintf("d%03d", i), Region: fmt.Sprintf("r%02d", i%c.regions), Zone: fmt.Sprintf("z%02d", i%(2*c.regions)), Capacity: float64(i % 3)})
 		}
-	}
-	if roots != issuingGroups {
-		t.Errorf("%d daemons have no parent, want %d", roots, issuingGroups)
-	}
-	for id := range parentOf {
-		steps := 0
-		for at, ok := id, true; ok && steps <= 3; steps++ {
-			at, ok = parentOf[at], parentOf[at] != ""
+		now, roots := time.Unix(1000, 0), 0
+		parentOf, children := map[string]string{}, map[string]int{}
+		for _, m := range members {
+			p := NewParents(m)
+			p.SetMembers(members)
+			if parent, ok := p.Pick(now); ok {
+				parentOf[m.ID] = parent.ID
+				if parent.Region == m.Region {
+					children[parent.ID]++
+				}
+			} else if roots++; len(p.Peers(now)) != issuingGroups-1 {
+				t.Errorf("%s has %d other issuers, want %d", m.ID, len(p.Peers(now)), issuingGroups-1)
+			}
+		}
+		if roots != issuingGroups {
+			t.Errorf("%d daemons have no parent, want %d", roots, issuingGroups)
+		}
+		for id := range parentOf {
+			steps := -1
+			for at, ok := id, true; ok && steps <= c.mostSteps; steps++ {
+				at, ok = parentOf[at], parentOf[at] != ""
+			}
+			if steps > c.mostSteps {
+				t.Errorf("%+v: %s is more than %d steps from an issuer", c, id, c.mostSteps)
+			}
 		}
-		if steps > 3 {
-			t.Errorf("%s is more than two steps from an issuer", id)
+		for id, n := range children {
+			if n > maxChildren && c.daemons/c.regions > maxFlatGroup || n >= maxFlatGroup {
+				t.Errorf("%+v: %s is the parent of %d daemons of its region", c, id, n)
+			}
 		}
 	}
 }
@@ -252,6 +262,35 @@
 	}
 }
 
+// TestPartsEndBeforeTheyReturn guards against a parent that uses parts longer than its child
+// leaves them alone, or by a clock that has not come yet.
+func TestPartsEndBeforeTheyReturn(t *testing.T) {
+	for _, ahead := range []time.Duration{0, time.Hour} {
+		now := time.Unix(1000, 0)
+		parent, child := newLedger("p", now), newLedger("c", now)
+		parent.SetDaemons(2, true, now)
+		child.SetDaemons(2, true, now)
+		now = now.Add(restartDelay)
+		call := child.NewCall("parent", now)
+		reply, _ := parent.Handle("child", call, now)
+		now = now.Add(20 * time.Millisecond)
+		child.Apply(call, reply, now, now)
+		now = now.Add(time.Second)
+		call = child.NewCall("parent", now)
+		call.Echo.Clock += ahead
+		parent.Handle("child", call, now)
+		if held := parent.Held(now.Add(ownPartsFor - 50*time.Millisecond)); held != 1 {
+			t.Errorf("the parent uses %v parts until shortly before they are back, want 1", held)
+		}
+		if held := parent.Held(now.Add(ownPartsFor - 1)); held != 0.5 {
+			t.Errorf("the parent uses %v parts when they are about to be back, want its half", held)
+		}
+		if held := child.Held(now.Add(ownPartsFor - 1)); held != 0 {
+			t.Errorf("the child uses %v parts before they are back, want 0", held)
+		}
+	}
+}
+
 // TestReturnedPartsIssueFromNowOn guards against a daemon that was stopped for a while and
 // issues units for the time in which its parent held its part.
 func TestReturnedPartsIssueFromNowOn(t *testing.T) {
