--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -45,10 +45,13 @@
 
 	mu       sync.Mutex
 	holding  holding
+	start    start
 	accounts map[string]*account
-	// parent is the daemon that is asked, and echo the mark of its latest reply.
+	// parent is the daemon that is asked, and echo the mark of its latest reply, received
+	// at echoAt.
 	parent string
 	echo   Mark
+	echoAt time.Time
 	// holder is the process to which the parts were handed last. An earlier process of
 	// the same daemon may have handed them on.
 	holder string
@@ -167,7 +170,7 @@
 func (l *Ledger) NewCall(parent string, now time.Time) *Call {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	call := &Call{}
+	call := &Call{parent: parent}
 	if l.parent != parent {
 		l.parent, l.echo = parent, Mark{}
 	}
@@ -176,7 +179,8 @@
 	if l.echo == (Mark{}) || elsewhere {
 		return call
 	}
-	call.Echo = l.echo
+	// The parent's clock has advanced by as much since.
+	call.Echo = Mark{l.echo.Process, l.echo.Clock + now.Sub(l.echoAt)}
 	call.Parts, call.PartsFor = l.holding.handOver(now)
 	if call.Parts > 0 {
 		l.holder = l.echo.Process
@@ -237,7 +241,10 @@
 	defer l.mu.Unlock()
 	l.receiveParts(child, call, now)
 	held := l.holding.held(now)
-	reply = &Reply{Mark: Mark{l.process, now.Sub(l.holding.started)}}
+	reply = &Reply{}
+	if !l.holding.waits(now) {
+		reply.Mark = l.mark(now)
+	}
 	for _, w := range call.Wants {
 		a := l.account(w.Organisation, held, now)
 		if a == nil || w.Units <= 0 {
@@ -298,11 +305,17 @@
 	return g
 }
 
+func (l *Ledger) mark(now time.Time) Mark { return Mark{l.process, now.Sub(l.holding.started)} }
+
 func (l *Ledger) receiveParts(child string, call *Call, now time.Time) {
 	if call.Echo.Process != l.process || call.Parts < 0 || call.Parts > 1 {
 		return
 	}
-	until := l.holding.started.Add(call.Echo.Clock + min(call.PartsFor, ownPartsFor))
+	sent := l.holding.started.Add(call.Echo.Clock)
+	if sent.After(now) {
+		sent = now
+	}
+	until := sent.Add(min(call.PartsFor, ownPartsFor) - clockMargin)
 	l.holding.children[child] = handed{call.Parts, until}
 }
 
@@ -310,8 +323,9 @@
 func (l *Ledger) Apply(call *Call, reply *Reply, sent, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !call.Spare {
-		l.echo = reply.Mark
+	// A silent parent may reply when the next one has been asked.
+	if !call.Spare && call.parent == l.parent {
+		l.echo, l.echoAt = reply.Mark, now
 	}
 	held := l.holding.held(now)
 	for _, g := range reply.Grants {
--- a/coordination/quota/message.go
+++ b/coordination/quota/message.go
@@ -8,12 +8,14 @@
 	Parts float64 `cbor:"p,omitempty"`
 	// PartsFor is how long the parent may use them, counted from Echo.
 	PartsFor time.Duration `cbor:"f,omitempty"`
-	// Echo is the mark of the parent's latest reply.
+	// Echo is the mark of the parent's latest reply, advanced by the time since.
 	Echo  Mark   `cbor:"e,omitzero"`
 	Wants []Want `cbor:"w,omitempty"`
 	// Spare says that the caller issues units itself and asks only for those that are
 	// left over.
 	Spare bool `cbor:"s,omitempty"`
+
+	parent string
 }
 
 // Rest returns a call for the units that a reply did not give.
@@ -45,7 +47,8 @@
 
 // Reply is the reply to a Call.
 type Reply struct {
-	Mark   Mark    `cbor:"m"`
+	// Mark is zero if the daemon cannot be handed parts.
+	Mark   Mark    `cbor:"m,omitzero"`
 	Grants []Grant `cbor:"g,omitempty"`
 }
 
--- a/coordination/quota/parent.go
+++ b/coordination/quota/parent.go
@@ -17,15 +17,24 @@
 	issuingGroups = 3
 	// maxRegionGroup is the number of daemons of a region up to which one head serves them.
 	maxRegionGroup = 100
+	// maxChildren is how many daemons of its group have the same parent, in groups of more
+	// than maxFlatGroup. In smaller ones all have the head.
+	maxChildren  = 16
+	maxFlatGroup = 32
 	// parentRetryDelay is how long a daemon that did not reply is not asked. The delay
 	// doubles with each failure up to maxParentRetryDelay.
 	parentRetryDelay    = 500 * time.Millisecond
 	maxParentRetryDelay = 4 * time.Second
+	// minSilence is the shortest time after which a daemon that has not replied counts as
+	// silent, and replyDelay the time for which one may hold up its reply.
+	minSilence = 100 * time.Millisecond
+	replyDelay = 60 * time.Millisecond
 )
 
 // Parents selects the daemons that a daemon asks for units. The daemons of a group, which
 // is a region or, in a fleet of one region or of large ones, a data centre, have the group's first
-// daemon as their parent, its head. The heads of the first issuingGroups groups have
+// daemon as their parent, its head, or in large groups form a tree below it. The heads of
+// the first issuingGroups groups have
 // no parent and ask each other for units that are left over. The other heads have one
 // of those as their parent. Daemons are ordered the same everywhere and a parent comes
 // before its children, so that there is no cycle. It is not safe for concurrent use.
@@ -35,6 +44,11 @@
 	// peers are the first daemons of each other issuing group.
 	peers  [][]relay.Member
 	failed map[string]failure
+	// usual is about the least time that each daemon took to reply.
+	usual map[string]time.Duration
+	first relay.Member
+
+	maxChildren, maxFlatGroup int
 }
 
 // failure is how often a daemon did not reply, and when it may be asked again.
@@ -45,13 +59,16 @@
 
 // NewParents returns the selector of a daemon.
 func NewParents(self relay.Member) *Parents {
-	return &Parents{self: self, failed: map[string]failure{}}
+	return &Parents{self: self, failed: map[string]failure{}, usual: map[string]time.Duration{}, maxChildren: maxChildren, maxFlatGroup: maxFlatGroup}
 }
 
 // SetMembers sets the daemons of the fleet. The daemon itself may be missing, since it may
 // not be registered yet.
 func (p *Parents) SetMembers(members []relay.Member) {
 	p.parents, p.peers = nil, nil
+	maps.DeleteFunc(p.usual, func(id string, _ time.Duration) bool {
+		return !slices.ContainsFunc(members, func(m relay.Member) bool { return m.ID == id })
+	})
 	self := p.self
 	if at := slices.IndexFunc(members, func(m relay.Member) bool { return m.ID == self.ID }); at >= 0 {
 		self = members[at]
@@ -59,12 +76,14 @@
 		members = append(slices.Clip(members), self)
 	}
 	groups, groupOf := groupMembers(members)
+	p.first = groups[0][0]
 	own := slices.IndexFunc(groups, func(g []relay.Member) bool { return groupOf(g[0]) == groupOf(self) })
-	for _, m := range groups[own] {
-		if compareRank(m, self) < 0 && len(p.parents) < headsPerGroup {
-			p.parents = append(p.parents, m)
-		}
+	group := groups[own]
+	rank := slices.IndexFunc(group, func(m relay.Member) bool { return m.ID == self.ID })
+	if len(group) > p.maxFlatGroup && rank > p.maxChildren {
+		p.parents = append(p.parents, group[(rank-1)/p.maxChildren])
 	}
+	p.parents = append(p.parents, group[:min(rank, headsPerGroup)]...)
 	for i, g := range groups[:min(issuingGroups, len(groups))] {
 		heads := g[:min(headsPerGroup, len(g))]
 		switch {
@@ -104,6 +123,9 @@
 	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.ID, b.ID))
 }
 
+// First returns the first daemon of the fleet, which releases those that start together.
+func (p *Parents) First() relay.Member { return p.first }
+
 // Pick returns the parent to ask, or false if there is none.
 func (p *Parents) Pick(now time.Time) (relay.Member, bool) { return p.firstWorking(p.parents, now) }
 
@@ -133,5 +155,21 @@
 	p.failed[id] = failure{delay, now.Add(delay)}
 }
 
-// MarkWorking records that a daemon replied.
-func (p *Parents) MarkWorking(id string) { delete(p.failed, id) }
+// MarkWorking records that a daemon replied after the given time.
+func (p *Parents) MarkWorking(id string, took time.Duration) {
+	delete(p.failed, id)
+	if usual, ok := p.usual[id]; ok {
+		took = min(took, usual+usual/8+time.Millisecond)
+	}
+	p.usual[id] = took
+}
+
+// SilentAfter returns how long to wait for a daemon's reply before the next one is asked.
+// If it is not known how long the daemon usually takes, its reply may well come later.
+func (p *Parents) SilentAfter(id string) (after time.Duration, known bool) {
+	usual, known := p.usual[id]
+	if !known {
+		return minSilence, false
+	}
+	return max(minSilence, 2*usual+replyDelay), true
+}
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -25,10 +24,11 @@
 	// the shortest pause between calls for requests that wait.
 	quotaCallInterval    = 250 * time.Millisecond
 	minQuotaCallInterval = 10 * time.Millisecond
-	// quotaRoundTimeout bounds the calls of a round, and quotaNearCallTimeout one to a
-	// daemon of the same region.
-	quotaRoundTimeout    = 300 * time.Millisecond
-	quotaNearCallTimeout = 100 * time.Millisecond
+	// quotaStartInterval is the pause between calls for the release of a process that has
+	// started, and after it until the parts have come together.
+	quotaStartInterval = 50 * time.Millisecond
+	// quotaRoundTimeout bounds the calls of a round.
+	quotaRoundTimeout = 300 * time.Millisecond
 	// quotaFillTimeout is how long a daemon waits for its own parent before it replies to
 	// a child.
 	quotaFillTimeout = 60 * time.Millisecond
@@ -36,6 +36,11 @@
 	// latency objective, so does quotaWaitFraction of that.
 	quotaWait         = 400 * time.Millisecond
 	quotaWaitFraction = 1.0 / 8
+	// quotaCallSpacing is the time after the start of a round in which requests that wait
+	// are collected for the next one. It is also at most quotaSpacingFraction of the time
+	// for which the request may wait.
+	quotaCallSpacing     = 30 * time.Millisecond
+	quotaSpacingFraction = 1.0 / 3
 	// minQuotaRetryAfter is the shortest Retry-After of a request above its quota.
 	minQuotaRetryAfter = 50 * time.Millisecond
 )
@@ -44,7 +49,6 @@
 type quotaKeeper struct {
 	peers  *peer.Client
 	ledger *quota.Ledger
-	region string
 	// enabled says that the settings have bounds for quotas. They are read at the start
 	// only.
 	enabled bool
@@ -57,20 +61,29 @@
 
 	mu      sync.Mutex
 	parents *quota.Parents
-	// next is the next round of calls to the parent.
-	next *quotaRound
+	// next is the next round of calls to the parent, and roundAt the start of the latest.
+	next    *quotaRound
+	roundAt time.Time
 }
 
 // quotaRound is a call to the parent that requests wait for.
-type quotaRound struct{ done chan struct{} }
+type quotaRound struct {
+	done chan struct{}
+	// startBy is when the call is made at the latest.
+	startBy time.Time
+}
+
+func newQuotaRound(interval time.Duration) *quotaRound {
+	return &quotaRound{done: make(chan struct{}), startBy: time.Now().Add(interval)}
+}
 
 func newQuotaKeeper(self Member, bounds quota.Bounds, limit func(string) quota.Limit, peers *peer.Client, log *requestLogger) *quotaKeeper {
 	member := relay.Member{ID: self.ID, Zone: self.Zone, Region: self.Region, Address: self.PeerAddress, Capacity: self.Capacity}
 	return &quotaKeeper{
-		peers: peers, ledger: quota.New(self.Incarnation, bounds, limit, time.Now()), region: self.Region,
+		peers: peers, ledger: quota.New(self.Incarnation, bounds, limit, time.Now()),
 		enabled: bounds.Enabled(), kick: make(chan struct{}, 1),
 		limited: &limitedOrganisations{log: log, entries: map[string]*limitedOrganisation{}},
-		parents: quota.NewParents(member), next: &quotaRound{make(chan struct{})},
+		parents: quota.NewParents(member), next: newQuotaRound(quotaCallInterval),
 	}
 }
 
@@ -101,26 +114,64 @@
 func (k *quotaKeeper) setMembers(all []Member, self string) {
 	listed := false
 	parents := make([]relay.Member, 0, len(all))
+	others := make([]string, 0, len(all))
 	for _, m := range all {
-		listed = listed || m.ID == self
+		if m.ID == self {
+			listed = true
+		} else {
+			others = append(others, m.ID)
+		}
 		parents = append(parents, m.Relay())
 	}
 	k.ledger.SetDaemons(len(all), listed, time.Now())
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.parents.SetMembers(parents)
+	k.ledger.SetFleet(others, k.parents.First().ID == self)
+}
+
+// runStart calls the fleet's first daemon until the process may use its part.
+func (k *quotaKeeper) runStart(ctx context.Context) {
+	if !k.enabled {
+		return
+	}
+	began := time.Now()
+	for k.ledger.Waits(time.Now()) && sleep.For(ctx, quotaStartInterval) {
+		if call := k.ledger.NewStartCall(time.Now()); call != nil {
+			k.callFirst(ctx, call)
+		}
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	k.limited.log.newEvent("quota.start", true).Bool("released", k.ledger.Settles(time.Now())).
+		Dur("waited_ms", time.Since(began)).Send()
+	k.callAfter(0)
+}
+
+func (k *quotaKeeper) callFirst(ctx context.Context, call *quota.StartCall) {
+	ctx, cancel := context.WithTimeout(ctx, quotaRoundTimeout)
+	defer cancel()
+	k.mu.Lock()
+	first := k.parents.First()
+	k.mu.Unlock()
+	addr, err := netip.ParseAddrPort(first.Address)
+	if err != nil {
+		return
+	}
+	if reply, err := peer.Call[quota.StartReply](ctx, k.peers, addr, wire.TypeQuotaStart, call); err == nil {
+		k.ledger.ApplyStart(reply, time.Now())
+	}
+}
+
+func (k *quotaKeeper) handleStart(_ context.Context, from string, call *quota.StartCall) (*quota.StartReply, error) {
+	return k.ledger.HandleStart(from, call, time.Now()), nil
 }
 
 // run calls the parent until ctx ends.
 func (k *quotaKeeper) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		timer := time.NewTimer(quotaCallInterval)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-k.kick:
-		}
-		timer.Stop()
+		k.awaitRound(ctx)
 		round := k.startRound()
 		if k.active.Load() {
 			k.callParent(ctx)
@@ -131,24 +182,47 @@
 	}
 }
 
+// awaitRound waits until the next round starts.
+func (k *quotaKeeper) awaitRound(ctx context.Context) {
+	for ctx.Err() == nil {
+		k.mu.Lock()
+		left := time.Until(k.next.startBy)
+		k.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-k.kick:
+		}
+		timer.Stop()
+	}
+}
+
 func (k *quotaKeeper) startRound() *quotaRound {
+	interval := quotaCallInterval
+	if k.ledger.Settles(time.Now()) {
+		interval = quotaStartInterval
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	round := k.next
-	k.next = &quotaRound{make(chan struct{})}
+	k.next, k.roundAt = newQuotaRound(interval), time.Now()
 	return round
 }
 
-// ask waits until the parent has replied to a call that is sent from now on. It
-// returns false if that takes longer than limit.
-func (k *quotaKeeper) ask(ctx context.Context, limit time.Duration) bool {
-	k.mu.Lock()
-	round := k.next
-	k.mu.Unlock()
-	select {
-	case k.kick <- struct{}{}:
-	default:
-	}
+// quotaSpacingFor returns the time since the start of a round after which a request that
+// may wait for limit starts the next one.
+func quotaSpacingFor(limit time.Duration) time.Duration {
+	return min(quotaCallSpacing, time.Duration(quotaSpacingFraction*float64(limit)))
+}
+
+// ask waits until the parent has replied to a call that is sent from now on, once spacing
+// has passed since the latest one. It returns false if that takes longer than limit.
+func (k *quotaKeeper) ask(ctx context.Context, limit, spacing time.Duration) bool {
+	round := k.callAfter(spacing)
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
@@ -160,6 +234,26 @@
 	return false
 }
 
+// callAfter returns the next round, which starts once spacing has passed since the start of
+// the latest.
+func (k *quotaKeeper) callAfter(spacing time.Duration) *quotaRound {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if by := k.roundAt.Add(spacing); by.Before(k.next.startBy) {
+		k.next.startBy = by
+		k.wake()
+	}
+	return k.next
+}
+
+// wake makes the loop look when the next round starts.
+func (k *quotaKeeper) wake() {
+	select {
+	case k.kick <- struct{}{}:
+	default:
+	}
+}
+
 // sources returns the parent, or the other issuers if there is none.
 func (k *quotaKeeper) sources() (*relay.Member, []relay.Member) {
 	k.mu.Lock()
@@ -177,17 +271,32 @@
 }
 
 // callParent calls the parent, and the next one if it does not reply, for at most
-// quotaRoundTimeout.
+// quotaRoundTimeout. The replies of silent ones are awaited for as long.
 func (k *quotaKeeper) callParent(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, quotaRoundTimeout)
 	defer cancel()
+	var silent []<-chan *quota.Reply
 	for ctx.Err() == nil {
 		parent, peers := k.sources()
 		if parent == nil {
-			k.callPeers(ctx, peers)
+			if len(peers) > 0 || len(silent) == 0 {
+				k.callPeers(ctx, peers)
+				return
+			}
+			break
+		}
+		call := k.ledger.NewCall(parent.ID, time.Now())
+		reply, late := k.exchange(ctx, *parent, call)
+		if reply != nil {
 			return
 		}
-		if k.callOne(ctx, *parent) == nil {
+		k.ledger.Fail(call)
+		if late != nil {
+			silent = append(silent, late)
+		}
+	}
+	for _, late := range silent {
+		if <-late != nil {
 			return
 		}
 	}
@@ -200,53 +309,78 @@
 	if call == nil && len(peers) > 0 {
 		return
 	}
-	replies := 0
+	var silent []<-chan *quota.Reply
+	replied := false
+	apply := func(reply *quota.Reply) {
+		if reply != nil {
+			call, replied = call.Rest(reply), true
+		}
+	}
 	for _, p := range peers {
 		if len(call.Wants) == 0 {
 			return
 		}
-		if reply, err := k.exchange(ctx, p, call, time.Now()); err == nil {
-			call = call.Rest(reply)
-			replies++
+		reply, late := k.exchange(ctx, p, call)
+		apply(reply)
+		if late != nil {
+			silent = append(silent, late)
 		}
 	}
-	if replies == 0 {
-		k.ledger.RoundFailed(time.Now())
+	for _, late := range silent {
+		if len(call.Wants) > 0 {
+			apply(<-late)
+		}
 	}
-}
-
-func (k *quotaKeeper) callOne(ctx context.Context, parent relay.Member) error {
-	sent := time.Now()
-	call := k.ledger.NewCall(parent.ID, sent)
-	_, err := k.exchange(ctx, parent, call, sent)
-	if err != nil {
-		k.ledger.Fail(call)
+	if !replied {
+		k.ledger.RoundFailed(time.Now())
 	}
-	return err
 }
 
-// exchange sends a call that was made at the given time and applies the reply.
-func (k *quotaKeeper) exchange(ctx context.Context, to relay.Member, call *quota.Call, sent time.Time) (*quota.Reply, error) {
+// exchange sends a call that was made now and applies the reply. A daemon that is silent
+// for too long counts as failed. Its reply is applied until ctx ends, and sent to late if
+// it is worth waiting for.
+func (k *quotaKeeper) exchange(ctx context.Context, to relay.Member, call *quota.Call) (reply *quota.Reply, late <-chan *quota.Reply) {
 	addr, err := netip.ParseAddrPort(to.Address)
 	if err != nil {
 		k.markFailed(to)
-		return nil, fmt.Errorf("parse daemon address: %w", err)
+		return nil, nil
 	}
-	if to.Region == k.region {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, quotaNearCallTimeout)
-		defer cancel()
-	}
-	reply, err := peer.Call[quota.Reply](ctx, k.peers, addr, wire.TypeQuota, call)
-	if err != nil {
+	sent := time.Now()
+	replies := make(chan *quota.Reply, 1)
+	go func() {
+		reply, err := peer.Call[quota.Reply](ctx, k.peers, addr, wire.TypeQuota, call)
+		if err != nil {
+			replies <- nil
+			return
+		}
+		k.ledger.Apply(call, reply, sent, time.Now())
+		k.markWorking(to, time.Since(sent))
+		replies <- reply
+	}()
+	k.mu.Lock()
+	after, known := k.parents.SilentAfter(to.ID)
+	k.mu.Unlock()
+	timer := time.NewTimer(after)
+	defer timer.Stop()
+	select {
+	case reply := <-replies:
+		if reply == nil {
+			k.markFailed(to)
+		}
+		return reply, nil
+	case <-timer.C:
 		k.markFailed(to)
-		return nil, err
+		if known {
+			return nil, nil
+		}
+		return nil, replies
 	}
-	k.ledger.Apply(call, reply, sent, time.Now())
+}
+
+func (k *quotaKeeper) markWorking(m relay.Member, took time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.parents.MarkWorking(to.ID)
-	return reply, nil
+	k.parents.MarkWorking(m.ID, took)
 }
 
 func (k *quotaKeeper) markFailed(m relay.Member) {
@@ -256,7 +390,10 @@
 }
 
 // serve answers calls of other daemons.
-func (k *quotaKeeper) serve(s *peer.Server) { peer.Handle(s, wire.TypeQuota, k.handleCall) }
+func (k *quotaKeeper) serve(s *peer.Server) {
+	peer.Handle(s, wire.TypeQuota, k.handleCall)
+	peer.Handle(s, wire.TypeQuotaStart, k.handleStart)
+}
 
 func (k *quotaKeeper) handleCall(ctx context.Context, from string, call *quota.Call) (*quota.Reply, error) {
 	reply, short := k.ledger.Handle(from, call, time.Now())
@@ -264,7 +401,7 @@
 		return reply, nil
 	}
 	if k.canAsk() {
-		k.ask(ctx, quotaFillTimeout)
+		k.ask(ctx, quotaFillTimeout, 0)
 		k.ledger.Fill(call, reply, time.Now())
 	}
 	return reply, nil
@@ -301,7 +438,7 @@
 func (k *quotaKeeper) take(ctx context.Context, o *routing.Organisation, limit time.Duration) quota.Verdict {
 	verdict := k.ledger.Take(o.Name, k.canAsk(), time.Now())
 	if verdict.Ask {
-		k.ask(ctx, limit)
+		k.ask(ctx, limit, quotaSpacingFor(limit))
 		verdict = k.ledger.TakeAgain(o.Name, time.Now())
 	}
 	return verdict
