Ignore facts and catalogues that are applied after newer ones

Ruled out: one lock over merging and applying, since handlers publish facts themselves. Change: drains and hosts compare versions; held upstreams load the catalogue under their lock, as drains and limits did. Result: the three tests failed before ('version 1 of the drain is in force after versions 2 and 1', 'an older entry took back that this host is leaving', 'has 3 slots, want the 5 of the newer catalogue') and pass.

--- a/daemon/catalogue.go
+++ b/daemon/catalogue.go
@@ -191,24 +191,24 @@
 			return
 		}
 		if d.catalogue.CompareAndSwap(current, merged) {
-			d.afterCatalogueChange(merged, newer)
+			d.afterCatalogueChange(newer)
 			return
 		}
 	}
 }
 
 // afterCatalogueChange logs the new entries and updates everything that depends
-// on the catalogue. Drains and limits load the catalogue themselves, since a
-// concurrent change may already have replaced set.
-func (d *Daemon) afterCatalogueChange(set *catalogue.Set, newer []catalogue.Record) {
-	d.metrics.catalogueVersion.Set(int64(set.Version))
+// on the catalogue. That loads the catalogue itself, since a concurrent change may
+// already have replaced it.
+func (d *Daemon) afterCatalogueChange(newer []catalogue.Record) {
+	d.metrics.catalogueVersion.Set(int64(d.catalogue.Load().Version))
 	for _, r := range newer {
 		d.log.Info().Str("event", "catalogue.in-force").Stringer("entry", r.ID).
 			Uint64("version", uint64(r.Version)).Bool("deleted", r.Deleted).Send()
 	}
 	d.drains.update(d.catalogue.Load)
 	d.refreshView()
-	d.heldUpstreams.update(set)
+	d.heldUpstreams.update(d.catalogue.Load)
 	d.limits.update(d.catalogue.Load)
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -80,6 +81,10 @@
 
 	facts        *spread.Store
 	factHandlers map[spread.Kind]func([]spread.Fact)
+	// hostVersions holds the versions of the applied host facts. hostsMu guards it, and
+	// is held while they are applied.
+	hostsMu      sync.Mutex
+	hostVersions map[string]uint64
 
 	keyIssuer *permit.Issuer
 	keys      *permit.Table
@@ -161,6 +166,7 @@
 		suspects:     newSuspects(),
 		invalid:      newInvalidObjects(),
 		factHandlers: map[spread.Kind]func([]spread.Fact){},
+		hostVersions: map[string]uint64{},
 		drains:       newDrainState(),
 		shifts:       newShifts(),
 		loadReports:  drain.NewReports(),
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -127,7 +127,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, f := range facts {
-		d.reportedDrains[f.ID.Key] = f
+		// Facts may be applied in another order than they were merged in.
+		if f.Version > d.reportedDrains[f.ID.Key].Version {
+			d.reportedDrains[f.ID.Key] = f
+		}
 	}
 	d.updateSignals()
 }
--- a/daemon/heldupstreams.go
+++ b/daemon/heldupstreams.go
@@ -126,9 +126,10 @@
 }
 
 // update applies a change of the catalogue.
-func (h *heldUpstreams) update(set *catalogue.Set) {
+func (h *heldUpstreams) update(newest func() *catalogue.Set) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	set := newest()
 	for name, held := range h.held {
 		if u := set.Upstream(name); u != nil {
 			held.update(u, set.UpstreamDraining(u), time.Now())
--- a/daemon/hosts.go
+++ b/daemon/hosts.go
@@ -121,13 +121,20 @@
 
 // applyHostFacts applies newer entries of the host list.
 func (d *Daemon) applyHostFacts(facts []spread.Fact) {
+	d.hostsMu.Lock()
+	defer d.hostsMu.Unlock()
 	hosts := make([]membership.Host, 0, len(facts))
 	for _, f := range facts {
+		// Facts may be applied in another order than they were merged in.
+		if f.Version <= d.hostVersions[f.ID.Key] {
+			continue
+		}
 		var h membership.Host
 		if err := cbor.Unmarshal(f.Body, &h); err != nil || h.ID != f.ID.Key {
 			d.log.Error().Str("event", "hosts.invalid").Str("member", f.ID.Key).Err(err).Send()
 			continue
 		}
+		d.hostVersions[f.ID.Key] = f.Version
 		hosts = append(hosts, h)
 	}
 	d.applyHosts(hosts)
--- a/daemon/lookup_test.go
+++ b/daemon/lookup_test.go
@@ -15,7 +15,7 @@
 
 // benchDaemon returns a daemon that knows the given number of hosts and two
 // services, an idempotent and a non-idempotent one.
-func benchDaemon(b *testing.B, hosts int, level string) *Daemon {
+func benchDaemon(b testing.TB, hosts int, level string) *Daemon {
 	b.Helper()
 	log, err := NewLogger(io.Discard, level)
 	if err != nil {
--- /dev/null
+++ b/daemon/versions_test.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bilberrytiller.example/tiller/coordination/membership"
+	"bilberrytiller.example/tiller/coordination/spread"
+	"bilberrytiller.example/tiller/state/catalogue"
+)
+
+// TestOlderDrainFactIsIgnored guards against two facts that are applied in another order
+// than they were merged in.
+func TestOlderDrainFactIsIgnored(t *testing.T) {
+	d := newDrainState()
+	id := spread.ID{Kind: factDraining, Key: "stock-1"}
+	d.applyDrainFacts([]spread.Fact{{ID: id, Version: 2, Body: drainingBody}})
+	d.applyDrainFacts([]spread.Fact{{ID: id, Version: 1}})
+	if got := d.reportedDrains["stock-1"].Version; got != 2 {
+		t.Errorf("version %d of the drain is in force after versions 2 and 1, want 2", got)
+	}
+}
+
+// TestOlderHostFactIsIgnored guards against the same for entries of the host list.
+func TestOlderHostFactIsIgnored(t *testing.T) {
+	d := benchDaemon(t, 1, "error")
+	fact := func(version uint64, leaving bool) []spread.Fact {
+		body, err := cbor.Marshal(membership.Host{ID: d.self.ID, DataCentre: "dc-0", Region: "region-0", Leaving: leaving})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return []spread.Fact{{ID: spread.ID{Kind: factHost, Key: d.self.ID}, Version: version, Body: body}}
+	}
+	d.applyHostFacts(fact(2, true))
+	d.applyHostFacts(fact(1, false))
+	if !d.drains.isListedLeaving() {
+		t.Error("an older entry took back that this host is leaving")
+	}
+}
+
+// TestOlderCatalogueIsIgnored guards against a catalogue that a concurrent change has
+// replaced and that is applied to the held upstreams last.
+func TestOlderCatalogueIsIgnored(t *testing.T) {
+	d := benchDaemon(t, 1, "error")
+	entry := func(version uint64, slots int) []catalogue.Record {
+		record, err := catalogue.NewRecord(catalogue.ID{Kind: catalogue.KindUpstream, Name: "stock-1"}, catalogue.Version(version),
+			[]byte(`{"schema":1,"kind":"upstream","name":"stock-1","owner":"o","services":["stock"],"datacentre":"dc-0","address":"127.0.0.1:1","connections":8,"slots":`+strconv.Itoa(slots)+`}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return []catalogue.Record{record}
+	}
+	older, _ := catalogue.Empty().Merge(entry(1, 3))
+	held := d.heldUpstreams.getOrCreate(older.Upstream("stock-1"))
+	d.applyRecords(entry(2, 5))
+	d.afterCatalogueChange(nil)
+	if got := held.upstream.Slots; got != 5 {
+		t.Errorf("the held upstream has %d slots, want the 5 of the newer catalogue", got)
+	}
+}
