Begin a slow start when a drain ends

Change: the end of the drain begins one too. Result: TestSlowStartAfterLongDrain failed before ('got 16 slots right after the drain, want fewer than 16') and passes.

--- a/daemon/heldupstreams.go
+++ b/daemon/heldupstreams.go
@@ -76,6 +76,8 @@
 	// askedIncarnations are the incarnations of all members in the view whose
 	// candidates were asked when the hold was opened last.
 	askedIncarnations map[string]bool
+	// draining is set while the catalogue has the upstream as draining.
+	draining bool
 	// slowStartedAt is when the slow start began, or zero if there is none.
 	slowStartedAt       time.Time
 	consecutiveFailures int
@@ -349,11 +351,10 @@
 		h.slowStartedAt = now
 		old.Close()
 	}
-	if draining {
-		// Each change of the catalogue during a drain begins a slow start, so
-		// that requests that come back after a short drain get one.
+	if draining || h.draining {
 		h.slowStartedAt = now
 	}
+	h.draining = draining
 	h.upstream = *u
 	h.scheduler.SetLimits(h.schedulerLimits(now))
 }
--- a/daemon/versions_test.go
+++ b/daemon/versions_test.go
@@ -3,8 +3,10 @@
 import (
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
 
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/spread"
@@ -60,3 +62,18 @@
 		t.Errorf("the held upstream has %d slots, want the 5 of the newer catalogue", got)
 	}
 }
+
+// TestSlowStartAfterLongDrain guards against an upstream that gets all requests at once
+// after a drain that outlasted the slow start that it began with.
+func TestSlowStartAfterLongDrain(t *testing.T) {
+	u := &catalogue.Upstream{Slots: 16, Connections: 1}
+	held := newHeldUpstreams(zerolog.Nop()).getOrCreate(u)
+	now := time.Now()
+	held.update(u, true, now)
+	now = now.Add(time.Minute)
+	held.advanceSlowStart(now)
+	held.update(u, false, now)
+	if got := held.schedulerLimits(now).Slots; got >= u.Slots {
+		t.Errorf("got %d slots right after the drain, want fewer than %d", got, u.Slots)
+	}
+}
