Send what waits for a link whose limit was removed

Ruled out: ending the wait at the request's deadline, since ready answers go out also when late. Change: a message for a link without a limit is granted at once. Result: TestMessagesPassWhenLinkLimitIsRemoved failed before ('still waits 5 s after the limit was removed') and passes.

--- a/daemon/links.go
+++ b/daemon/links.go
@@ -169,7 +169,8 @@
 	for {
 		now := time.Now()
 		msg := q.scheduler.Next(now)
-		if msg == nil || !q.acquire(quota, msg, now) {
+		// A link whose limit was removed has bandwidth for all.
+		if msg == nil || limits.unitsOf(quota) > 0 && !q.acquire(quota, msg, now) {
 			return
 		}
 		q.scheduler.Grant(msg, now)
--- a/daemon/versions_test.go
+++ b/daemon/versions_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"strconv"
 	"testing"
 	"time"
@@ -8,9 +9,12 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
+	"bilberrytiller.example/tiller/coordination/limit"
+	"bilberrytiller.example/tiller/coordination/link"
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/spread"
 	"bilberrytiller.example/tiller/state/catalogue"
+	"bilberrytiller.example/tiller/state/request"
 )
 
 // TestOlderDrainFactIsIgnored guards against two facts that are applied in another order
@@ -77,3 +81,29 @@
 		t.Errorf("got %d slots right after the drain, want fewer than %d", got, u.Slots)
 	}
 }
+
+// TestMessagesPassWhenLinkLimitIsRemoved guards against answers that wait for ever for the
+// bandwidth of a link that is no longer limited.
+func TestMessagesPassWhenLinkLimitIsRemoved(t *testing.T) {
+	l := &limits{}
+	quota := &sharedQuota{Quota: limit.NewQuota(linkPolicy), units: 100, lastEmptyRound: time.Now().Add(time.Hour)}
+	q := &linkQueue{}
+	done := make(chan bool, 1)
+	go func() {
+		done <- q.await(context.Background(), l, quota, link.NewMessage(request.RankPayment, 50))
+	}()
+	time.Sleep(4 * linkPollPeriod)
+	select {
+	case <-done:
+		t.Fatal("the message was sent without bandwidth")
+	default:
+	}
+	l.mu.Lock()
+	quota.units = 0
+	l.mu.Unlock()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Error("the message still waits 5 s after the limit was removed")
+	}
+}
