Take a huge deadline for the longest one

Change: limited before the multiplication. Result: TestHugeDeadlineIsTheLongest failed before ('got -2562047h47m16.85s left') and passes.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -116,7 +116,8 @@
 		if err != nil || ms <= 0 {
 			return req, &HeaderError{Header: callerapi.HeaderDeadline, Err: errInvalidDeadline}
 		}
-		timeout := min(time.Duration(ms)*time.Millisecond, maxRequestTimeout)
+		// The limit is applied before the multiplication, which may overflow.
+		timeout := time.Duration(min(ms, maxRequestTimeout.Milliseconds())) * time.Millisecond
 		req.Deadline = time.Now().Add(timeout)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxRequestBodyBytes))
--- a/daemon/versions_test.go
+++ b/daemon/versions_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"math"
+	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"testing"
 	"time"
@@ -13,6 +16,7 @@
 	"bilberrytiller.example/tiller/coordination/link"
 	"bilberrytiller.example/tiller/coordination/membership"
 	"bilberrytiller.example/tiller/coordination/spread"
+	"bilberrytiller.example/tiller/protocol/callerapi"
 	"bilberrytiller.example/tiller/state/catalogue"
 	"bilberrytiller.example/tiller/state/request"
 )
@@ -107,3 +111,16 @@
 		t.Error("the message still waits 5 s after the limit was removed")
 	}
 }
+
+// TestHugeDeadlineIsTheLongest guards against a deadline that overflows and counts as
+// passed.
+func TestHugeDeadlineIsTheLongest(t *testing.T) {
+	for _, ms := range []int64{int64(maxRequestTimeout/time.Millisecond) + 1, math.MaxInt64/int64(time.Millisecond) + 1, math.MaxInt64} {
+		r := httptest.NewRequest(http.MethodPost, "/", http.NoBody)
+		r.Header.Set(callerapi.HeaderDeadline, strconv.FormatInt(ms, 10))
+		req, err := newRequest(httptest.NewRecorder(), r)
+		if left := time.Until(req.Deadline); err != nil || left < maxRequestTimeout-time.Minute || left > maxRequestTimeout {
+			t.Errorf("deadline %d ms: got %v left and error %v, want %v", ms, left, err, maxRequestTimeout)
+		}
+	}
+}
