Take a client's huge deadline for the longest one

Cause: the gateway multiplied the milliseconds of a client's deadline without a limit; from 9,223,372,036,855 on they overflowed, so that a request was answered as if its deadline had passed. Found by looking for the fault of the own interface's callers in the gateway. Change: limited to 24 hours before the multiplication.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -20,6 +20,8 @@
 	defaultDeadline = 30 * time.Second
 	// defaultBodyBytes limits request bodies if the configuration sets no limit.
 	defaultBodyBytes = 1 << 20
+	// maxClientBudget is the longest time that a client is taken to wait.
+	maxClientBudget = 24 * time.Hour
 	// noConfigurationRetryAfter is the Retry-After of requests that arrive before
 	// the daemon has a configuration.
 	noConfigurationRetryAfter = 250 * time.Millisecond
@@ -184,7 +186,7 @@
 // clientBudget returns how long the client waits for its answer.
 func (g *Gateway) clientBudget(r *http.Request) time.Duration {
 	if ms, err := strconv.ParseInt(r.Header.Get(g.headers.DeadlineMs), 10, 64); err == nil && ms > 0 {
-		return time.Duration(ms) * time.Millisecond
+		return time.Duration(min(ms, maxClientBudget.Milliseconds())) * time.Millisecond
 	}
 	return defaultDeadline
 }
