--- a/cli/tillerd/gateway.go
+++ b/cli/tillerd/gateway.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
+	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
 	"bilberrytiller.example/tiller/daemon"
@@ -21,10 +24,41 @@
 // the operators' platform.
 const gatewayCommand = "gateway"
 
+const gatewayDescription = `tillerd gateway serves clients on the operators' platform: it accepts their requests, and sends them to backend servers.
+
+It has no flags. The environment variable ` + platform.SettingsEnv + ` holds the path of the settings file, which is read again on SIGHUP and when it changes. SIGTERM starts a graceful stop, which takes as long as the settings allow at most.
+
+Exit codes:
+  0  stopped gracefully
+  1  failed while serving
+  2  invalid settings; nothing was started`
+
 // settingsPollInterval is how often the settings file is checked for changes, since it
 // may change without a SIGHUP.
 const settingsPollInterval = 5 * time.Second
 
+// runGatewayCommand runs the gateway unless the arguments ask for help or are unknown, and
+// returns the exit code.
+func runGatewayCommand(args []string, stdout, stderr io.Writer) int {
+	parser := flags.NewParser(&struct{}{}, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "tillerd " + gatewayCommand
+	parser.LongDescription = gatewayDescription
+	rest, err := parser.ParseArgs(args)
+	var flagErr *flags.Error
+	switch {
+	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
+		fmt.Fprintln(stdout, strings.TrimRight(flagErr.Message, "\n"))
+		return exitOK
+	case err == nil && len(rest) > 0:
+		err = fmt.Errorf("%w: %q; see tillerd %s --help", ErrUnexpectedArguments, rest, gatewayCommand)
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, "tillerd:", err)
+		return exitSettings
+	}
+	return runGateway(stdout, stderr)
+}
+
 // runGateway runs the gateway with the settings in the platform's settings file
 // and returns the exit code.
 func runGateway(stdout, stderr io.Writer) int {
@@ -32,9 +66,13 @@
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsEnv)
+	if path == "" {
+		fmt.Fprintf(stderr, "tillerd: %s is not set, want the path of the settings file\n", platform.SettingsEnv)
+		return exitSettings
+	}
 	settings, err := awaitSettings(path, stderr)
 	if err != nil {
-		fmt.Fprintln(stderr, "tillerd:", err)
+		fmt.Fprintf(stderr, "tillerd: %s: %v\n", platform.SettingsEnv, err)
 		return exitSettings
 	}
 	dropping := logline.NewDroppingWriter(stdout)
--- a/cli/tillerd/tillerd.go
+++ b/cli/tillerd/tillerd.go
@@ -32,6 +32,8 @@
 
 Each setting has a flag and an environment variable; the flag takes precedence. Durations are written like 250ms, 5s or 15m.
 
+With the argument gateway, it serves clients on the operators' platform instead; see tillerd gateway --help.
+
 SIGTERM starts a graceful stop: new look-ups name other hosts, look-ups that callers have cached expire, and requests in flight complete. A second SIGTERM stops at once and logs how many requests it cuts off.
 
 Exit codes:
@@ -60,7 +62,7 @@
 	// A write to a standard output that nobody reads any more would end the process.
 	signal.Ignore(syscall.SIGPIPE)
 	if len(args) > 0 && args[0] == gatewayCommand {
-		return runGateway(stdout, stderr)
+		return runGatewayCommand(args[1:], stdout, stderr)
 	}
 	opts, invalid, err := parseArgs(args)
 	var flagErr *flags.Error
