Let a block's sites depend on the records alone

Cause: the table of blocks deleted the blocks of each replaced entry and then inserted the new ones. Ruled out: decoding all entries at each change, which takes long for large tables; an owner for each block in the table, which takes memory. Change: blocks that several entries have are remembered; only a change of one of these reads the other entries, and the latest version applies.

--- a/state/blocks/blocks.go
+++ b/state/blocks/blocks.go
@@ -60,6 +60,12 @@
 	b.prefixes = b.prefixes.InsertPersist(prefix, NewSiteList(sites))
 }
 
+// Has reports whether a block has sites of its own.
+func (b *Builder) Has(prefix netip.Prefix) bool {
+	_, found := b.prefixes.Get(prefix)
+	return found
+}
+
 // Delete removes a block.
 func (b *Builder) Delete(prefix netip.Prefix) {
 	b.prefixes = b.prefixes.DeletePersist(prefix)
--- a/state/catalogue/set.go
+++ b/state/catalogue/set.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
 
 	"bilberrytiller.example/tiller/state/blocks"
@@ -73,6 +74,8 @@
 	links              map[[2]string]*Link
 	hosts              map[string]*Host
 	blocks             *blocks.Table
+	// sharedBlocks are the blocks that several entries have. The latest of these applies.
+	sharedBlocks map[netip.Prefix]bool
 }
 
 // Empty returns a set with no entries.
@@ -98,29 +101,9 @@
 	if len(newer) == 0 {
 		return s, nil
 	}
-	return newSet(merged, s.changedBlocks(newer)), newer
-}
-
-// changedBlocks returns the block table with the newer records applied. It
-// deletes all previous blocks of their entries before it inserts the new ones,
-// so that a block can move from one entry to another.
-func (s *Set) changedBlocks(newer []Record) *blocks.Table {
-	builder := blocks.NewBuilder(s.blocks)
-	for _, r := range newer {
-		if old, ok := s.records[r.ID].Decoded().(*Blocks); ok {
-			for _, b := range old.Blocks {
-				builder.Delete(b.Prefix)
-			}
-		}
-	}
-	for _, r := range newer {
-		if entry, ok := r.Decoded().(*Blocks); ok {
-			for _, b := range entry.Blocks {
-				builder.Insert(b.Prefix, b.Sites)
-			}
-		}
-	}
-	return builder.Table()
+	set := newSet(merged, s.blocks)
+	set.blocks, set.sharedBlocks = s.mergeBlocks(merged, newer)
+	return set, newer
 }
 
 // Blocks returns the table that maps address blocks of clients to sites.
