Begin a later start time when a member's sequence is at its largest

Change: the start time is raised by a millisecond and the sequence begins at 0; the same at a stop. Result: TestLargestSequenceIsRefuted failed before ('Sequence:2097152 ..., want a valid record') and passes.

--- a/coordination/membership/tracker.go
+++ b/coordination/membership/tracker.go
@@ -73,7 +73,7 @@
 // Leave sets the daemon's own state to Leaving and returns the updated record.
 func (t *Tracker) Leave() Record {
 	t.self.State = Leaving
-	t.self.Sequence++
+	t.raiseSequence(t.self.Sequence)
 	t.markChanged()
 	return t.self
 }
@@ -122,10 +122,21 @@
 	if version <= t.self.Version() || !sameIncarnation(version, t.self.Version()) {
 		return nil
 	}
-	t.self.Sequence = sequenceOf(version) + 1
+	t.raiseSequence(sequenceOf(version))
 	return []Record{t.self}
 }
 
+// raiseSequence raises the daemon's own sequence above another one. After the largest, it
+// begins again with a later start time.
+func (t *Tracker) raiseSequence(above uint32) {
+	if above >= maxSequence {
+		t.self.Started++
+		t.self.Sequence = 0
+		return
+	}
+	t.self.Sequence = above + 1
+}
+
 // store replaces the record of a member and updates its timers: a new
 // incarnation restarts the heartbeat timer, and a change to or from Suspect
 // starts or clears the suspicion timer.
--- a/coordination/membership/tracker_test.go
+++ b/coordination/membership/tracker_test.go
@@ -176,6 +176,28 @@
 	}
 }
 
+// TestLargestSequenceIsRefuted guards against a sequence that overflows, after which no other
+// member accepts the daemon's records.
+func TestLargestSequenceIsRefuted(t *testing.T) {
+	n := newNetwork(t, 3)
+	member, other := n.trackers["host-3"], n.trackers["host-1"]
+	suspicion := member.Self()
+	suspicion.State, suspicion.Sequence = Suspect, maxSequence
+	other.Merge([]Record{suspicion}, n.now)
+	out := member.Merge([]Record{suspicion}, n.now)
+	if len(out) != 1 || !out[0].Valid() || out[0].Version() <= suspicion.Version() {
+		t.Fatalf("member returned %+v, want a valid record with a higher version", out)
+	}
+	leaving := member.Leave()
+	other.Merge(append(out, leaving), n.now)
+	if got := other.records["host-3"]; got != leaving || member.Superseded() {
+		t.Errorf("another member has %+v, want %+v", got, leaving)
+	}
+	if again := member.Merge([]Record{suspicion}, n.now); len(again) != 0 {
+		t.Errorf("member refuted an old record again with %+v", again)
+	}
+}
+
 func TestRestartedMemberReplacesOldIncarnation(t *testing.T) {
 	n := newNetwork(t, 9)
 	n.down["host-5"] = true
