Say what is allowed where a catalogue entry's value is out of range

Result: the three cases of TestDecodeIsStrict failed before ('which does not say what is allowed') and pass.

--- a/state/catalogue/check_test.go
+++ b/state/catalogue/check_test.go
@@ -125,6 +125,9 @@
 		{"invalid UTF-8", strings.Replace(valid, `"owner":"o"`, "\"owner\":\"\xff\"", 1), "", catalogue.ErrNotUTF8},
 		{"unknown rank", strings.Replace(serviceTemplate, "RANK", "soon", 1), "class.rank", request.UnknownRankError{Name: "soon"}},
 		{"duplicate service", strings.Replace(valid, `["pay"]`, `["pay","pay"]`, 1), "services", catalogue.ErrDuplicate},
+		{"negative delay", `{"schema":1,"kind":"link","name":"l","owner":"o","between":["a","b"],"cap_mbit":1,"delay":"-1ms"}`, "delay", catalogue.ErrOutOfRange},
+		{"negative rate", strings.Replace(strings.Replace(serviceTemplate, "RANK", "payment", 1), `"limits":{}`, `"limits":{"rate":-1}`, 1), "limits.rate", catalogue.ErrOutOfRange},
+		{"negative concurrency", strings.Replace(strings.Replace(serviceTemplate, "RANK", "payment", 1), `"limits":{}`, `"limits":{"concurrency":-1}`, 1), "limits.concurrency", catalogue.ErrOutOfRange},
 		{"control character", strings.Replace(valid, `"owner":"o"`, `"owner":"a\nb"`, 1), "owner", catalogue.ErrOutOfRange},
 	}
 	for _, c := range cases {
@@ -134,6 +137,9 @@
 			if !errors.As(err, &entry) || entry.Field != c.field || !errors.Is(err, c.cause) {
 				t.Errorf("got %v, want field %q: %v", err, c.field, c.cause)
 			}
+			if c.cause == catalogue.ErrOutOfRange && !strings.Contains(err.Error(), "want ") {
+				t.Errorf("got %q, which does not say what is allowed", err)
+			}
 		})
 	}
 }
--- a/state/catalogue/validate.go
+++ b/state/catalogue/validate.go
@@ -86,7 +86,7 @@
 		return l.invalid("cap_mbit", fmt.Errorf("%g, want above 0: %w", l.CapMbit, ErrOutOfRange))
 	}
 	if l.Delay < 0 {
-		return l.invalid("delay", ErrOutOfRange)
+		return l.invalid("delay", fmt.Errorf("%v, want 0 or more: %w", time.Duration(l.Delay), ErrOutOfRange))
 	}
 	return nil
 }
@@ -113,10 +113,10 @@
 		return s.invalid("class.worth", fmt.Errorf("%g, want 0 or more: %w", w, ErrOutOfRange))
 	}
 	if s.Limits.Rate < 0 {
-		return s.invalid("limits.rate", ErrOutOfRange)
+		return s.invalid("limits.rate", fmt.Errorf("%g, want 0 or more: %w", s.Limits.Rate, ErrOutOfRange))
 	}
 	if s.Limits.Concurrency < 0 {
-		return s.invalid("limits.concurrency", ErrOutOfRange)
+		return s.invalid("limits.concurrency", fmt.Errorf("%d, want 0 or more: %w", s.Limits.Concurrency, ErrOutOfRange))
 	}
 	if f := s.Limits.ShiftPerMinute; f < 0 || f > 1 {
 		return s.invalid("limits.shift_per_minute", fmt.Errorf("%g, want 0 to 1: %w", f, ErrOutOfRange))
