--- a/coordination/affinity/affinity_test.go
+++ b/coordination/affinity/affinity_test.go
@@ -47,9 +47,9 @@
 	for i := range objects {
 		counts[bestServer(Hash("stock", fmt.Sprint(i)), all)]++
 	}
-	for s, n := range counts {
-		if n < 850 || n > 1150 {
-			t.Errorf("server %x has %d objects, want about %d", s, n, objects/12)
+	for _, s := range all {
+		if n := counts[s]; n < 850 || n > 1150 {
+			t.Errorf("server %x has %d objects, want about %d", s, counts[s], objects/12)
 		}
 	}
 }
--- a/coordination/duty/index_test.go
+++ b/coordination/duty/index_test.go
@@ -45,16 +45,20 @@
 		members[i].State = membership.Alive
 	}
 	candidates := Candidates(view, "upstream/1", "region-1", inside, outside)
+	insideFound := 0
 	for _, want := range candidates {
 		holder, ok := Holder(membership.NewView(view.Self, members), "upstream/1", "region-1")
-		if !ok || holder.ID != want.ID && holder.Region == "region-1" && want.Region == "region-1" {
+		if !ok || holder.ID != want.ID && want.Region == "region-1" {
 			t.Fatalf("holder is %s, want candidate %s", holder.ID, want.ID)
 		}
+		if want.Region == "region-1" {
+			insideFound++
+		}
 		i := slices.IndexFunc(members, func(m membership.Member) bool { return m.ID == holder.ID })
 		members[i].State = membership.Dead
 	}
-	if len(candidates) != inside+outside {
-		t.Errorf("%d candidates, want %d", len(candidates), inside+outside)
+	if len(candidates) != inside+outside || insideFound != inside {
+		t.Errorf("%d candidates, %d of them in the region, want %d and %d", len(candidates), insideFound, inside+outside, inside)
 	}
 }
 
--- a/coordination/hold/hold_test.go
+++ b/coordination/hold/hold_test.go
@@ -61,12 +61,25 @@
 
 func TestMissedRepliesMustBeConsecutive(t *testing.T) {
 	noReply := []Reply{{Member: "b", Unanswered: true}}
-	for name, between := range map[string][]Reply{"member replied": {{Member: "b"}}, "no claim sent": nil} {
+	const past = LeaseDuration + LeaseMargin + time.Millisecond
+	for name, c := range map[string]struct {
+		unanswered []time.Duration
+		replied    bool
+		want       bool
+	}{
+		"all missed":     {[]time.Duration{0, time.Second, 2 * time.Second}, false, true},
+		"member replied": {[]time.Duration{0, time.Second, 2 * time.Second}, true, false},
+		"no claim sent":  {[]time.Duration{0}, false, false},
+	} {
 		l := NewLease(start)
-		DecideClaim(l, noReply, true, start)
-		DecideClaim(l, between, true, after(time.Second))
-		if decision := DecideClaim(l, noReply, true, after(time.Hour)); decision.MayDispatch {
-			t.Errorf("%s: one missed reply counted as a timeout", name)
+		for _, at := range c.unanswered {
+			DecideClaim(l, noReply, true, after(at))
+		}
+		if c.replied {
+			DecideClaim(l, []Reply{{Member: "b"}}, true, after(2*time.Second+time.Millisecond))
+		}
+		if decision := DecideClaim(l, noReply, true, after(past)); decision.MayDispatch != c.want {
+			t.Errorf("%s: got %+v after missed replies, want MayDispatch %v", name, decision, c.want)
 		}
 	}
 }
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -93,6 +93,7 @@
 }
 
 func TestFailedParentIsReplaced(t *testing.T) {
+	replaced, alone := 0, 0
 	for _, self := range largeRegion() {
 		selector := NewSelector(self, time.Second)
 		parent, ok := selector.Pick(largeRegion(), now)
@@ -100,10 +101,20 @@
 			continue
 		}
 		selector.MarkFailed(parent.ID, now)
-		if next, ok := selector.Pick(largeRegion(), now); ok && (next.ID == parent.ID || next.ID == self.ID) {
+		next, ok := selector.Pick(largeRegion(), now)
+		switch {
+		case !ok:
+			alone++
+		case next.ID == parent.ID || next.ID == self.ID:
 			t.Fatalf("%s uses relay %s after %s failed", self.ID, next.ID, parent.ID)
+		default:
+			replaced++
 		}
 	}
+	// The second daemon of each data centre has none but the first.
+	if replaced != 2*87 || alone != 2 {
+		t.Errorf("%d failed parents were replaced and %d were not, want %d and 2", replaced, alone, 2*87)
+	}
 }
 
 // TestRelaysFormNoCycle follows each daemon's relays to the store. Daemons in a
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -248,6 +248,8 @@
 // TestServiceUnavailableCases covers the causes of a 503, which promises that
 // the request has not run.
 func TestServiceUnavailableCases(t *testing.T) {
+	// The only servers that get the request reject it, so that it runs nowhere.
+	received := map[string]int64{"all servers shed": 2}
 	for name, setup := range map[string]func(t *testing.T) *fixture{
 		"no configuration": func(t *testing.T) *fixture { return newFixture(t) },
 		"no server":        func(t *testing.T) *fixture { return newFixture(t, route(false)) },
@@ -269,11 +271,15 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			resp, _ := mustCall(t, setup(t), "order")
+			f := setup(t)
+			resp, _ := mustCall(t, f, "order")
 			after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 			if resp.StatusCode != http.StatusServiceUnavailable || err != nil || after <= 0 {
 				t.Errorf("got status %d, Retry-After %q, want 503 and a positive delay", resp.StatusCode, resp.Header.Get("Retry-After"))
 			}
+			if got := f.received.Load(); got != received[name] {
+				t.Errorf("servers got the request %d times, want %d", got, received[name])
+			}
 		})
 	}
 }
