--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -248,6 +248,8 @@
 // TestServiceUnavailableCases covers the causes of a 503, which promises that
 // the request has not run.
 func TestServiceUnavailableCases(t *testing.T) {
+	// The only servers that get the request reject it, so that it runs nowhere.
+	received := map[string]int64{"all servers shed": 2}
 	for name, setup := range map[string]func(t *testing.T) *fixture{
 		"no configuration": func(t *testing.T) *fixture { return newFixture(t) },
 		"no server":        func(t *testing.T) *fixture { return newFixture(t, route(false)) },
@@ -269,11 +271,15 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			resp, _ := mustCall(t, setup(t), "order")
+			f := setup(t)
+			resp, _ := mustCall(t, f, "order")
 			after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 			if resp.StatusCode != http.StatusServiceUnavailable || err != nil || after <= 0 {
 				t.Errorf("got status %d, Retry-After %q, want 503 and a positive delay", resp.StatusCode, resp.Header.Get("Retry-After"))
 			}
+			if got := f.received.Load(); got != received[name] {
+				t.Errorf("servers got the request %d times, want %d", got, received[name])
+			}
 		})
 	}
 }
@@ -531,3 +537,22 @@
 		}
 	})
 }
+
+// TestHugeDeadlineIsTheLongest guards against a client's deadline that overflows and counts
+// as passed.
+func TestHugeDeadlineIsTheLongest(t *testing.T) {
+	f := newFixture(t, route(false))
+	for _, c := range []struct {
+		value string
+		want  time.Duration
+	}{
+		{"250", 250 * time.Millisecond}, {"0", defaultDeadline}, {"-1", defaultDeadline}, {"86400001", maxClientBudget},
+		{"9223372036855", maxClientBudget}, {"9223372036854775807", maxClientBudget}, {"1" + strings.Repeat("0", 30), defaultDeadline},
+	} {
+		r := httptest.NewRequest(http.MethodGet, "/", http.NoBody)
+		r.Header.Set("X-Left", c.value)
+		if got := f.clientBudget(r); got != c.want {
+			t.Errorf("%s ms: got %v, want %v", c.value, got, c.want)
+		}
+	}
+}
