Show each organisation's quota and requests in the metrics and in tillerctl

Change: metric organisations, bounded to 1,000 counted and 50 shown names; tillerctl gateway prints it summed over gateways with the store's era, queue by rank, refusals by reason and rank.

--- /dev/null
+++ b/cli/tillerctl/gateway_test.go
@@ -0,0 +1,61 @@
+package tillerctl
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// TestGatewaySumsOrganisations guards against an organisation whose refusals at one
+// gateway hide those at another.
+func TestGatewaySumsOrganisations(t *testing.T) {
+	var addresses []string
+	for _, body := range []string{
+		`{"store_era": 2, "daemons": 2, "quota_parts": 0.5, "waiting": {"rank_1": 3, "rank_0": 0}, "refusals": {"yields.rank_1": 4},
+		  "organisations": {"shop": {"admitted": 5, "refused": 1, "rank": 0, "rate_per_second": 2.5, "burst": 3}, "": {"admitted": 9}}}`,
+		`{"store_era": 1, "quota_parts": 0, "organisations": {"shop": {"admitted": 6, "refused": 2, "rate_per_second": 2.5, "burst": 3}, "free": {"admitted": 1}}}`,
+		`{"error": "no metrics"}`,
+	} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) }))
+		defer s.Close()
+		addresses = append(addresses, s.Listener.Addr().String())
+	}
+	var out bytes.Buffer
+	e := &env{ctx: t.Context(), opts: &options{}, stdout: &out}
+	c := &gatewayCommand{env: e}
+	c.Args.Addresses = addresses[:2]
+	if err := c.Execute(nil); err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(out.String(), "\n")
+	for _, want := range [][]string{
+		{addresses[0], "2", "2", "0", "rank_1=3", "yields.rank_1=4", "0", "0.500"}, {"shop", "2.5", "3", "11", "3"}, {"free", "-", "-", "-", "1", "0"}, {"(others)", "9"},
+	} {
+		if !hasRow(lines, want) {
+			t.Errorf("no row with %v in\n%s", want, out.String())
+		}
+	}
+	c.Args.Addresses = addresses[2:]
+	if err := c.Execute(nil); !errors.Is(err, ErrNotGateway) {
+		t.Errorf("got error %v for an address without a gateway's metrics, want ErrNotGateway", err)
+	}
+}
+
+// hasRow reports whether a line begins with the first field and has the others in order.
+func hasRow(lines, fields []string) bool {
+	for _, line := range lines {
+		rest, found := strings.CutPrefix(line, fields[0]+" ")
+		for _, f := range fields[1:] {
+			if found {
+				_, rest, found = strings.Cut(rest, f)
+			}
+		}
+		if found {
+			return true
+		}
+	}
+	return false
+}
--- a/cli/tillerctl/tillerctl.go
+++ b/cli/tillerctl/tillerctl.go
@@ -181,6 +181,7 @@
 		{"drain", "take an upstream, host or data centre out of use", "Sets drain in one entry. Creates the entry of a host that has none.", "tillerctl drain upstream.stock-1", &drainCommand{env: e, drain: true}},
 		{"undrain", "put an upstream, host or data centre back in use", "Unsets drain in one entry.", "tillerctl undrain upstream.stock-1", &drainCommand{env: e}},
 		{"trace", "explain a request from logs", "Prints the log lines of one request, the last logged state of the backend servers that it was sent to, and the cause of its outcome. Reads standard input if no file is given.", "tillerctl trace 9c41d07be2a35f68 /var/log/tillerd.log", &traceCommand{env: e}},
+		{"gateway", "show quotas, queues and refusals of gateways", "Shows for each given gateway the era of the platform's store, its queue by rank, its refusals by reason and rank, and the part of all quotas that it issues; then each organisation's quota and requests at these gateways since they started. The address is the last of the gateway's internal ports.", "tillerctl gateway 10.0.0.1:7403 10.0.0.2:7403", &gatewayCommand{env: e}},
 		{"metrics", "print the metrics of daemons", "Prints the metrics of each given daemon, by name.", "tillerctl --daemon 10.0.0.1:7402 metrics", &metricsCommand{env: e}},
 	}
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -23,6 +23,7 @@
 	g.balancer.ConfigureRanks(c)
 	g.clients.setLimits(c.Limits)
 	g.applyQuotas(c)
+	g.organisationUse.keep(c.Organisations())
 	g.log.Info().Str("event", "configuration.in_force").Uint64("version", uint64(c.Version)).Int("services", len(c.Services)).Send()
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,8 @@
 	peerClient     *peer.Client
 	peerServer     *peer.Server
 	quotas         *quotaKeeper
+	// organisationUse counts the requests of organisations.
+	organisationUse *organisationUse
 
 	memory     *memory.Budget
 	connLimits connlimit.Limits
@@ -91,12 +93,13 @@
 		ClientAddress: settings.ClientListen, PeerAddress: settings.PeerListen, Capacity: settings.Capacity,
 	}
 	g := &Gateway{
-		headers:        headers,
-		log:            log.With().Str("host", settings.HostID).Logger(),
-		self:           self,
-		balancer:       upstream.NewBalancer(settings.Locality, settings.Regions),
-		upstreamClient: upstreamhttp.New(headers.HeaderNames),
-		retryBudget:    budget.New(settings.RetryLimits),
+		headers:         headers,
+		log:             log.With().Str("host", settings.HostID).Logger(),
+		self:            self,
+		balancer:        upstream.NewBalancer(settings.Locality, settings.Regions),
+		upstreamClient:  upstreamhttp.New(headers.HeaderNames),
+		retryBudget:     budget.New(settings.RetryLimits),
+		organisationUse: newOrganisationUse(),
 	}
 	g.configurationAge = func() time.Duration { return 0 }
 	g.storeEra = func() int64 { return 0 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -57,6 +57,7 @@
 	m.root.Set("link_utilisation", expvar.Func(func() any { return g.directory.load.utilisation() }))
 	m.root.Set("store_era", expvar.Func(func() any { return g.storeEra() }))
 	m.root.Set("daemons", expvar.Func(func() any { return g.daemonCount() }))
+	m.root.Set("organisations", expvar.Func(func() any { return g.shownOrganisations() }))
 	m.root.Set("quota_refused", expvar.Func(func() any { return g.quotas.refused.Load() }))
 	m.root.Set("quota_units_held", expvar.Func(func() any { return g.quotas.ledger.Stock(time.Now()) }))
 	m.root.Set("quota_units_lent", expvar.Func(func() any { return g.quotas.ledger.Granted() }))
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -140,6 +140,7 @@
 		return nil, &localResponse{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: stoppingRetryAfter}
 	}
 	unit, resp := g.quotas.admit(r.Context(), to.organisation, quotaWaitFor(to.route, deadline, time.Now()))
+	g.organisationUse.record(to.organisation, resp == nil)
 	if resp != nil {
 		return nil, resp
 	}
