Explain where a request would go now, without sending it

Ruled out: a second implementation of the choice, which would drift from the first. The balancer's own selection and decision run on its state with nothing recorded; a share of a rank is counted only for requests that are sent. Change: upstream.Explain, the gateway's /v1/explain-request at its metrics listener and tillerctl explain-request, as a table or JSON. Organisations are given by name, never by key.

--- a/cli/tillerctl/gateway.go
+++ b/cli/tillerctl/gateway.go
@@ -5,19 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"maps"
-	"net/http"
 	"slices"
 	"strconv"
-	"time"
-)
 
-const (
-	// gatewayTimeout bounds the request for the metrics of one gateway.
-	gatewayTimeout = 5 * time.Second
-	// maxMetricsBytes bounds the metrics that are read of one gateway.
-	maxMetricsBytes = 4 << 20
+	"bilberrytiller.example/tiller/transport/operatorhttp"
 )
 
 // ErrNotGateway means that an address does not serve the metrics of a gateway.
@@ -73,21 +65,19 @@
 }
 
 func (c *gatewayCommand) fetch(address string) (*gatewayMetrics, error) {
-	client := http.Client{Timeout: gatewayTimeout}
-	req, err := http.NewRequestWithContext(c.env.ctx, http.MethodGet, "http://"+address+"/", nil)
+	metrics, err := operatorhttp.New(address, "").Metrics(c.env.ctx)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := client.Do(req)
+	text, err := json.Marshal(metrics)
 	if err != nil {
 		return nil, err
 	}
-	defer resp.Body.Close()
 	m := &gatewayMetrics{}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxMetricsBytes)).Decode(m); err != nil {
+	if err := json.Unmarshal(text, m); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotGateway, err)
 	}
-	if resp.StatusCode != http.StatusOK || m.QuotaParts == nil {
+	if m.QuotaParts == nil {
 		return nil, ErrNotGateway
 	}
 	return m, nil
--- a/cli/tillerctl/gateway_test.go
+++ b/cli/tillerctl/gateway_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strings"
 	"testing"
 )
@@ -59,3 +60,38 @@
 	}
 	return false
 }
+
+// TestExplainRequestSaysWhatHappens guards against a refusal that reads like a send, and
+// against parameters that do not reach the gateway.
+func TestExplainRequestSaysWhatHappens(t *testing.T) {
+	answers := map[string]string{
+		"/free": `{"gateway": "edge-1", "action": "send", "backend": "i-7", "reason": "room", "servers": [{"backend": "i-7", "standing": "chosen"}], "more_servers": {"paused": 3}}`,
+		"/full": `{"gateway": "edge-1", "action": "refuse", "backend": "i-7", "status": 503, "reason": "yields", "retry_after_ms": 90}`,
+		"/peak": `{"gateway": "edge-1", "action": "wait", "backend": "i-7", "reason": "yields", "max_wait_ms": 40}`,
+	}
+	var query url.Values
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		query = r.URL.Query()
+		_, _ = w.Write([]byte(answers[query.Get("path")]))
+	}))
+	defer s.Close()
+	for path, want := range map[string][]string{
+		"/free": {"would be sent to i-7 (room)", "chosen", "and 3 more: paused"},
+		"/full": {"would be answered 503 (yields) and asked to return after 90 ms", "cause: the room that was left"},
+		"/peak": {"would wait up to 40 ms for room at i-7"},
+	} {
+		var out bytes.Buffer
+		e := &env{ctx: t.Context(), opts: &options{}, stdout: &out, stderr: &out}
+		if code := e.run([]string{"explain-request", s.Listener.Addr().String(), "pay.example", path, "--organisation", "shop", "--object", "42", "--deadline", "2s"}); code != 0 {
+			t.Errorf("%s: got exit code %d and %s, want 0", path, code, out.String())
+		}
+		for _, line := range want {
+			if !strings.Contains(out.String(), line) {
+				t.Errorf("%s: no %q in\n%s", path, line, out.String())
+			}
+		}
+		if query.Get("organisation") != "shop" || query.Get("object") != "42" || query.Get("deadline_ms") != "2000" || query.Get("host") != "pay.example" {
+			t.Errorf("%s: the gateway got %v", path, query)
+		}
+	}
+}
--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -153,15 +153,35 @@
 		if limit.RatePerSecond <= 0 {
 			return nil
 		}
-		a = &account{plan: planFor(limit, l.bounds), issuedAt: now, issuedFrom: held, demandAt: now}
-		steady := l.holding.steady()
-		a.saved = min(a.plan.mostSaved(steady), a.plan.perSecond*steadyPeriod.Seconds()*steady)
+		a = l.newAccount(limit, held, now)
 		l.accounts[organisation] = a
 	}
 	a.issue(held, now)
 	return a
 }
 
+// newAccount returns the account of an organisation without demand until now.
+func (l *Ledger) newAccount(limit Limit, held float64, now time.Time) *account {
+	a := &account{plan: planFor(limit, l.bounds), issuedAt: now, issuedFrom: held, demandAt: now}
+	steady := l.holding.steady()
+	a.saved = min(a.plan.mostSaved(steady), a.plan.perSecond*steadyPeriod.Seconds()*steady)
+	return a
+}
+
+// Peek returns how many units of an organisation's quota the daemon has for requests now,
+// without asking others. It takes none.
+func (l *Ledger) Peek(organisation string, now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held := l.holding.held(now)
+	a := l.accounts[organisation]
+	if a == nil {
+		a = l.newAccount(l.limit(organisation), held, now)
+	}
+	a.issue(held, now)
+	return a.units(now) + int(a.saved)
+}
+
 // NewCall returns the next call to a parent. The call must be sent now, and its reply
 // passed to Apply.
 func (l *Ledger) NewCall(parent string, now time.Time) *Call {
--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -192,7 +192,9 @@
 
 // selection is the state of choosing a server for one request.
 type selection struct {
-	request    Request
+	request Request
+	// dryRun is set if the request is not sent, so that it is not counted.
+	dryRun     bool
 	objectHash uint64
 	// plan says which objects stay in the daemon's region.
 	plan     affinity.Plan
--- a/coordination/upstream/loads_test.go
+++ b/coordination/upstream/loads_test.go
@@ -69,3 +69,22 @@
 		t.Errorf("ranks compete for %v, want two for a and three for b", got)
 	}
 }
+
+// TestExplainingCountsNothing guards against explanations that change which requests are
+// sent, by counting as requests of their rank.
+func TestExplainingCountsNothing(t *testing.T) {
+	b := competing()
+	r := newRequest("7")
+	r.Rank = 1
+	for range 100 {
+		if x := b.Explain(r, start); x.Chosen == "" || x.Reason != ReasonRank {
+			t.Fatalf("got %+v, want a server chosen by rank", x)
+		}
+	}
+	if demand := b.competitions["stock"].shares.Demand(2, start); demand != nil {
+		t.Errorf("got demand %v by rank after explanations alone, want none", demand)
+	}
+	if c := mustChoose(t, b, r, start); c.EstimatedRequests != 0 {
+		t.Errorf("%d requests at the server after explanations alone, want none", c.EstimatedRequests)
+	}
+}
--- a/coordination/upstream/machine_test.go
+++ b/coordination/upstream/machine_test.go
@@ -90,6 +90,7 @@
 			r.Tried = append(r.Tried, c.Backend.Incarnation())
 		}
 	}
+	explained := m.balancer.Explain(r, m.now)
 	choice, refusal := m.balancer.Choose(r, m.now)
 	if (choice == nil) == (refusal == nil) {
 		t.Fatalf("got choice %v and refusal %v, want exactly one of them", choice, refusal)
@@ -97,6 +98,12 @@
 	if refusal != nil && refusal.RetryAfter <= 0 {
 		t.Fatalf("refusal %+v has no retry delay", refusal)
 	}
+	if choice != nil && (explained.Chosen != choice.Backend.ID || explained.Reason != choice.Reason || explained.Refusal != nil) {
+		t.Fatalf("explained %+v, then chose %s because of %s", explained, choice.Backend.ID, choice.Reason)
+	}
+	if refusal != nil && (explained.Refusal == nil || *explained.Refusal != *refusal || explained.Chosen != "") {
+		t.Fatalf("explained %+v, then refused with %+v", explained, *refusal)
+	}
 	if choice != nil {
 		m.check(t, r, choice)
 		m.open = append(m.open, choice)
--- a/coordination/upstream/overload.go
+++ b/coordination/upstream/overload.go
@@ -140,7 +140,6 @@
 		}
 		return srv, reason, nil
 	}
-	position, positions := c.policy.Position(sel.request.Rank), c.policy.Positions()
 	d := b.decideByRank(sel, c, srv, false)
 	if d.Action != overload.Send {
 		if other := sel.alternative(srv); other != nil {
@@ -151,16 +150,23 @@
 	}
 	switch {
 	case d.Action == overload.Send:
-		c.shares.Record(position, positions, true, sel.now)
+		sel.recordShare(c, true)
 		return srv, ReasonRank, nil
 	case d.Action == overload.Wait && !sel.request.MustNotWait:
 		w := sel.waiter(srv)
 		return nil, "", &Refusal{Reason: Reason(d.Reason), RetryAfter: d.RetryAfter, BestCandidate: srv.ID, Waiter: w, MaxWait: d.MaxWait}
 	}
-	c.shares.Record(position, positions, false, sel.now)
+	sel.recordShare(c, false)
 	return nil, "", &Refusal{Reason: Reason(d.Reason), RetryAfter: d.RetryAfter, BestCandidate: srv.ID, EstimatedRequests: srv.estimatedRequests(sel.now)}
 }
 
+// recordShare counts the request among those of its rank.
+func (sel *selection) recordShare(c *competition, sent bool) {
+	if !sel.dryRun {
+		c.shares.Record(c.policy.Position(sel.request.Rank), c.policy.Positions(), sent, sel.now)
+	}
+}
+
 // alternative returns the server to try if the given one does not take the request:
 // the home server, or instead of that the next in rank if it has a free slot. It
 // returns nil if there is none.
--- a/coordination/upstream/upstream_test.go
+++ b/coordination/upstream/upstream_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"bilberrytiller.example/tiller/coordination/availability"
 	"bilberrytiller.example/tiller/state/routing"
 )
 
@@ -60,48 +61,53 @@
 func TestExcludedServersAreNotChosen(t *testing.T) {
 	key := "7"
 	home := mustChoose(t, newTestBalancer("n1"), newRequest(key), start).Backend
-	cases := map[string]func(balancer *Balancer) Request{
-		"draining": func(balancer *Balancer) Request {
+	cases := map[Standing]func(balancer *Balancer) Request{
+		Standing(availability.Draining): func(balancer *Balancer) Request {
 			b := home
 			b.Draining = true
 			balancer.Put(b, start)
 			return newRequest(key)
 		},
 		"removed": func(balancer *Balancer) Request { balancer.Remove(home.ID, start); return newRequest(key) },
-		"evacuated": func(balancer *Balancer) Request {
+		StandingEvacuated: func(balancer *Balancer) Request {
 			balancer.SetEvacuated(home.Zone, true, start)
 			return newRequest(key)
 		},
-		"missing": func(balancer *Balancer) Request { balancer.MarkMissing(home.ID); return newRequest(key) },
-		"unreachable": func(balancer *Balancer) Request {
+		StandingMissing: func(balancer *Balancer) Request { balancer.MarkMissing(home.ID); return newRequest(key) },
+		StandingEjected: func(balancer *Balancer) Request {
 			mustChoose(t, balancer, newRequest(key), start).Done(Result{Outcome: Unreachable}, start)
 			return newRequest(key)
 		},
-		"misdirected": func(balancer *Balancer) Request {
+		StandingMisdirected: func(balancer *Balancer) Request {
 			mustChoose(t, balancer, newRequest(key), start).Done(Result{Outcome: Misdirected}, start)
 			return newRequest(key)
 		},
-		"failing": func(balancer *Balancer) Request {
+		StandingUnhealthy: func(balancer *Balancer) Request {
 			for range 8 {
 				mustChoose(t, balancer, newRequest(key), start).Done(Result{Outcome: Failed}, start)
 			}
 			return newRequest(key)
 		},
-		"already tried": func(*Balancer) Request {
+		StandingTried: func(*Balancer) Request {
 			r := newRequest(key)
 			r.Tried = []routing.Incarnation{home.Incarnation()}
 			return r
 		},
-		"outside the route's regions": func(*Balancer) Request {
+		StandingOtherRegion: func(*Balancer) Request {
 			r := newRequest(key)
 			r.Route = &routing.Route{Regions: []string{otherRegion(regions[home.Zone])}}
 			return r
 		},
 	}
-	for name, prepare := range cases {
-		t.Run(name, func(t *testing.T) {
+	for standing, prepare := range cases {
+		t.Run(string(standing), func(t *testing.T) {
 			balancer := newTestBalancer("n1")
 			r := prepare(balancer)
+			for _, s := range balancer.Explain(r, start.Add(time.Millisecond)).Servers {
+				if s.ID == home.ID && s.Standing != standing {
+					t.Errorf("explained the server as %s, want %s", s.Standing, standing)
+				}
+			}
 			if c := mustChoose(t, balancer, r, start.Add(time.Millisecond)); c.Backend.ID == home.ID {
 				t.Errorf("chose %s, which is excluded", home.ID)
 			}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -228,7 +228,7 @@
 		{"ready", s.ReadyListen, h.Ready},
 		{directoryListener, s.DirectoryListen, h.Directory},
 		{"peer", s.PeerListen, g.peerServer},
-		{"metrics", s.MetricsListen, g.metrics.handler()},
+		{"metrics", s.MetricsListen, g.operatorHandler()},
 	}
 	for _, e := range endpoints {
 		l, err := g.listenOn(ctx, e.address)
--- a/transport/operatorhttp/client.go
+++ b/transport/operatorhttp/client.go
@@ -87,6 +87,14 @@
 	return out, err
 }
 
+// ExplainRequest returns what a gateway would do with a request now, and why. The address
+// of the client is that of the gateway's metrics.
+func (c *Client) ExplainRequest(ctx context.Context, query url.Values) (operatorapi.RequestExplanation, error) {
+	var out operatorapi.RequestExplanation
+	err := c.call(ctx, http.MethodGet, operatorapi.PathExplainRequest+"?"+query.Encode(), nil, &out)
+	return out, err
+}
+
 // Metrics returns the daemon's metrics by name.
 func (c *Client) Metrics(ctx context.Context) (map[string]json.RawMessage, error) {
 	var out map[string]json.RawMessage
