--- a/coordination/relay/members.go
+++ b/coordination/relay/members.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/objects"
@@ -44,6 +45,11 @@
 // Remove removes an entry from the tracker.
 func (t *ExpiryTracker) Remove(id string) { delete(t.renewals, id) }
 
+// Retain removes the entries for which keep returns false.
+func (t *ExpiryTracker) Retain(keep func(id string) bool) {
+	maps.DeleteFunc(t.renewals, func(id string, _ renewal) bool { return !keep(id) })
+}
+
 // Suspend records that renewals up to now may not have been observed or made. No entry
 // expires within the next ttl.
 func (t *ExpiryTracker) Suspend(now time.Time) { t.suspended = now }
