Let the stand-in store keep to the revision of a deletion

Cause: the stand-in of the operators' store ignored the parameter "revision" of DELETE and removed the object whatever its revision, so that no run with it showed a deletion that the operators' store refuses. Ruled out: a default of the last revision for a call without the parameter; the operators' store carries those out. Change: a deletion that names another revision than the object's gets 409, as a conditional PUT does. TestDeletionKeepsToItsRevision without it: "?revision=1": got status 200 and object kept false, want status 409.

--- a/standin/objectstore/store.go
+++ b/standin/objectstore/store.go
@@ -180,16 +180,15 @@
 	return o
 }
 
-func (s *Store) remove(kind, name string) bool {
+func (s *Store) remove(kind, name string) {
 	o, ok := s.kinds[kind][name]
 	if !ok {
-		return false
+		return
 	}
 	s.revision++
 	delete(s.kinds[kind], name)
 	s.events = append(s.events, event{Object: o, Deleted: true, kind: kind, revision: s.revision})
 	s.notifyWatchers()
-	return true
 }
 
 func (s *Store) notifyWatchers() {
@@ -273,9 +272,14 @@
 	case http.MethodGet:
 		return s.read(kind, name, r.URL.Query().Get("after"))
 	case http.MethodDelete:
-		if !s.remove(kind, name) {
+		o, ok := s.kinds[kind][name]
+		if !ok {
 			return http.StatusNotFound, nil
 		}
+		if q := r.URL.Query(); q.Has("revision") && q.Get("revision") != strconv.FormatInt(o.Metadata.Revision, 10) {
+			return http.StatusConflict, o
+		}
+		s.remove(kind, name)
 		return http.StatusOK, nil
 	case http.MethodPost, http.MethodPut:
 		return s.write(r, kind, name)
