Keep late writes from bringing back a daemon that has left

Cause: a daemon replaced its entry whatever its revision, and the store may carry out a call that it did not answer seconds later. A late PUT replaced the entry of the daemon's next start by that of the stopped process; a late POST created the entry again after Leave had deleted it, for five minutes. Ruled out: waiting in Leave until a late call cannot come any more, since the store tells no bound and a stop has 300 ms; ignoring an incarnation whose deletion was seen, since one that was removed for missed renewals, or whose entry a restored store lost, writes again; always leaving by an entry that says so, since daemons of an earlier version would count it. A POST has no condition but that there is no entry: a daemon with one that had no answer leaves by an entry with "left", which counts as removed and expires.

--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -66,6 +66,8 @@
 	// Crashes are the server crashes that the daemon observed, with the requests
 	// they are attributed to.
 	Crashes []poison.Crash
+	// Left is set if the daemon has left, so that its entry counts as removed.
+	Left bool
 }
 
 // Relay returns the daemon as a relay and as a parent for quotas.
