Decide about waiting requests again when their server changes

Cause: a request that waits at the daemon for room was woken by the next answer of the server only, and one at a time. When the server announced that it leaves, asked for a pause, drained, was evacuated, lost its entry or accepted no connection, the others went on waiting until room had been expected. Nor was a request that waits at a server which finds its object cold woken when the pause of its home ended. Ruled out: a timer for each pause in the balancer, which has no clock of its own; the end of a pause is known when the wait begins. Change: what makes a server unusable wakes all that wait for it; a refusal that asks to wait says when to decide again, which is at the end of the first pause if that is sooner. TestWaitersLeaveUnusableServer without it: "draining: waiter 0 is not woken" and 10 more lines for seven causes; TestWaiterIsDecidedOnAfterPause: got "Recheck:0s", want the 30 ms left of the pause.

--- a/coordination/overload/queue.go
+++ b/coordination/overload/queue.go
@@ -97,6 +97,15 @@
 	}
 }
 
+// WakeAll asks for a new decision about all waiters of a server.
+func (q *Queue) WakeAll(server string) {
+	for _, w := range q.waiters {
+		if w.Server == server {
+			w.wake()
+		}
+	}
+}
+
 func (w *Waiter) wake() {
 	select {
 	case w.Ready <- struct{}{}:
--- a/coordination/upstream/announced_test.go
+++ b/coordination/upstream/announced_test.go
@@ -180,3 +180,65 @@
 		mustChoose(t, b, newRequest(fmt.Sprint(i)), end.Add(time.Millisecond)).Done(Result{Outcome: Answered}, end)
 	}
 }
+
+// newRankedBalancer returns a balancer whose ranks compete.
+func newRankedBalancer() *Balancer {
+	b := newTestBalancer("n1")
+	b.ConfigureRanks(routing.New(1, []routing.Route{
+		{Name: "a", Host: "h", PathPrefix: "/a/", LatencyObjective: time.Second, TrafficSplit: []routing.WeightedService{{Service: "stock", Weight: 1}}},
+		{Name: "b", Host: "h", PathPrefix: "/b/", Priority: 1, LatencyObjective: time.Second, TrafficSplit: []routing.WeightedService{{Service: "stock", Weight: 1}}},
+	}, nil, routing.ClientLimits{}))
+	return b
+}
+
+// TestWaiterIsDecidedOnAfterPause guards against a request that waits at a server that
+// finds its object cold, although the pause of its home has ended.
+func TestWaiterIsDecidedOnAfterPause(t *testing.T) {
+	b := newRankedBalancer()
+	mustChoose(t, b, newRequest("7"), start).Done(pauses, start)
+	now := start.Add(pauses.Signal.Pause - 30*time.Millisecond)
+	for _, srv := range b.servers {
+		srv.recordLoad(Load{Running: 4, Waiting: 5, Slots: 4}, 0, now)
+		srv.sustained = sustainedLoad{average: 3, at: now}
+	}
+	r := newRequest("7")
+	r.ObjectiveLeft, r.TimeLeft = time.Second, 2*time.Second
+	_, refusal := b.Choose(r, now)
+	if refusal == nil || refusal.Waiter == nil || refusal.Recheck != 30*time.Millisecond {
+		t.Errorf("got %+v, want a wait with a decision at the end of the pause", refusal)
+	}
+}
+
+// TestWaitersLeaveUnusableServer guards against requests that go on waiting for room at a
+// server that may get none any more.
+func TestWaitersLeaveUnusableServer(t *testing.T) {
+	for name, play := range map[string]func(b *Balancer, c *Choice){
+		"leaving": func(_ *Balancer, c *Choice) { c.Done(leaves, start) },
+		"pause":   func(_ *Balancer, c *Choice) { c.Done(pauses, start) },
+		"draining": func(b *Balancer, c *Choice) {
+			entry := c.Backend
+			entry.Draining = true
+			b.Put(entry, start)
+		},
+		"removed":   func(b *Balancer, c *Choice) { b.Remove(c.Backend.ID, start) },
+		"missing":   func(b *Balancer, c *Choice) { b.MarkMissing(c.Backend.ID) },
+		"evacuated": func(b *Balancer, c *Choice) { b.SetEvacuated(c.Backend.Zone, true, start) },
+		"unreachable": func(_ *Balancer, c *Choice) {
+			c.Done(Result{Outcome: Unreachable}, start)
+		},
+	} {
+		b := newRankedBalancer()
+		choice := mustChoose(t, b, newRequest("7"), start)
+		var waiters [2]*Waiter
+		for i := range waiters {
+			waiters[i] = &Waiter{Server: choice.Backend.ID, Rank: i, Ready: make(chan struct{}, 1)}
+			b.Wait(waiters[i])
+		}
+		play(b, choice)
+		for i, w := range waiters {
+			if len(w.Ready) == 0 {
+				t.Errorf("%s: waiter %d is not woken", name, i)
+			}
+		}
+	}
+}
--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -117,9 +117,10 @@
 	BestCandidate     string
 	EstimatedRequests int
 	// Waiter is set if the request may wait for room at BestCandidate: for at most
-	// MaxWait, after which RetryAfter holds.
-	Waiter  *overload.Waiter
-	MaxWait time.Duration
+	// MaxWait, after which RetryAfter holds. Unless it is told of room sooner, it should
+	// be decided about again after Recheck.
+	Waiter           *overload.Waiter
+	MaxWait, Recheck time.Duration
 }
 
 // Choose picks a server for a request and counts the request as in flight
--- a/coordination/upstream/outcome.go
+++ b/coordination/upstream/outcome.go
@@ -85,7 +85,11 @@
 		outcome = Lost
 	}
 	srv.recordOutcome(outcome, c.EstimatedRequests, now)
-	c.balancer.queue.Wake(srv.ID)
+	if srv.availability.MaySend(now) && !now.Before(srv.ejectedUntil) && !srv.misdirected {
+		c.balancer.queue.Wake(srv.ID)
+	} else {
+		c.balancer.queue.WakeAll(srv.ID)
+	}
 	if (outcome == Failed || outcome == Lost) && c.balancer.servers[srv.ID] == srv {
 		c.balancer.recentlyFailed[srv.ID] = srv
 	}
--- a/coordination/upstream/overload.go
+++ b/coordination/upstream/overload.go
@@ -155,12 +155,21 @@
 		return srv, ReasonRank, nil
 	case d.Action == overload.Wait && !sel.request.MustNotWait:
 		w := sel.waiter(srv)
-		return nil, "", &Refusal{Reason: Reason(d.Reason), RetryAfter: d.RetryAfter, BestCandidate: srv.ID, Waiter: w, MaxWait: d.MaxWait}
+		return nil, "", &Refusal{Reason: Reason(d.Reason), RetryAfter: d.RetryAfter, BestCandidate: srv.ID, Waiter: w, MaxWait: d.MaxWait, Recheck: sel.recheckAfter(d.RetryAfter)}
 	}
 	c.shares.Record(position, positions, false, sel.now)
 	return nil, "", &Refusal{Reason: Reason(d.Reason), RetryAfter: d.RetryAfter, BestCandidate: srv.ID, EstimatedRequests: srv.estimatedRequests(sel.now)}
 }
 
+// recheckAfter returns the time after which a waiting request should be decided about
+// again: when room is expected, or a pause ends.
+func (sel *selection) recheckAfter(room time.Duration) time.Duration {
+	if !sel.paused {
+		return room
+	}
+	return min(room, sel.pauseEnds.Sub(sel.now))
+}
+
 // alternative returns the server to try if the given one does not take the request:
 // the home server, or instead of that the next in rank if it has a free slot. It
 // returns nil if there is none.
--- a/coordination/upstream/set.go
+++ b/coordination/upstream/set.go
@@ -114,6 +114,9 @@
 	old.missing = false
 	old.Backend.Draining = entry.Draining
 	old.availability.SetDraining(entry.Draining)
+	if entry.Draining || b.evacuated[entry.Zone] {
+		b.queue.WakeAll(old.ID)
+	}
 	old.Backend.Zone, old.region = entry.Zone, b.regions[entry.Zone]
 	if entry.Slots > 0 {
 		old.Backend.Slots = entry.Slots
@@ -129,6 +132,7 @@
 	defer b.mu.Unlock()
 	if old := b.servers[id]; old != nil {
 		old.missing = true
+		b.queue.WakeAll(id)
 	}
 }
 
@@ -151,11 +155,15 @@
 	defer b.mu.Unlock()
 	was := b.evacuated[zone]
 	b.evacuated[zone] = on
-	if on || !was {
+	if on == was {
 		return
 	}
 	for _, srv := range b.servers {
-		if srv.Zone == zone {
+		switch {
+		case srv.Zone != zone:
+		case on:
+			b.queue.WakeAll(srv.ID)
+		default:
 			srv.markCold(now.Add(b.coldPeriods[srv.Service]), now, b.random())
 		}
 	}
@@ -208,6 +216,7 @@
 }
 
 func (b *Balancer) dropServer(srv *server) {
+	b.queue.WakeAll(srv.ID)
 	delete(b.servers, srv.ID)
 	delete(b.bySharedID, srv.sharedID())
 	delete(b.recentlyFailed, srv.ID)
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -14,7 +14,7 @@
 	// count as the last.
 	countedRanks = 8
 	// minDecisionInterval is the least time between two decisions about a waiting
-	// request, unless room is reported.
+	// request, unless it is woken.
 	minDecisionInterval = 25 * time.Millisecond
 )
 
@@ -71,7 +71,7 @@
 		}
 		w.waiter = refusal.Waiter
 	}
-	timer := time.NewTimer(min(max(minDecisionInterval, refusal.RetryAfter), w.until.Sub(now)))
+	timer := time.NewTimer(min(max(minDecisionInterval, refusal.Recheck), w.until.Sub(now)))
 	defer timer.Stop()
 	select {
 	case <-w.waiter.Ready:
