Decide on unreachable and misdirected servers in availability

Cause: whether a server may get a request was asked in four places, each by its own combination of what the server said, ejections and the flag of a misdirected server. One lacked a part: a request whose server was chosen before another server was found at the address was still sent there. Change: availability.State holds ejections and misdirection, and its verdict gives the reason and the time. Waiting requests are decided on again at the end of an ejection too. Ruled out for the same place: rate limits and cold rates, which need the number of daemons and are used up by each request; evacuations, which are of a zone; missing entries, which count by how many others are missing; failures and slowness, which only order servers. Moving these adds code. TestChosenServerIsCheckedAgain without the change: "misdirected: got MaySend true, want false". Its other cases and TestVerdicts are extended, none is changed.

--- a/coordination/availability/availability.go
+++ b/coordination/availability/availability.go
@@ -1,5 +1,6 @@
 // Package availability decides whether a backend server may get a request now, and if
-// not, until when and why, from what the server and its entry say about it.
+// not, until when and why, from what the server and its entry say about it, and from
+// whether it was found at its address.
 //
 // A State belongs to one incarnation of a server; what it says is void for the next one
 // at the same address. A server that has announced in an answer that it leaves gets no
@@ -28,6 +29,10 @@
 	// returnTime is the time from the first answer after a pause until all objects of
 	// the server are back.
 	returnTime = time.Second
+	// baseEjection and maxEjection bound how long a server that accepts no connection is
+	// not used. The time doubles with each consecutive failure.
+	baseEjection = 250 * time.Millisecond
+	maxEjection  = 2 * time.Second
 )
 
 // Reason says why a server may not get a request.
@@ -44,6 +49,10 @@
 	// Returning means that a pause has ended and other servers are preferred for this
 	// request. Without another server, it may be sent.
 	Returning Reason = "returning"
+	// Unreachable means that the server accepted no connection lately.
+	Unreachable Reason = "unreachable"
+	// Misdirected means that another server has the address.
+	Misdirected Reason = "misdirected"
 )
 
 // Signal is what a server says about itself in an answer.
@@ -78,14 +87,18 @@
 // State is what one incarnation of a server and its entry have said. The zero value
 // may get requests. It is not safe for concurrent use.
 type State struct {
-	draining, leaving, unreadable bool
-	pausedUntil                   time.Time
+	draining, leaving, misdirected, unreadable bool
+	pausedUntil                                time.Time
 	// returning is set from the start of a pause until the first answer after it,
 	// and trialUntil is the time until which no other request is sent meanwhile.
 	returning  bool
 	trialUntil time.Time
 	// returnedAt is the time of the first answer after the latest pause.
 	returnedAt time.Time
+	// ejections counts the connection attempts that failed in a row, and ejectedUntil is
+	// the time until which no other is made.
+	ejections    int
+	ejectedUntil time.Time
 }
 
 // SetDraining records what the server's entry says. It takes back nothing that the
@@ -94,11 +107,24 @@
 
 // Leaves reports whether the server will get no requests any more, so that its objects
 // need another server.
-func (s *State) Leaves() bool { return s.draining || s.leaving }
+func (s *State) Leaves() bool { return s.draining || s.leaving || s.misdirected }
 
 // PausedAt reports whether a pause that the server asked for has not ended.
 func (s *State) PausedAt(now time.Time) bool { return now.Before(s.pausedUntil) }
 
+// SetMisdirected records that another server was found at the address.
+func (s *State) SetMisdirected() { s.misdirected = true }
+
+// SetUnreachable records that the server accepted no connection.
+func (s *State) SetUnreachable(now time.Time) {
+	duration := min(maxEjection, baseEjection<<min(s.ejections, 8))
+	s.ejections++
+	s.ejectedUntil = now.Add(duration)
+}
+
+// SetReachable records an answer that indicates no failure of the server.
+func (s *State) SetReachable() { s.ejections = 0 }
+
 // Memorable reports whether the state must outlive the server's entry, which may come
 // back.
 func (s *State) Memorable(now time.Time) bool { return s.leaving || s.PausedAt(now) }
@@ -122,8 +148,12 @@
 	return change
 }
 
-// Sent records that a request is sent.
+// Sent records that a request is sent. A server that accepted no connection gets one per
+// baseEjection until it is known to be reachable.
 func (s *State) Sent(now time.Time) {
+	if s.ejections > 0 {
+		s.ejectedUntil = now.Add(baseEjection)
+	}
 	if s.returning && !s.PausedAt(now) {
 		s.trialUntil = now.Add(trialTimeout)
 	}
@@ -137,7 +167,8 @@
 	}
 }
 
-// MaySend reports whether a request that was assigned to the server may still be sent.
+// MaySend reports whether a request that was assigned to the server may still be sent, once
+// it has a connection.
 func (s *State) MaySend(now time.Time) bool { return !s.Leaves() && !s.PausedAt(now) }
 
 // Check returns whether a request may be assigned to the server. place, in [0, 1), is the
@@ -148,6 +179,10 @@
 		return Verdict{Reason: Leaving}
 	case s.draining:
 		return Verdict{Reason: Draining}
+	case s.misdirected:
+		return Verdict{Reason: Misdirected}
+	case now.Before(s.ejectedUntil):
+		return Verdict{Reason: Unreachable, Until: s.ejectedUntil}
 	case s.PausedAt(now):
 		return Verdict{Reason: Paused, Until: s.pausedUntil}
 	case s.returning && now.Before(s.trialUntil):
--- a/coordination/availability/availability_test.go
+++ b/coordination/availability/availability_test.go
@@ -66,6 +66,19 @@
 			pause(time.Second)(s)
 			s.Sent(start.Add(time.Second))
 		}, []step{{1400 * time.Millisecond, 0, Paused, true}, {1500 * time.Millisecond, 0, "", true}}},
+		"misdirected": {func(s *State) { s.SetMisdirected() }, []step{{time.Hour, 0, Misdirected, false}}},
+		"unreachable": {func(s *State) { s.SetUnreachable(start); s.SetUnreachable(start) }, []step{
+			{499 * time.Millisecond, 0, Unreachable, true}, {500 * time.Millisecond, 0, "", true},
+		}},
+		"one request to an unreachable server": {func(s *State) {
+			s.SetUnreachable(start)
+			s.Sent(start.Add(250 * time.Millisecond))
+		}, []step{{499 * time.Millisecond, 0, Unreachable, true}, {500 * time.Millisecond, 0, "", true}}},
+		"reachable again": {func(s *State) {
+			s.SetUnreachable(start)
+			s.SetReachable()
+			s.Sent(start.Add(250 * time.Millisecond))
+		}, []step{{250 * time.Millisecond, 0, "", true}}},
 		"gradual return": {back, []step{
 			{2100 * time.Millisecond, 0.05, "", true}, {2100 * time.Millisecond, 0.5, Returning, true},
 			{2600 * time.Millisecond, 0.5, "", true}, {3 * time.Second, 0.99, "", true},
--- a/coordination/upstream/announced.go
+++ b/coordination/upstream/announced.go
@@ -89,6 +89,9 @@
 // available reports whether a server that the request may go to may get it now.
 func (sel *selection) available(srv *server) bool {
 	verdict := srv.availability.Check(sel.returnPlace, sel.now)
+	if !verdict.Until.IsZero() && (sel.nextAvailable.IsZero() || verdict.Until.Before(sel.nextAvailable)) {
+		sel.nextAvailable = verdict.Until
+	}
 	switch verdict.Reason {
 	case availability.Paused:
 		if !sel.paused || verdict.Until.Before(sel.pauseEnds) {
--- a/coordination/upstream/announced_test.go
+++ b/coordination/upstream/announced_test.go
@@ -82,7 +82,7 @@
 // TestChosenServerIsCheckedAgain guards against sends that were decided on before the
 // server's announcement.
 func TestChosenServerIsCheckedAgain(t *testing.T) {
-	for name, result := range map[string]Result{"leaving": leaves, "pause": pauses, "neither": {Outcome: Answered}} {
+	for name, result := range map[string]Result{"leaving": leaves, "pause": pauses, "misdirected": {Outcome: Misdirected}, "neither": {Outcome: Answered}} {
 		b := newTestBalancer("n1")
 		waiting, other := mustChoose(t, b, newRequest("7"), start), mustChoose(t, b, newRequest("7"), start)
 		other.Done(result, start)
--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -169,11 +169,6 @@
 	if !now.Before(srv.nextProbe) {
 		srv.nextProbe = now.Add(b.probeDelay(srv, r, now))
 	}
-	// After an ejection, the server gets one request per baseEjection until the
-	// outcome of one is Answered.
-	if srv.ejections > 0 && !now.Before(srv.ejectedUntil) {
-		srv.ejectedUntil = now.Add(baseEjection)
-	}
 	estimated := srv.estimatedRequests(now)
 	srv.availability.Sent(now)
 	srv.inflight++
@@ -221,9 +216,10 @@
 	returning   []*server
 	returnPlace float64
 	// leaving and paused are set if a server was left out because it leaves or has
-	// asked for a pause, and pauseEnds is when the first pause ends.
-	leaving, paused bool
-	pauseEnds       time.Time
+	// asked for a pause, and pauseEnds is when the first pause ends. nextAvailable is
+	// when the first server that was left out may be available, or zero.
+	leaving, paused          bool
+	pauseEnds, nextAvailable time.Time
 }
 
 func (b *Balancer) newSelection(svc *service, r Request, now time.Time) *selection {
@@ -236,7 +232,7 @@
 	for _, srv := range svc.servers {
 		switch {
 		case srv.missing && avoidMissing:
-		case !b.usable(srv, r, now):
+		case !b.usable(srv, r):
 		case !sel.available(srv):
 		case srv.isCold(now) && !srv.coldLimiter.Ready(r.ColdRate, r.DaemonCount, now):
 			sel.coldLimited++
@@ -254,9 +250,9 @@
 	return sel
 }
 
-// usable reports whether the request may go to a server at all.
-func (b *Balancer) usable(srv *server, r Request, now time.Time) bool {
-	if srv.misdirected || b.evacuated[srv.Zone] || now.Before(srv.ejectedUntil) {
+// usable reports whether the request may go to a server that is available.
+func (b *Balancer) usable(srv *server, r Request) bool {
+	if b.evacuated[srv.Zone] {
 		return false
 	}
 	if r.Route != nil && !r.Route.AllowsRegion(srv.region) || !r.Organisation.AllowsRegion(srv.region) {
--- a/coordination/upstream/detour.go
+++ b/coordination/upstream/detour.go
@@ -17,7 +17,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, srv := range b.servers {
-		if srv.region == b.locality.Region || b.roundTrips[srv.region] > 0 || !srv.availability.MaySend(now) || now.Before(srv.ejectedUntil) {
+		if srv.region == b.locality.Region || b.roundTrips[srv.region] > 0 || !srv.availability.Check(0, now).Allowed {
 			continue
 		}
 		return srv.Backend, true
--- a/coordination/upstream/outcome.go
+++ b/coordination/upstream/outcome.go
@@ -85,7 +85,7 @@
 		outcome = Lost
 	}
 	srv.recordOutcome(outcome, c.EstimatedRequests, now)
-	if srv.availability.MaySend(now) && !now.Before(srv.ejectedUntil) && !srv.misdirected {
+	if srv.availability.Check(0, now).Allowed {
 		c.balancer.queue.Wake(srv.ID)
 	} else {
 		c.balancer.queue.WakeAll(srv.ID)
@@ -114,7 +114,7 @@
 func (s *server) recordOutcome(outcome Outcome, estimated int, now time.Time) {
 	switch outcome {
 	case Answered:
-		s.ejections = 0
+		s.availability.SetReachable()
 		s.updateFailureAverage(failureWeight, 0, now)
 		s.localAnswers.add(false, now)
 	case Failed:
@@ -129,9 +129,9 @@
 		s.updateFailureAverage(lossWeight, 1, now)
 		s.localAnswers.add(true, now)
 	case Misdirected:
-		s.misdirected = true
+		s.availability.SetMisdirected()
 	case Unreachable:
-		s.eject(now)
+		s.availability.SetUnreachable(now)
 	case Abandoned, Withdrawn:
 	}
 }
--- a/coordination/upstream/overload.go
+++ b/coordination/upstream/overload.go
@@ -162,12 +162,12 @@
 }
 
 // recheckAfter returns the time after which a waiting request should be decided about
-// again: when room is expected, or a pause ends.
+// again: when room is expected, or another server may be available.
 func (sel *selection) recheckAfter(room time.Duration) time.Duration {
-	if !sel.paused {
+	if sel.nextAvailable.IsZero() {
 		return room
 	}
-	return min(room, sel.pauseEnds.Sub(sel.now))
+	return min(room, sel.nextAvailable.Sub(sel.now))
 }
 
 // alternative returns the server to try if the given one does not take the request:
--- a/coordination/upstream/server.go
+++ b/coordination/upstream/server.go
@@ -36,10 +36,6 @@
 	slowFactor = 3.0
 	// probeInterval is the time between two requests to an unhealthy server.
 	probeInterval = 500 * time.Millisecond
-	// baseEjection and maxEjection bound how long a server that accepts no
-	// connection is not used. The time doubles with each consecutive failure.
-	baseEjection = 250 * time.Millisecond
-	maxEjection  = 2 * time.Second
 )
 
 // Load is the load that a server reports with an answer.
@@ -94,16 +90,11 @@
 	// last update.
 	suspected bool
 
-	// ejections counts the consecutive ejections.
-	ejections    int
-	ejectedUntil time.Time
 	// nextProbe is when the server may get its next request if it is unhealthy.
 	nextProbe time.Time
 
 	coldUntil   time.Time
 	coldLimiter coldrate.Limiter
-	// misdirected is set when another server was found at the address.
-	misdirected bool
 	// missing is set while the server's entry is gone but may come back.
 	missing bool
 	// rateLimit is the limit that the server named last, or nil if its latest
@@ -111,8 +102,8 @@
 	rateLimit    *RateLimit
 	limitNamedAt time.Time
 	rateLimiter  serverlimit.Limiter
-	// availability is what the server and its entry say about whether it may get
-	// requests. It is kept when the entry goes and comes back.
+	// availability is whether the server may get requests by what it and its entry say,
+	// and by whether it was found at its address. It is kept when the entry goes and comes back.
 	availability *availability.State
 }
 
@@ -214,14 +205,6 @@
 	s.failures, s.failuresAt = average+weight*(value-average), now
 }
 
-// eject stops the use of the server for a time that doubles with each
-// consecutive ejection.
-func (s *server) eject(now time.Time) {
-	duration := min(maxEjection, baseEjection<<min(s.ejections, 8))
-	s.ejections++
-	s.ejectedUntil = now.Add(duration)
-}
-
 // failsInRegion reports whether the server fails the requests of the region's
 // daemons more often than the others of its service do.
 func (s *server) failsInRegion(baseline serviceBaseline, now time.Time) bool {
--- a/coordination/upstream/service.go
+++ b/coordination/upstream/service.go
@@ -71,7 +71,7 @@
 func (b *Balancer) measureRegions(svc *service) []affinity.Region {
 	slots, zones := map[string]float64{}, map[string]float64{}
 	for _, srv := range svc.servers {
-		if !srv.missing && !srv.availability.Leaves() && !srv.misdirected && !b.evacuated[srv.Zone] {
+		if !srv.missing && !srv.availability.Leaves() && !b.evacuated[srv.Zone] {
 			slots[srv.region] += float64(srv.slots())
 		}
 	}
