Shorten the spread of returns after a pause, as measured

Cause: after a pause that a server asked for, each daemon waited for up to another second and then let its objects return within a second. Nobody had measured what callers get meanwhile, from other servers that are full and find the objects cold. Change: a delay of at most 100 ms and a return within 250 ms. TestThirdOfServersAnnounces is the experiment, in simulated time. TestObjectsReturnGradually names the moments at which half and all of the objects are back; they are 125 and 250 ms now.

--- a/coordination/availability/availability.go
+++ b/coordination/availability/availability.go
@@ -22,13 +22,13 @@
 	// the pause, and maxDelay bounds it. Each daemon draws its own delay, since the
 	// pauses that a server asks all daemons for may end at one moment.
 	delayFraction = 0.5
-	maxDelay      = time.Second
+	maxDelay      = 100 * time.Millisecond
 	// trialTimeout is how long the first request after a pause may go unanswered before
 	// another is sent.
 	trialTimeout = 500 * time.Millisecond
 	// returnTime is the time from the first answer after a pause until all objects of
 	// the server are back.
-	returnTime = time.Second
+	returnTime = 250 * time.Millisecond
 	// baseEjection and maxEjection bound how long a server that accepts no connection is
 	// not used. The time doubles with each consecutive failure.
 	baseEjection = 250 * time.Millisecond
