Lose answers that have no length

Cause: an answer with neither Content-Length nor chunks ends with its connection. A server that ends in the middle of it closes the connection too, and the part that it had sent was passed on as all of it. Ruled out: taking a reset for the sign of a part (already done); the system closes the connections of a process that ends in the usual way. Rejections are still believed, since their head is complete and their body is passed on to nobody. Change: such an answer is lost: an idempotent request goes to another server, any other gets 502 without Retry-After. backendhttp has always done so. TestAnswerDelimitedByCloseIsComplete held the opposite; TestAnswerWithoutLengthIsLost replaces it with six cases.

--- a/transport/upstreamhttp/client_test.go
+++ b/transport/upstreamhttp/client_test.go
@@ -163,13 +163,27 @@
 	return l.Addr().String()
 }
 
-func TestAnswerDelimitedByCloseIsComplete(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
-	addr := startSingleAnswerServer(t, "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Signed: s\r\n\r\nall of it", false)
-	x := New(testHeaders).Run(ctx, addr, newRequest("a"))
-	if x.Err != nil || string(x.Answer.Body) != "all of it" {
-		t.Fatalf("got answer %+v and error %v, want body \"all of it\"", x.Answer, x.Err)
+// TestAnswerWithoutLengthIsLost guards against a part of an answer that is passed on as all
+// of it, since its end is that of the connection: a server that ends closes it too. What the
+// head says, such as that the request was not run, is complete.
+func TestAnswerWithoutLengthIsLost(t *testing.T) {
+	for name, c := range map[string]struct {
+		method, text string
+		outcome      upstream.Outcome
+	}{
+		"success":             {http.MethodGet, "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Signed: s\r\n\r\nall of it", upstream.Lost},
+		"HTTP/1.0":            {http.MethodGet, "HTTP/1.0 200 OK\r\nX-Id: a\r\nX-Signed: s\r\n\r\nall of it", upstream.Lost},
+		"failure":             {http.MethodGet, "HTTP/1.1 500 No\r\nX-Id: a\r\n\r\n", upstream.Lost},
+		"not run":             {http.MethodGet, "HTTP/1.1 503 No\r\nX-Id: a\r\nX-Not-Run: 1\r\n\r\nbusy", upstream.Shed},
+		"status without body": {http.MethodGet, "HTTP/1.1 204 No\r\nX-Id: a\r\nX-Signed: s\r\n\r\n", upstream.Answered},
+		"answer to HEAD":      {http.MethodHead, "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Signed: s\r\n\r\n", upstream.Answered},
+	} {
+		r := newRequest("a")
+		r.Method = c.method
+		x := New(testHeaders).Run(context.Background(), startSingleAnswerServer(t, c.text, false), r)
+		if x.Result.Outcome != c.outcome || (x.Answer == nil) != (c.outcome == upstream.Lost) {
+			t.Errorf("%s: got %+v, want outcome %s", name, x, c.outcome)
+		}
 	}
 }
 
--- a/transport/upstreamhttp/conn.go
+++ b/transport/upstreamhttp/conn.go
@@ -44,6 +44,9 @@
 	// ErrEncoded means that the body of an answer was encoded, so its bytes are
 	// not those that the server produced.
 	ErrEncoded = errors.New("answer has a Content-Encoding header")
+	// ErrNoLength means that an answer has a body whose end is that of the connection, so
+	// that a part of it cannot be told from all of it.
+	ErrNoLength = errors.New("answer has neither Content-Length nor chunks")
 	// ErrUnsigned means that a 2xx answer lacks the signature of a server.
 	ErrUnsigned = errors.New("2xx answer has no server signature header")
 )
@@ -118,7 +121,7 @@
 	if c.isOwn(n, r, resp) {
 		answer.parseSignal(n)
 	}
-	if !c.requestWritten() || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if !c.requestWritten() || resp.Close || !hasLength(resp) {
 		return answer, false, nil
 	}
 	c.idleTimeout = parseIdleTimeout(resp.Header)
@@ -234,11 +237,16 @@
 }
 
 func readAnswer(n HeaderNames, resp *http.Response, bodyMemory BodyMemory) (*Answer, error) {
+	h := resp.Header
+	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
+	notRun := misdirected || h.Get(n.NotExecuted) != ""
+	if !notRun && !hasLength(resp) {
+		return nil, ErrNoLength
+	}
 	body, err := readBody(resp.Body, bodyMemory)
 	if err != nil {
 		return nil, err
 	}
-	h := resp.Header
 	if h.Get("Content-Encoding") != "" {
 		return nil, ErrEncoded
 	}
@@ -246,19 +254,25 @@
 		Status:      resp.StatusCode,
 		Header:      h,
 		Body:        body,
-		Misdirected: resp.StatusCode == http.StatusMisdirectedRequest,
+		NotRun:      notRun,
+		Misdirected: misdirected,
 		Signed:      h.Get(n.Signature) != "",
 	}
 	a.parseLoad(n)
 	a.parseColdLeft(n)
 	a.parseRateLimit(n)
-	a.NotRun = a.Misdirected || h.Get(n.NotExecuted) != ""
 	if a.Status/100 == 2 && !a.Signed {
 		return nil, ErrUnsigned
 	}
 	return a, nil
 }
 
+// hasLength reports whether an answer without all of its body can be told from a complete
+// one.
+func hasLength(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
+}
+
 // parseIdleTimeout returns the idle timeout of a connection from the timeout
 // parameter of a Keep-Alive header.
 func parseIdleTimeout(h http.Header) time.Duration {
