Bound interim answers by their bytes, not by four

Cause: interim answers counted against the four answers that are read in search of the request's own, so that the final answer to a request that had run was lost after four of them. Ruled out: a larger number; the request's time bounds slow ones, and their bytes are what costs. Change: the interim answers before a head share its limit of 64 KiB, which is 2,000 of them.

--- a/transport/upstreamhttp/client_test.go
+++ b/transport/upstreamhttp/client_test.go
@@ -94,6 +94,17 @@
 	}
 }
 
+// TestInterimAnswersPrecedeAnswer guards against an answer that is lost, although its request
+// has run, as its server announces its progress before it.
+func TestInterimAnswersPrecedeAnswer(t *testing.T) {
+	interim := strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 100)
+	addr := startScriptedServer(t, []string{interim + successAnswer("mine")})
+	x := New(testHeaders).Run(context.Background(), addr, newRequest("a"))
+	if x.Err != nil || string(x.Answer.Body) != "mine" {
+		t.Fatalf("got answer %+v and error %v, want body \"mine\"", x.Answer, x.Err)
+	}
+}
+
 func TestExtraBytesCloseConnection(t *testing.T) {
 	extra := "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Signed: s\r\nContent-Length: 5\r\n\r\nagain"
 	addr := startScriptedServer(t, []string{successAnswer("one") + extra}, []string{successAnswer("two")})
--- a/transport/upstreamhttp/limit.go
+++ b/transport/upstreamhttp/limit.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// maxHeadBytes limits the status line and the header of one answer, up to the
-	// bytes that the connection's buffer reads ahead.
+	// maxHeadBytes limits the status line and the header of one answer, together with
+	// the interim answers before it, up to the bytes that the connection's buffer reads
+	// ahead.
 	maxHeadBytes = 64 << 10
 	// MaxAnswerBytes limits the body of an answer.
 	MaxAnswerBytes = 32 << 20
@@ -26,8 +27,8 @@
 
 // Errors after which the request may have run.
 var (
-	// ErrHeadTooLarge means that the status line and the header of an answer exceed
-	// 64 KiB.
+	// ErrHeadTooLarge means that the status line and the header of an answer, together
+	// with the interim answers before it, exceed 64 KiB.
 	ErrHeadTooLarge = errors.New("status line and header of answer are larger than 64 KiB")
 	// ErrTooLarge means that the body of an answer exceeds MaxAnswerBytes.
 	ErrTooLarge = errors.New("answer body is larger than 32 MiB")
