Refuse calls beyond 4,096 on a connection between daemons

Cause: with 4,096 calls running on one connection, the peer waited for one to end before it read on, so that it answered no ping and saw no cancellation. The caller took it for silent after 750 ms and closed the connection, which cancelled all 4,096. Ruled out: reading on and keeping the calls, whose memory would have no limit; dispatching without a limit. Change: a call beyond the limit is refused at once, in a reply that says that it did not begin, which the caller's ErrNotSent tells. Callers take it as not run.

--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -39,8 +39,10 @@
 	// Cancel says that the reply to an earlier call is no longer needed.
 	Cancel bool `cbor:"x,omitempty"`
 	// Error is set on the reply to a call that failed.
-	Error string          `cbor:"e,omitempty"`
-	Body  cbor.RawMessage `cbor:"b,omitempty"`
+	Error string `cbor:"e,omitempty"`
+	// NotRun is set on the reply to a call that failed and did not begin.
+	NotRun bool            `cbor:"n,omitempty"`
+	Body   cbor.RawMessage `cbor:"b,omitempty"`
 }
 
 // Errors returned by Decode and DecodeBody.
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -60,8 +60,8 @@
 }
 
 // Call makes a call to the peer at addr and waits for the answer until ctx ends.
-// An error that wraps ErrNotSent means that the peer did not receive the call;
-// after any other error it may have. An error that the peer returned is a
+// An error that wraps ErrNotSent means that the peer did not receive the call, or did
+// not begin it; after any other error it may have run it. An error that the peer returned is a
 // *RemoteError.
 func Call[Out any](ctx context.Context, c *Client, addr netip.AddrPort, t wire.Type, in any) (*Out, error) {
 	return CallWithGrace[Out](ctx, c, addr, t, in, 0)
@@ -80,7 +80,11 @@
 		return nil, err
 	}
 	if env.Error != "" {
-		return nil, &RemoteError{Type: t, Message: env.Error}
+		err := &RemoteError{Type: t, Message: env.Error}
+		if env.NotRun {
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+		return nil, err
 	}
 	out := new(Out)
 	if err := wire.DecodeBody(env.Body, out); err != nil {
--- a/transport/peer/conn.go
+++ b/transport/peer/conn.go
@@ -20,7 +20,7 @@
 
 // Errors of a call.
 var (
-	// ErrNotSent means that the peer did not receive the call.
+	// ErrNotSent means that the peer did not receive the call, or did not begin it.
 	ErrNotSent = errors.New("call was not sent")
 	// ErrLost means that the connection was lost before the answer arrived.
 	ErrLost = errors.New("connection to peer was lost")
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -139,7 +139,13 @@
 			active.cancel(env.ID)
 			continue
 		}
-		semaphore <- struct{}{}
+		select {
+		case semaphore <- struct{}{}:
+		default:
+			// Waiting for a call to end would leave pings and cancellations unread.
+			s.writeAnswer(ctx, ws, env, nil, ErrBusy)
+			continue
+		}
 		answered := s.calls.Begin()
 		callCtx, end := active.begin(ctx, env.ID)
 		calls.Go(func() {
@@ -152,6 +158,9 @@
 	}
 }
 
+// ErrBusy means that a call did not run, since as many run on its connection as may.
+var ErrBusy = errors.New("too many calls run on the connection")
+
 // ErrCancelled is the cancellation cause of the context of a call that the peer
 // cancelled.
 var ErrCancelled = errors.New("call was cancelled by the peer")
@@ -191,7 +200,7 @@
 func (s *Server) writeAnswer(ctx context.Context, ws *websocket.Conn, env wire.Envelope, out any, err error) {
 	reply := wire.Envelope{Type: env.Type, ID: env.ID, IsReply: true}
 	if err != nil {
-		reply.Error = err.Error()
+		reply.Error, reply.NotRun = err.Error(), errors.Is(err, ErrBusy)
 		out = nil
 	}
 	frame, err := wire.Encode(reply, out)
