--- a/transport/upstreamhttp/limit_test.go
+++ b/transport/upstreamhttp/limit_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"bilberrytiller.example/tiller/coordination/upstream"
 )
 
 // maxMemoryOfEndlessAnswer is far above the limit of a head and far below what a
@@ -89,9 +91,21 @@
 			addr := startEndlessServer(t, answer.start, answer.part)
 			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 			defer cancel()
-			if x := New(testHeaders).Run(ctx, addr, newRequest("a")); x.Answer != nil || ctx.Err() != nil {
+			client := New(testHeaders)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			x := client.Run(ctx, addr, newRequest("a"))
+			runtime.ReadMemStats(&after)
+			if x.Answer != nil || x.Result.Outcome != upstream.Lost || ctx.Err() != nil {
 				t.Errorf("got answer %+v and error %v, want an error before the request's time is over", x.Answer, x.Err)
 			}
+			// A buffer that doubles up to the limit takes four times it altogether.
+			if used := after.TotalAlloc - before.TotalAlloc; used > 128<<20 {
+				t.Errorf("reading the body took %d bytes of memory, want at most %d", used, 128<<20)
+			}
+			if n := client.OpenConns(); n != 0 {
+				t.Errorf("got %d open connections, want the one of the request closed", n)
+			}
 		})
 	}
 }
