--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"bilberrytiller.example/tiller/coordination/upstream"
 	"bilberrytiller.example/tiller/state/routing"
 )
 
@@ -135,3 +136,19 @@
 		t.Error("a budget that no client uses any more is remembered")
 	}
 }
+
+// TestWaitEndsWhenServerMayBeAvailable guards against a request that waits for room although
+// the pause of another server has ended.
+func TestWaitEndsWhenServerMayBeAvailable(t *testing.T) {
+	f := newFixture(t, route(false))
+	w := wait{g: f.Gateway}
+	defer w.end()
+	began := time.Now()
+	w.await(t.Context(), &upstream.Refusal{
+		RetryAfter: 20 * time.Second, MaxWait: 20 * time.Second, Recheck: 30 * time.Millisecond,
+		Waiter: &upstream.Waiter{Server: "i-1", Ready: make(chan struct{}, 1)},
+	})
+	if took := time.Since(began); took < 30*time.Millisecond || took > 10*time.Second || w.mustEnd {
+		t.Errorf("decided on again after %s, must end %t, want 30 ms", took, w.mustEnd)
+	}
+}
