--- a/coordination/upstream/explain.go
+++ b/coordination/upstream/explain.go
@@ -17,12 +17,8 @@
 	StandingUsable Standing = "usable"
 	// StandingMissing means that the server's entry is gone but may come back.
 	StandingMissing Standing = "missing"
-	// StandingMisdirected means that another server was found at its address.
-	StandingMisdirected Standing = "misdirected"
 	// StandingEvacuated means that its data centre is evacuated.
 	StandingEvacuated Standing = "evacuated"
-	// StandingEjected means that it accepted no connection lately.
-	StandingEjected Standing = "ejected"
 	// StandingOtherRegion means that the route or the organisation does not allow its
 	// region.
 	StandingOtherRegion Standing = "region_not_allowed"
@@ -121,12 +117,8 @@
 	switch {
 	case srv.missing:
 		return StandingMissing, time.Time{}
-	case srv.misdirected:
-		return StandingMisdirected, time.Time{}
 	case b.evacuated[srv.Zone]:
 		return StandingEvacuated, time.Time{}
-	case sel.now.Before(srv.ejectedUntil):
-		return StandingEjected, srv.ejectedUntil
 	case r.Route != nil && !r.Route.AllowsRegion(srv.region) || !r.Organisation.AllowsRegion(srv.region):
 		return StandingOtherRegion, time.Time{}
 	case slices.Contains(r.Tried, srv.Incarnation()):
--- a/coordination/upstream/upstream_test.go
+++ b/coordination/upstream/upstream_test.go
@@ -74,11 +74,11 @@
 			return newRequest(key)
 		},
 		StandingMissing: func(balancer *Balancer) Request { balancer.MarkMissing(home.ID); return newRequest(key) },
-		StandingEjected: func(balancer *Balancer) Request {
+		Standing(availability.Unreachable): func(balancer *Balancer) Request {
 			mustChoose(t, balancer, newRequest(key), start).Done(Result{Outcome: Unreachable}, start)
 			return newRequest(key)
 		},
-		StandingMisdirected: func(balancer *Balancer) Request {
+		Standing(availability.Misdirected): func(balancer *Balancer) Request {
 			mustChoose(t, balancer, newRequest(key), start).Done(Result{Outcome: Misdirected}, start)
 			return newRequest(key)
 		},
