Explain why a server is left out where most entries are missing

Cause: where more than half of a service's entries are missing, Choose uses missing servers too, but the explanation named "missing" for each that was left out for another reason, such as a pause. Change: it asks the same question as newSelection. Result: the new case of TestExcludedServersAreNotChosen failed before ('explained the server as missing, want leaving') and passes.

--- a/coordination/upstream/explain.go
+++ b/coordination/upstream/explain.go
@@ -102,7 +102,7 @@
 		case srv.ID == chosen:
 			e.Standing = StandingChosen
 		case i >= len(ordered)-others:
-			e.Standing, e.Until = b.whyLeftOut(srv, sel)
+			e.Standing, e.Until = b.whyLeftOut(svc, srv, sel)
 		}
 		out = append(out, e)
 	}
@@ -111,11 +111,11 @@
 
 // whyLeftOut returns why a server is not among the candidates, by the tests of
 // newSelection in their order.
-func (b *Balancer) whyLeftOut(srv *server, sel *selection) (Standing, time.Time) {
+func (b *Balancer) whyLeftOut(svc *service, srv *server, sel *selection) (Standing, time.Time) {
 	r := sel.request
 	verdict := srv.availability.Check(sel.returnPlace, sel.now)
 	switch {
-	case srv.missing:
+	case srv.missing && !svc.mostlyMissing():
 		return StandingMissing, time.Time{}
 	case b.evacuated[srv.Zone]:
 		return StandingEvacuated, time.Time{}
--- a/coordination/upstream/upstream_test.go
+++ b/coordination/upstream/upstream_test.go
@@ -88,6 +88,14 @@
 			}
 			return newRequest(key)
 		},
+		// Where most entries are missing, a server is not left out for that.
+		Standing(availability.Leaving): func(balancer *Balancer) Request {
+			mustChoose(t, balancer, newRequest(key), start).Done(Result{Outcome: Answered, Signal: availability.Signal{Leaving: true}}, start)
+			for id := range balancer.servers {
+				balancer.MarkMissing(id)
+			}
+			return newRequest(key)
+		},
 		StandingTried: func(*Balancer) Request {
 			r := newRequest(key)
 			r.Tried = []routing.Incarnation{home.Incarnation()}
