Refuse a deadline that a gateway would take for none

Change: such a deadline is a usage error. Result: the new part of TestExplainRequestSaysWhatHappens failed before ('deadline 0s: got exit code 0, want 2', the same for -1s and 999us) and passes.

--- a/cli/tillerctl/explainrequest.go
+++ b/cli/tillerctl/explainrequest.go
@@ -15,10 +15,10 @@
 
 type explainRequestCommand struct {
 	env          *env
-	Organisation string        `long:"organisation" value-name:"NAME" description:"organisation whose request it is"`
-	Object       string        `long:"object" value-name:"KEY" description:"key of the object that the request is for"`
-	ID           string        `long:"id" value-name:"ID" description:"ID of the request, which decides about the service where a route is split"`
-	Deadline     time.Duration `long:"deadline" value-name:"DURATION" description:"how long the client waits"`
+	Organisation string         `long:"organisation" value-name:"NAME" description:"organisation whose request it is"`
+	Object       string         `long:"object" value-name:"KEY" description:"key of the object that the request is for"`
+	ID           string         `long:"id" value-name:"ID" description:"ID of the request, which decides about the service where a route is split"`
+	Deadline     *time.Duration `long:"deadline" value-name:"DURATION" description:"how long the client waits"`
 	Args         struct {
 		Gateway string `positional-arg-name:"IP:PORT"`
 		Host    string `positional-arg-name:"HOST"`
@@ -37,7 +37,10 @@
 			query.Set(name, value)
 		}
 	}
-	if c.Deadline > 0 {
+	if c.Deadline != nil {
+		if *c.Deadline < time.Millisecond {
+			return &UsageError{Problem: fmt.Sprintf("--deadline = %v, want at least 1ms", *c.Deadline)}
+		}
 		query.Set(operatorapi.ParamDeadlineMs, strconv.FormatInt(c.Deadline.Milliseconds(), 10))
 	}
 	x, err := operatorhttp.New(c.Args.Gateway, "").ExplainRequest(c.env.ctx, query)
--- a/cli/tillerctl/gateway_test.go
+++ b/cli/tillerctl/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -94,4 +95,11 @@
 			t.Errorf("%s: the gateway got %v", path, query)
 		}
 	}
+	// A gateway takes a deadline that it cannot read for none, which means 30 s.
+	for _, deadline := range []string{"0s", "-1s", "999us"} {
+		e := &env{ctx: t.Context(), opts: &options{}, stdout: io.Discard, stderr: io.Discard}
+		if code := e.run([]string{"explain-request", s.Listener.Addr().String(), "pay.example", "/free", "--deadline=" + deadline}); code != exitUsage {
+			t.Errorf("deadline %s: got exit code %d, want %d", deadline, code, exitUsage)
+		}
+	}
 }
