--- a/coordination/upstream/upstream_test.go
+++ b/coordination/upstream/upstream_test.go
@@ -96,6 +96,11 @@
 			}
 			return newRequest(key)
 		},
+		StandingRateLimit: func(balancer *Balancer) Request {
+			limit := RateLimit(1)
+			mustChoose(t, balancer, newRequest(key), start).Done(Result{Outcome: Answered, RateLimit: &limit}, start.Add(time.Millisecond))
+			return newRequest(key)
+		},
 		StandingTried: func(*Balancer) Request {
 			r := newRequest(key)
 			r.Tried = []routing.Incarnation{home.Incarnation()}
@@ -123,6 +128,21 @@
 	}
 }
 
+// TestServersAreExplainedInOrder guards against an explanation that lists the servers in
+// another order than that in which a request is sent to them.
+func TestServersAreExplainedInOrder(t *testing.T) {
+	for i := range 10 {
+		balancer, r := newTestBalancer("n1"), newRequest(fmt.Sprint(i))
+		for place, s := range balancer.Explain(r, start).Servers {
+			c := mustChoose(t, balancer, r, start)
+			if c.Backend.ID != s.ID {
+				t.Errorf("object %d: chose %s in place %d, explained was %s", i, c.Backend.ID, place, s.ID)
+			}
+			r.Tried = append(r.Tried, c.Backend.Incarnation())
+		}
+	}
+}
+
 func otherRegion(region string) string {
 	if region == "north" {
 		return "south"
--- a/gateway/explain_test.go
+++ b/gateway/explain_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"bilberrytiller.example/tiller/coordination/shutdown"
 	"bilberrytiller.example/tiller/protocol/operatorapi"
 	"bilberrytiller.example/tiller/state/routing"
 )
@@ -107,3 +108,33 @@
 		}
 	}
 }
+
+// TestSplitRouteIsExplained guards against a public route that seems to need a key, a
+// service with a small weight that stands for all, and a list of all servers.
+func TestSplitRouteIsExplained(t *testing.T) {
+	for _, split := range [][]routing.WeightedService{
+		{{Service: "pay", Weight: 3}, {Service: "pay-next", Weight: 2}}, {{Service: "pay-next", Weight: 2}, {Service: "pay", Weight: 3}},
+	} {
+		r := route(false)
+		r.Public, r.TrafficSplit = true, split
+		f := newQuotaFixture(t, r, 1)
+		const servers = maxExplainedServers + 5
+		for i := range 2 * servers {
+			f.PutBackend(routing.Backend{
+				ID: fmt.Sprint("i-", i), StartedAtMs: 1, Service: "pay", Address: fmt.Sprint("127.0.0.1:", i+1), Zone: "n1", Slots: 4, Draining: i%2 == 1,
+			})
+		}
+		x, _ := explainRequest(t, f)
+		if x.Action != operatorapi.ActionSend || x.Service != "pay" || len(x.Services) != 2 {
+			t.Errorf("got %+v, want a request that is sent to service pay", x)
+		}
+		if len(x.Servers) != 2*maxExplainedServers || x.MoreServers["usable"] != 5 || x.MoreServers["draining"] != 5 {
+			t.Errorf("got %d servers and %v, want %d and 5 more of each standing", len(x.Servers), x.MoreServers, 2*maxExplainedServers)
+		}
+	}
+	f := newQuotaFixture(t, route(false), 1)
+	f.stopPlan.Store(&shutdown.Plan{})
+	if x, _ := explainRequest(t, f, operatorapi.ParamOrganisation, "free"); x.Reason != "stopping" {
+		t.Errorf("got %+v from a gateway that stops, want a refusal for that", x)
+	}
+}
