Hold the balancer shorter while a request is explained

Cause: the explanation searched the candidates for each server of the service while it held the balancer's lock, so that its time grew with the square of the servers. Ruled out: sorting outside of the lock, since the order depends on what the lock guards. Change: the candidates are looked up in a map.

--- a/coordination/upstream/explain.go
+++ b/coordination/upstream/explain.go
@@ -85,15 +85,17 @@
 // explainServers returns the servers of a service as a selection finds them.
 func (b *Balancer) explainServers(svc *service, sel *selection, chosen string) []ExplainedServer {
 	ordered := slices.SortedStableFunc(slices.Values(sel.candidates), sel.compare)
-	others := 0
+	isCandidate := make(map[*server]bool, len(sel.candidates))
+	for _, srv := range sel.candidates {
+		isCandidate[srv] = true
+	}
 	for _, srv := range svc.servers {
-		if !slices.Contains(sel.candidates, srv) {
+		if !isCandidate[srv] {
 			ordered = append(ordered, srv)
-			others++
 		}
 	}
 	out := make([]ExplainedServer, 0, len(ordered))
-	for i, srv := range ordered {
+	for _, srv := range ordered {
 		e := ExplainedServer{
 			ID: srv.ID, Zone: srv.Zone, Region: srv.region, Standing: StandingUsable,
 			Requests: srv.estimatedRequests(sel.now), Slots: srv.slots(), Latency: sel.expectedLatency(srv),
@@ -101,7 +103,7 @@
 		switch {
 		case srv.ID == chosen:
 			e.Standing = StandingChosen
-		case i >= len(ordered)-others:
+		case !isCandidate[srv]:
 			e.Standing, e.Until = b.whyLeftOut(svc, srv, sel)
 		}
 		out = append(out, e)
