Show the same rank and quota of an organisation each time

Cause: tillerctl gateway took them from whichever gateway came last in the order of a map, so that they changed from call to call where gateways have different configurations. Change: those of the first address that lists the organisation. Result: the repetition in TestGatewaySumsOrganisations failed before (rank '0', at first '-') and passes.

--- a/cli/tillerctl/gateway.go
+++ b/cli/tillerctl/gateway.go
@@ -113,14 +113,20 @@
 }
 
 // organisationRows returns the requests of each organisation at all gateways together,
-// those with the most refused requests first.
+// those with the most refused requests first. Gateways may have different configurations;
+// the rank and quota are those of the first address that has the organisation.
 func organisationRows(all map[string]*gatewayMetrics) [][]string {
 	sums := map[string]organisationMetrics{}
-	for _, m := range all {
-		for name, o := range m.Organisations {
-			o.Admitted += sums[name].Admitted
-			o.Refused += sums[name].Refused
-			sums[name] = o
+	for _, address := range slices.Sorted(maps.Keys(all)) {
+		for name, o := range all[address].Organisations {
+			sum, known := sums[name]
+			if !known {
+				sum = o
+				sum.Admitted, sum.Refused = 0, 0
+			}
+			sum.Admitted += o.Admitted
+			sum.Refused += o.Refused
+			sums[name] = sum
 		}
 	}
 	names := slices.SortedFunc(maps.Keys(sums), func(a, b string) int {
--- a/cli/tillerctl/gateway_test.go
+++ b/cli/tillerctl/gateway_test.go
@@ -40,6 +40,13 @@
 			t.Errorf("no row with %v in\n%s", want, out.String())
 		}
 	}
+	for range 20 {
+		first := out.String()
+		out.Reset()
+		if err := c.Execute(nil); err != nil || out.String() != first {
+			t.Fatalf("got error %v and\n%s\nat first\n%s", err, out.String(), first)
+		}
+	}
 	c.Args.Addresses = addresses[2:]
 	if err := c.Execute(nil); !errors.Is(err, ErrNotGateway) {
 		t.Errorf("got error %v for an address without a gateway's metrics, want ErrNotGateway", err)
