Decide again about a waiter whose server changed before it waited

Cause: a request is decided about and begins to wait in two steps. Where its server left, paused, went missing or was evacuated in between, the waiters were woken without it, and it waited until its next decision, which may be as late as room is expected. Ruled out: both steps under one lock, since the caller decides whether to wait; waking all waiters of the server, since the others were woken with the change. Change: Wait looks at the server and wakes the waiter at once. TestWaitersLeaveUnusableServer without it: 'leaving: a waiter that was decided on before is not woken', and the same for the six other changes. Wait has the time as a parameter for it.

--- a/coordination/overload/queue.go
+++ b/coordination/overload/queue.go
@@ -93,7 +93,7 @@
 // Wake asks for a new decision about the first waiter of a server.
 func (q *Queue) Wake(server string) {
 	if w := q.First(server); w != nil {
-		w.wake()
+		w.Wake()
 	}
 }
 
@@ -101,12 +101,13 @@
 func (q *Queue) WakeAll(server string) {
 	for _, w := range q.waiters {
 		if w.Server == server {
-			w.wake()
+			w.Wake()
 		}
 	}
 }
 
-func (w *Waiter) wake() {
+// Wake asks for a new decision about the waiter.
+func (w *Waiter) Wake() {
 	select {
 	case w.Ready <- struct{}{}:
 	default:
@@ -129,7 +130,7 @@
 		return
 	}
 	w.displaced.Store(true)
-	w.wake()
+	w.Wake()
 }
 
 // Displaced reports whether the waiter lost its place.
--- a/coordination/upstream/announced_test.go
+++ b/coordination/upstream/announced_test.go
@@ -232,9 +232,14 @@
 		var waiters [2]*Waiter
 		for i := range waiters {
 			waiters[i] = &Waiter{Server: choice.Backend.ID, Rank: i, Ready: make(chan struct{}, 1)}
-			b.Wait(waiters[i])
+			b.Wait(waiters[i], start)
 		}
 		play(b, choice)
+		late := &Waiter{Server: choice.Backend.ID, Ready: make(chan struct{}, 1)}
+		b.Wait(late, start)
+		if len(late.Ready) == 0 {
+			t.Errorf("%s: a waiter that was decided on before is not woken", name)
+		}
 		for i, w := range waiters {
 			if len(w.Ready) == 0 {
 				t.Errorf("%s: waiter %d is not woken", name, i)
--- a/coordination/upstream/overload.go
+++ b/coordination/upstream/overload.go
@@ -243,7 +243,7 @@
 // Wait adds a request to those that wait for room at a server. It returns false if
 // as many wait already and callers lose more by each of them. A waiter is told
 // over Ready when room is expected, and displaced by one that callers lose more by.
-func (b *Balancer) Wait(w *overload.Waiter) bool {
+func (b *Balancer) Wait(w *overload.Waiter, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	displaced := b.queue.Add(w)
@@ -251,6 +251,11 @@
 		return false
 	}
 	displaced.Displace()
+	// The server may have changed since the request was decided about.
+	srv := b.servers[w.Server]
+	if srv == nil || srv.missing || b.evacuated[srv.Zone] || !srv.availability.Check(0, now).Allowed {
+		w.Wake()
+	}
 	return true
 }
 
--- a/coordination/upstream/overload_test.go
+++ b/coordination/upstream/overload_test.go
@@ -250,7 +250,7 @@
 			a.daemon.EndWait(a.waiter)
 		}
 		a.waiter = refusal.Waiter
-		a.mustEnd = !a.daemon.Wait(a.waiter)
+		a.mustEnd = !a.daemon.Wait(a.waiter, s.now)
 	}
 	s.after(min(25*time.Millisecond, a.until.Sub(s.now)), func() {
 		a.mustEnd = a.mustEnd || a.waiter.Displaced() || !s.now.Before(a.until)
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -65,7 +65,7 @@
 	}
 	if refusal.Waiter != w.waiter {
 		w.end()
-		if !w.g.balancer.Wait(refusal.Waiter) {
+		if !w.g.balancer.Wait(refusal.Waiter, now) {
 			w.mustEnd = true
 			return
 		}
