Send a message whole where its link's limit was just removed

Cause: a message that waits for the shares of its link's limit is divided by the limit's bytes after that wait. If the limit was removed meanwhile, the pieces were of one byte, each queued by itself. Change: the message is sent at once. Result: TestMessageIsNotSplitWithoutLinkLimit failed before ('got error <nil> and 1 queues, want no wait for bandwidth') and passes.

--- a/daemon/links.go
+++ b/daemon/links.go
@@ -105,7 +105,11 @@
 		return nil
 	}
 	l.d.limits.awaitShares(ctx, quota.id.group)
-	chunk := max(1, l.d.limits.unitsOf(quota)/linkChunksPerWindow)
+	units := l.d.limits.unitsOf(quota)
+	if units == 0 {
+		return nil
+	}
+	chunk := max(1, units/linkChunksPerWindow)
 	for ; bytes > 0; bytes -= chunk {
 		if !l.queueTo(region).await(ctx, l.d.limits, quota, link.NewMessage(rank, min(bytes, chunk))) {
 			l.d.metrics.linkRefused.Add(1)
--- a/daemon/versions_test.go
+++ b/daemon/versions_test.go
@@ -112,6 +112,26 @@
 	}
 }
 
+// TestMessageIsNotSplitWithoutLinkLimit guards against messages in pieces of one byte after
+// the limit was removed while they waited for the shares.
+func TestMessageIsNotSplitWithoutLinkLimit(t *testing.T) {
+	d := &Daemon{self: membership.Member{Region: "a"}}
+	id := linkLimitID("a", "b")
+	quota := &sharedQuota{Quota: limit.NewQuota(linkPolicy), id: id, units: 100}
+	loaded := make(chan struct{})
+	d.limits = &limits{d: d, quotas: map[limitID]*sharedQuota{id: quota}, shares: map[string]*groupShares{id.group: {loaded: loaded}}}
+	d.links = newLinks(d)
+	time.AfterFunc(20*time.Millisecond, func() {
+		d.limits.mu.Lock()
+		quota.units = 0
+		d.limits.mu.Unlock()
+		close(loaded)
+	})
+	if err := d.links.awaitBandwidth(t.Context(), "b", request.RankPayment, 1000); err != nil || len(d.links.queues) != 0 {
+		t.Errorf("got error %v and %d queues, want no wait for bandwidth", err, len(d.links.queues))
+	}
+}
+
 // TestHugeDeadlineIsTheLongest guards against a deadline that overflows and counts as
 // passed.
 func TestHugeDeadlineIsTheLongest(t *testing.T) {
