Let the server exist at which a test's request waits

Change: the test adds the server. What it checks is the same: with RetryAfter in place of Recheck it fails as before.

--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -141,6 +141,7 @@
 // the pause of another server has ended.
 func TestWaitEndsWhenServerMayBeAvailable(t *testing.T) {
 	f := newFixture(t, route(false))
+	f.addServer(t, answerSigned)
 	w := wait{g: f.Gateway}
 	defer w.end()
 	began := time.Now()
