Parse large heads of requests a few at a time

Cause: net/http parses a head into many times its size before a handler can count it. 132 connections that each send heads of 2,500 short fields (15 KB) are parsed together when few cores are free: what is parsed, waits to be parsed on and is garbage exceeds the 44 MB limit of the runtime.

Ruled out: counting fields in the handler (as holdHeader does) comes too late; a higher cost for each field changes what is refused and not what is parsed; a reservation for each piece of a head makes heads that have a part keep the rest from each other.

Change: bytes of a head above 4 KB or 64 fields are handed to net/http only when the head has one of the places that a tenth of the memory budget gives (coordination/memory, Heads). They wait unparsed, in order, for 1 s, then get 503 with Retry-After. One that keeps a place for 0.5 s while others wait gives it up. An ordinary head never waits. Listeners other than the clients' count many fields too, since their answers can wait for a slow client.

--- a/coordination/memory/memory_test.go
+++ b/coordination/memory/memory_test.go
@@ -95,3 +95,47 @@
 		t.Error(err)
 	}
 }
+
+// TestLargeHeadsTakeTurns guards against heads that are parsed without bound, and against
+// one that stands still and keeps its place from others.
+func TestLargeHeadsTakeTurns(t *testing.T) {
+	const headBytes = 32 << 10
+	b := New(24 * mb)
+	heads := NewHeads(b, headBytes)
+	revoked := map[string]bool{}
+	enter := func(name string, at time.Time) *Head {
+		return heads.Enter(at, func() { revoked[name] = true })
+	}
+	hasPlace := func(h *Head) bool {
+		select {
+		case <-h.Admitted():
+			return true
+		default:
+			return false
+		}
+	}
+	oldest, younger := enter("oldest", start), enter("younger", start.Add(HeadTime/2))
+	heads.Expire(start.Add(HeadTime))
+	waits, next := enter("waits", start), enter("next", start)
+	if !hasPlace(oldest) || !hasPlace(younger) || hasPlace(waits) || len(revoked) > 0 {
+		t.Fatalf("got places %t, %t, %t and revoked %v, want two places and none revoked", hasPlace(oldest), hasPlace(younger), hasPlace(waits), revoked)
+	}
+	if used := b.Usage().UsedBytes; used != 2*parsedBytes*headBytes {
+		t.Errorf("%d bytes are in use, want those of two places", used)
+	}
+	heads.Expire(start.Add(HeadTime))
+	if !revoked["oldest"] || revoked["younger"] {
+		t.Errorf("revoked %v, want only the oldest", revoked)
+	}
+	oldest.Leave(start)
+	oldest.Leave(start)
+	if !hasPlace(waits) || hasPlace(next) {
+		t.Error("the place that is free does not go to the one that waits for longest")
+	}
+	for _, h := range []*Head{next, waits, younger} {
+		h.Leave(start)
+	}
+	if used := b.Usage().UsedBytes; used != 0 {
+		t.Errorf("%d bytes are in use after all heads left", used)
+	}
+}
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -23,10 +23,8 @@
 	unreadBodyTimeout = 500 * time.Millisecond
 	// memoryRetryAfter is the Retry-After of requests for which there is no memory.
 	memoryRetryAfter = 250 * time.Millisecond
-	// freeHeaderFields is the number of header fields whose memory is that of the connection,
-	// and headerFieldBytes what is counted for each further one: the parsed field, its copies
-	// for a server, and garbage that is not collected yet.
-	freeHeaderFields = 64
+	// headerFieldBytes is what is counted for each header field beyond memory.FreeHeadFields:
+	// the parsed field, its copies for a server, and garbage that is not collected yet.
 	headerFieldBytes = 1 << 10
 )
 
@@ -140,23 +138,35 @@
 
 // holdHeader counts the memory of a header with many fields, each of which takes more than
 // its bytes, until release is called. It returns the response that refuses the request if
-// there is none.
-func (g *Gateway) holdHeader(h http.Header) (release func(), resp *localResponse) {
+// there is none. The head gives up its place.
+func (g *Gateway) holdHeader(r *http.Request) (release func(), resp *localResponse) {
+	defer httpstop.HeadParsed(r.Context())
 	fields := 0
-	for _, values := range h {
+	for _, values := range r.Header {
 		fields += len(values)
 	}
-	if fields <= freeHeaderFields {
+	if fields <= memory.FreeHeadFields {
 		return func() {}, nil
 	}
 	now := time.Now()
 	holder := g.memory.Hold(now, nil)
-	if err := holder.Grow(int64(fields-freeHeaderFields)*headerFieldBytes, now); err != nil {
+	if err := holder.Grow(int64(fields-memory.FreeHeadFields)*headerFieldBytes, now); err != nil {
 		return holder.Release, shortageResponse()
 	}
 	return holder.Release, nil
 }
 
+// limitHeads bounds the large heads of connections.
+func (g *Gateway) limitHeads(conns *httpstop.Conns) {
+	resp := shortageResponse()
+	text := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+		resp.status, http.StatusText(resp.status), g.headers.RetryAfter, formatRetryAfter(resp.retryAfter))
+	conns.LimitHeads(g.heads, []byte(text), func() {
+		g.metrics.root.Add("heads_refused", 1)
+		g.requestLog.newEvent("head.refused", true).Send()
+	})
+}
+
 // limitUnreadBody bounds how long the server reads the rest of a refused request's body.
 func limitUnreadBody(w http.ResponseWriter, r *http.Request) {
 	if r.Body != nil && r.Body != http.NoBody {
--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -105,3 +105,37 @@
 		t.Errorf("%d requests reached the server, want the one in calm", n)
 	}
 }
+
+// TestLargeHeadsAreServedInTurn guards against places for large heads that are not given up
+// when the request is served, and against a refusal that does not promise that nothing ran.
+func TestLargeHeadsAreServedInTurn(t *testing.T) {
+	g := newTestGateway(t)
+	g.heads = memory.NewHeads(memory.New(1), 0)
+	c := newClientServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		release, _ := g.holdHeader(r)
+		release()
+	}), g)
+	address := startClientServer(t, c)
+	large := strings.Repeat("a:\r\n", 2*memory.FreeHeadFields)
+	kept := dial(t, address)
+	for i := range 3 {
+		if status := exchange(t, kept, large); status != http.StatusOK {
+			t.Errorf("large head %d in calm: got status %d, want 200", i, status)
+		}
+	}
+	other := g.heads.Enter(time.Now(), func() {})
+	if status := exchange(t, kept, ""); status != http.StatusOK {
+		t.Errorf("ordinary head: got status %d, want 200", status)
+	}
+	if _, err := io.WriteString(kept, "GET / HTTP/1.1\r\nHost: x\r\n"+large+"\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(kept), nil)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("large head without a place: got %+v, %v, want 503 with Retry-After", resp, err)
+	}
+	other.Leave(time.Now())
+	if status := exchange(t, dial(t, address), large); status != http.StatusOK {
+		t.Errorf("large head after the shortage: got status %d, want 200", status)
+	}
+}
--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -41,8 +41,7 @@
 type clientServer struct {
 	handler http.Handler
 	accept  acceptor
-	// occupy counts the memory of connections.
-	occupy func(connections int64)
+	g       *Gateway
 
 	mu      sync.Mutex
 	limits  routing.ClientLimits
@@ -74,7 +73,7 @@
 }
 
 func newClientServer(handler http.Handler, g *Gateway) *clientServer {
-	c := &clientServer{handler: handler, servers: map[*http.Server]*handoffListener{}, drained: make(chan struct{}), occupy: g.occupyMemory}
+	c := &clientServer{handler: handler, servers: map[*http.Server]*handoffListener{}, drained: make(chan struct{}), g: g}
 	c.accept = acceptor{name: "client", limit: g.connLimits.Clients, conns: g.clientConns, g: g}
 	return c
 }
@@ -116,13 +115,15 @@
 		ConnContext:       httpstop.ConnContext,
 	}
 	h.accepted = httpstop.Track(s)
+	c.g.heads.SetHeadBytes(s.MaxHeaderBytes)
+	c.g.limitHeads(h.accepted)
 	track := s.ConnState
 	s.ConnState = func(conn net.Conn, state http.ConnState) {
 		track(conn, state)
 		if state != http.StateClosed {
 			return
 		}
-		c.occupy(-1)
+		c.g.occupyMemory(-1)
 		if h.openConns.Add(-1) == 0 {
 			c.removeIfUnused(s)
 		}
@@ -217,7 +218,7 @@
 		h.openConns.Add(1)
 		select {
 		case h.conns <- conn:
-			c.occupy(1)
+			c.g.occupyMemory(1)
 			return true
 		case <-h.closed:
 			h.openConns.Add(-1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,6 +71,7 @@
 	quotas         *quotaKeeper
 
 	memory     *memory.Budget
+	heads      *memory.Heads
 	connLimits connlimit.Limits
 	clients    *clientServer
 	// directoryConns is nil until the gateway listens.
@@ -244,6 +245,7 @@
 		IdleTimeout: internalIdleTimeout, MaxHeaderBytes: internalMaxHeaderBytes, ConnContext: httpstop.ConnContext,
 	}
 	conns := httpstop.Track(s)
+	g.limitHeads(conns)
 	track := s.ConnState
 	s.ConnState = func(conn net.Conn, state http.ConnState) {
 		track(conn, state)
@@ -265,6 +267,12 @@
 		}
 		// None of these requests has a body.
 		limitUnreadBody(w, r)
+		release, resp := g.holdHeader(r)
+		defer release()
+		if resp != nil {
+			g.writeLocalResponse(w, resp)
+			return
+		}
 		h.ServeHTTP(w, r)
 	})
 	return internalServer{s, conns.Listener(&boundedListener{l, a})}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -57,6 +57,7 @@
 func (g *Gateway) setUpLimits(s *Settings) {
 	size := budgetBytes(s.MemoryBytes)
 	g.memory = memory.New(size)
+	g.heads = memory.NewHeads(g.memory, defaultHeaderBytes)
 	g.connLimits = connlimit.New(descriptorLimit(s.MaxDescriptors), size)
 	g.upstreamClient.SetMaxConns(g.connLimits.Servers)
 	if size > 0 {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -49,7 +49,7 @@
 	m.root.Set("connections_reused", expvar.Func(func() any { return g.upstreamClient.Reuses.Load() }))
 	m.root.Set("connections_to_servers", expvar.Func(func() any { return g.upstreamClient.OpenConns() }))
 	m.root.Set("memory", expvar.Func(func() any { return g.memory.Usage() }))
-	for _, name := range []string{"accept_errors", "connections_displaced", "connections_refused", "answers_unread"} {
+	for _, name := range []string{"accept_errors", "connections_displaced", "connections_refused", "answers_unread", "heads_refused"} {
 		m.root.Add(name, 0)
 	}
 	m.root.Set("latency_ms", expvar.Func(m.quantiles))
--- a/internal/httpstop/httpstop.go
+++ b/internal/httpstop/httpstop.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/connlimit"
+	"bilberrytiller.example/tiller/coordination/memory"
 	"bilberrytiller.example/tiller/internal/sleep"
 )
 
@@ -29,6 +30,9 @@
 
 // Conns are the open connections of a server.
 type Conns struct {
+	// heads is nil without a limit of large heads.
+	heads *headLimit
+
 	mu   sync.Mutex
 	open map[*conn]bool
 }
@@ -56,7 +60,7 @@
 		return nil, err
 	}
 	now := time.Now()
-	tracked := &conn{Conn: accepted, accepted: now, waits: connlimit.Conn{Phase: connlimit.Head, Since: now}}
+	tracked := &conn{Conn: accepted, heads: l.conns.heads, accepted: now, waits: connlimit.Conn{Phase: connlimit.Head, Since: now}}
 	l.conns.mu.Lock()
 	defer l.conns.mu.Unlock()
 	l.conns.open[tracked] = true
@@ -66,6 +70,9 @@
 func (c *Conns) setState(changed net.Conn, state http.ConnState) {
 	tracked := changed.(*conn)
 	tracked.setState(state)
+	if state != http.StateNew && state != http.StateActive {
+		tracked.leaveHead()
+	}
 	if state == http.StateClosed || state == http.StateHijacked {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -106,6 +113,7 @@
 // conn is a connection of a client.
 type conn struct {
 	net.Conn
+	heads    *headLimit
 	accepted time.Time
 
 	mu sync.Mutex
@@ -117,6 +125,12 @@
 	waits connlimit.Conn
 	// writeAllowed is when AllowWrite last set the write deadline.
 	writeAllowed time.Time
+	// size is the size of the head that is being read, and place its place or nil.
+	size  headSize
+	place *memory.Head
+	// readingHead is set while bytes of a head are awaited. placeRevoked is set when the
+	// place is wanted for another head.
+	readingHead, placeRevoked bool
 }
 
 func (c *conn) setState(state http.ConnState) {
@@ -126,6 +140,7 @@
 	c.idle = state == http.StateIdle
 	if c.idle {
 		c.waits = connlimit.Conn{Phase: connlimit.Idle, Since: time.Now()}
+		c.size.next()
 	} else if c.waits.Phase == connlimit.Idle {
 		c.waits = connlimit.Conn{Phase: connlimit.Head, Since: time.Now()}
 	}
@@ -134,11 +149,33 @@
 // Read reads from the connection. What arrived before the connection was closed, but was
 // not returned, is dropped.
 func (c *conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	c.readingHead = c.place != nil && c.readsHead()
+	gaveUp := c.readingHead && c.placeRevoked
+	c.mu.Unlock()
+	if gaveUp {
+		return 0, c.refuseHead()
+	}
 	n, err := c.Conn.Read(p)
+	needsPlace, gaveUp, closed := c.endRead(p, n, err)
+	if closed {
+		return 0, net.ErrClosed
+	}
+	if gaveUp || needsPlace && !c.enterHead() {
+		return 0, c.refuseHead()
+	}
+	return n, err
+}
+
+// endRead records what was read. It reports whether the head needs a place, or has given
+// up its place, and whether the connection was closed.
+func (c *conn) endRead(p []byte, n int, err error) (needsPlace, gaveUp, closed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	gaveUp = c.readingHead && c.placeRevoked && err != nil
+	c.readingHead = false
 	if c.closed {
-		return 0, net.ErrClosed
+		return false, false, true
 	}
 	if n > 0 {
 		c.idle = false
@@ -146,7 +183,7 @@
 			c.waits = connlimit.Conn{Phase: connlimit.Head, Since: time.Now()}
 		}
 	}
-	return n, err
+	return c.recordRead(p, n), gaveUp, false
 }
 
 // Close closes the connection.
