Limit the bodies at servers after one crashed on them

Cause: a server ends if the requests that it holds exceed its memory, and takes all of them with it. Nothing bounded the bytes of bodies that daemons send to one server: only the number of requests.

Ruled out: a limit from the start, since neither entries nor answers state a server's memory; an equal share for each daemon, which is less than one body in a large fleet.

Change: coordination/bodyload estimates what a server holds from this daemon's bodies there and a mean body for each other request that its load reports tell of. A crash with 1 MB or more sets a limit of half of that for the service's servers, 1 MB at least, which doubles each minute and ends after ten. Bodies above 64 KB that do not fit go to another server, or are refused at once with 503 (server_memory) and Retry-After. A free server takes each.

On the deployments: uploads of 60 KB in the mean and 360 KB at most, 4 slots and a queue of 12, so 5.8 MB at most at a server, 1 MB in the mean. What memory a server has is not stated.

--- a/coordination/upstream/choose.go
+++ b/coordination/upstream/choose.go
@@ -41,6 +41,8 @@
 	Organisation *routing.Organisation
 	// Rank is the urgency of the request; 0 is the most urgent.
 	Rank int
+	// BodyBytes is the size of the request's body.
+	BodyBytes int64
 	// Tried lists the server incarnations that the request was already sent to.
 	// They are not chosen again.
 	Tried []routing.Incarnation
@@ -85,6 +87,9 @@
 	ReasonRateLimit Reason = "rate_limit"
 	// ReasonPaused means that all servers that might be used have asked for a pause.
 	ReasonPaused Reason = "paused"
+	// ReasonBodies means that all servers that might be used hold as many bytes of bodies as
+	// they may.
+	ReasonBodies Reason = "server_memory"
 	// ReasonLeaving means that all servers that might be used leave.
 	ReasonLeaving Reason = "leaving"
 )
@@ -103,9 +108,10 @@
 	// Announced is what the server's answer changed. Done sets it.
 	Announced availability.Change
 
-	balancer *Balancer
-	server   *server
-	chosenAt time.Time
+	balancer  *Balancer
+	server    *server
+	chosenAt  time.Time
+	bodyBytes int64
 }
 
 // Refusal says why no server was chosen and when to retry.
@@ -176,7 +182,11 @@
 	estimated := srv.estimatedRequests(now)
 	srv.availability.Sent(now)
 	srv.inflight++
-	return &Choice{Backend: srv.Backend, Reason: reason, EstimatedRequests: estimated, LoadAge: srv.loadAge(now), balancer: b, server: srv, chosenAt: now}
+	b.services[srv.Service].bodies.Begin(&srv.bodies, r.BodyBytes)
+	return &Choice{
+		Backend: srv.Backend, Reason: reason, EstimatedRequests: estimated, LoadAge: srv.loadAge(now),
+		balancer: b, server: srv, chosenAt: now, bodyBytes: r.BodyBytes,
+	}
 }
 
 // probeDelay returns the time until an unhealthy server may get its next
@@ -223,6 +233,8 @@
 	// asked for a pause, and pauseEnds is when the first pause ends.
 	leaving, paused bool
 	pauseEnds       time.Time
+	// bodiesFull is set if a server was left out because of the bodies that it holds.
+	bodiesFull bool
 }
 
 func (b *Balancer) newSelection(svc *service, r Request, now time.Time) *selection {
@@ -237,6 +249,8 @@
 		case srv.missing && avoidMissing:
 		case !b.usable(srv, r, now):
 		case !sel.available(srv):
+		case !svc.bodies.Admits(&srv.bodies, r.BodyBytes, srv.othersRequests(now), now):
+			sel.bodiesFull = true
 		case srv.isCold(now) && !srv.coldLimiter.Ready(r.ColdRate, r.DaemonCount, now):
 			sel.coldLimited++
 		case srv.atRateLimit(r.DaemonCount, now):
@@ -375,6 +389,8 @@
 		return &Refusal{Reason: ReasonRateLimit, RetryAfter: min(maxRetryAfter, max(minRetryAfter, sel.rateLimitWait))}
 	case sel.coldLimited > 0:
 		return &Refusal{Reason: ReasonColdLimit, RetryAfter: maxRetryAfter / 4}
+	case sel.bodiesFull:
+		return &Refusal{Reason: ReasonBodies, RetryAfter: maxRetryAfter / 4}
 	case sel.leaving:
 		return &Refusal{Reason: ReasonLeaving, RetryAfter: maxRetryAfter / 4}
 	}
--- a/coordination/upstream/outcome.go
+++ b/coordination/upstream/outcome.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/availability"
+	"bilberrytiller.example/tiller/state/routing"
 )
 
 // Outcome is how a request to a server ended.
@@ -61,6 +62,9 @@
 	c.balancer.mu.Lock()
 	defer c.balancer.mu.Unlock()
 	srv := c.server
+	if svc := c.balancer.services[srv.Service]; svc != nil {
+		svc.bodies.End(&srv.bodies, c.bodyBytes, r.Outcome == Lost, srv.othersRequests(now), now)
+	}
 	srv.inflight--
 	limitChanged = srv.recordRateLimit(r, c.chosenAt, now)
 	c.recordSignal(r, now)
@@ -92,6 +96,18 @@
 	return limitChanged
 }
 
+// RecordCrash records that a server crashed. It returns the limit of the bytes of bodies at
+// each server of its service, or 0 if that is not lowered.
+func (b *Balancer) RecordCrash(i routing.Incarnation, now time.Time) (service string, limit int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	srv := b.servers[i.ID]
+	if srv == nil || srv.Incarnation() != i || !b.services[srv.Service].bodies.Crashed(&srv.bodies, now) {
+		return "", 0
+	}
+	return srv.Service, b.services[srv.Service].bodies.Limit(now)
+}
+
 // hangFactor is how many times the usual latency a request may go unanswered
 // before its server counts as hung. A request in a full queue waits at most
 // three times as long as usual.
--- a/coordination/upstream/server.go
+++ b/coordination/upstream/server.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bilberrytiller.example/tiller/coordination/availability"
+	"bilberrytiller.example/tiller/coordination/bodyload"
 	"bilberrytiller.example/tiller/coordination/coldrate"
 	"bilberrytiller.example/tiller/coordination/serverlimit"
 	"bilberrytiller.example/tiller/state/routing"
@@ -67,6 +68,8 @@
 
 	// inflight is the number of this daemon's requests in flight at the server.
 	inflight int
+	// bodies are those of the requests at the server.
+	bodies bodyload.Server
 	// report is the latest load report: the number of requests at the server,
 	// and inflight at that time.
 	report struct {
@@ -130,6 +133,9 @@
 	return max(s.inflight, s.report.total+s.inflight-s.report.inflight)
 }
 
+// othersRequests returns the estimated number of other daemons' requests at the server.
+func (s *server) othersRequests(now time.Time) int { return s.estimatedRequests(now) - s.inflight }
+
 // loadAge returns the age of the latest load report, or a negative value if
 // there is none.
 func (s *server) loadAge(now time.Time) time.Duration {
--- a/coordination/upstream/service.go
+++ b/coordination/upstream/service.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/affinity"
+	"bilberrytiller.example/tiller/coordination/bodyload"
 )
 
 const (
@@ -23,6 +24,7 @@
 	baseline    serviceBaseline
 	baselineAt  time.Time
 	coldLatency coldLatency
+	bodies      bodyload.Service
 	// regions holds the slots of, and the expected demand in, each region.
 	regions []affinity.Region
 }
--- a/coordination/upstream/upstream_test.go
+++ b/coordination/upstream/upstream_test.go
@@ -56,6 +56,44 @@
 	}
 }
 
+func withBody(key string, bytes int64) Request {
+	r := newRequest(key)
+	r.BodyBytes = bytes
+	return r
+}
+
+// crashOnBodies lets the home server of an object crash on two bodies of 2 MB, and sends
+// another one to it afterwards.
+func crashOnBodies(t *testing.T, balancer *Balancer, key string) {
+	t.Helper()
+	first, second := mustChoose(t, balancer, withBody(key, 2<<20), start), mustChoose(t, balancer, withBody(key, 2<<20), start)
+	first.Done(Result{Outcome: Lost}, start)
+	second.Done(Result{Outcome: Lost}, start)
+	if service, limit := balancer.RecordCrash(first.Backend.Incarnation(), start); service != "stock" || limit != 2<<20 {
+		t.Fatalf("got service %q and limit %d, want stock and 2 MB", service, limit)
+	}
+	if c := mustChoose(t, balancer, withBody(key, 2<<20), start); c.Backend.ID != first.Backend.ID {
+		t.Fatalf("the body goes to %s, want the free home server", c.Backend.ID)
+	}
+}
+
+// TestBodiesThatNoServerCanHoldAreRefused guards against bodies that crash one server after
+// the other, and against refusals of small ones beside them.
+func TestBodiesThatNoServerCanHoldAreRefused(t *testing.T) {
+	balancer := newTestBalancer("n1")
+	crashOnBodies(t, balancer, "7")
+	for range 5 {
+		mustChoose(t, balancer, withBody("7", 2<<20), start)
+	}
+	if _, refusal := balancer.Choose(withBody("7", 2<<20), start); refusal == nil || refusal.Reason != ReasonBodies || refusal.RetryAfter <= 0 {
+		t.Errorf("got %+v, want a refusal because of bodies, with a delay", refusal)
+	}
+	mustChoose(t, balancer, withBody("7", 4<<10), start)
+	if _, limit := balancer.RecordCrash(backend("i-8001", "n1").Incarnation(), start); limit != 0 {
+		t.Errorf("got limit %d because of a server that lost no connection, want none", limit)
+	}
+}
+
 // TestExcludedServersAreNotChosen covers each state that excludes a server.
 func TestExcludedServersAreNotChosen(t *testing.T) {
 	key := "7"
@@ -87,6 +125,10 @@
 			}
 			return newRequest(key)
 		},
+		"full of bodies": func(balancer *Balancer) Request {
+			crashOnBodies(t, balancer, key)
+			return withBody(key, 2<<20)
+		},
 		"already tried": func(*Balancer) Request {
 			r := newRequest(key)
 			r.Tried = []routing.Incarnation{home.Incarnation()}
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -37,6 +37,8 @@
 	tracker *poison.Tracker
 	// connect opens a connection to an address.
 	connect func(ctx context.Context, addr string) (time.Duration, error)
+	// crashed is called when a server crashed, with mu held.
+	crashed func(server routing.Incarnation, now time.Time)
 
 	mu       sync.Mutex
 	detector *poison.CrashDetector
@@ -47,9 +49,11 @@
 	changed chan struct{}
 }
 
-func newCrashMonitor(daemon string, log zerolog.Logger, connect func(context.Context, string) (time.Duration, error)) *crashMonitor {
+func newCrashMonitor(
+	daemon string, log zerolog.Logger, connect func(context.Context, string) (time.Duration, error), crashed func(routing.Incarnation, time.Time),
+) *crashMonitor {
 	return &crashMonitor{
-		log: log, tracker: poison.NewTracker(daemon), connect: connect, detector: poison.NewCrashDetector(), changed: make(chan struct{}, 1),
+		log: log, tracker: poison.NewTracker(daemon), connect: connect, crashed: crashed, detector: poison.NewCrashDetector(), changed: make(chan struct{}, 1),
 	}
 }
 
@@ -87,10 +91,10 @@
 // closes the connection of a request and then accepts no connection counts as
 // crashed. A server that answers a request clears the crashes attributed to it.
 func (c *crashMonitor) recordResult(req *clientRequest, res sendResult, now time.Time) {
-	server := incarnationName(res.choice.Backend.Incarnation())
+	server := res.choice.Backend.Incarnation()
 	switch outcome, err := res.exchange.Result.Outcome, res.exchange.Err; {
 	case outcome == upstream.Answered || outcome == upstream.Failed:
-		c.recordAnswer(req, server, now)
+		c.recordAnswer(req, incarnationName(server), now)
 	case outcome == upstream.Lost && isConnectionClosed(err):
 		c.recordLoss(req, res, server, now)
 	case outcome == upstream.Unreachable && isRefused(err):
@@ -100,28 +104,28 @@
 
 // recordLoss records that a server closed the connection of a request, and checks
 // the server soon.
-func (c *crashMonitor) recordLoss(req *clientRequest, res sendResult, server string, now time.Time) {
-	addr, began := res.choice.Backend.Address, now.Add(-res.exchange.Result.Latency)
+func (c *crashMonitor) recordLoss(req *clientRequest, res sendResult, server routing.Incarnation, now time.Time) {
+	began := now.Add(-res.exchange.Result.Latency)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.detector.ConnectionLost(server, req.digest(), began, now) {
-		time.AfterFunc(crashCheckDelay, func() { c.check(addr, server) })
+	if c.detector.ConnectionLost(incarnationName(server), req.digest(), began, now) {
+		time.AfterFunc(crashCheckDelay, func() { c.check(server) })
 	}
 }
 
 // check connects to a server to find out whether it crashed.
-func (c *crashMonitor) check(addr, server string) {
+func (c *crashMonitor) check(server routing.Incarnation) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	_, err := c.connect(ctx, addr)
+	_, err := c.connect(ctx, server.Address)
 	if isRefused(err) {
 		c.recordServerDown(server, time.Now())
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.detector.EndCheck(server)
+	c.detector.EndCheck(incarnationName(server))
 	if err == nil {
-		c.detector.ServerAnswered(server)
+		c.detector.ServerAnswered(incarnationName(server))
 	}
 }
 
@@ -157,10 +161,13 @@
 
 // recordServerDown attributes a crash to the requests that the server was
 // running.
-func (c *crashMonitor) recordServerDown(server string, now time.Time) {
+func (c *crashMonitor) recordServerDown(server routing.Incarnation, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	crashes := c.detector.ServerDown(server, now)
+	crashes := c.detector.ServerDown(incarnationName(server), now)
+	if len(crashes) > 0 {
+		c.crashed(server, now)
+	}
 	for _, crash := range crashes {
 		crash = c.tracker.WithExpiry(crash)
 		if c.tracker.RecordCrash(crash, now) {
@@ -183,6 +190,13 @@
 
 func lastCrashes(all []poison.Crash) []poison.Crash { return all[max(0, len(all)-maxSharedCrashes):] }
 
+// limitBodies lets a crash limit the bodies that go to the servers of its service.
+func (g *Gateway) limitBodies(server routing.Incarnation, now time.Time) {
+	if service, limit := g.balancer.RecordCrash(server, now); limit > 0 {
+		g.log.Warn().Str("event", "backend.bodies_limited").Str("backend", server.ID).Str("service", service).Int64("bytes", limit).Send()
+	}
+}
+
 // logCrash logs that a crash was attributed to a request.
 func (c *crashMonitor) logCrash(crash poison.Crash) {
 	c.log.Warn().Str("event", "request.crashed_server").Str("digest", shortDigest(crash.Digest)).Str("backend", crash.ID).Send()
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"bilberrytiller.example/tiller/coordination/poison"
 	"bilberrytiller.example/tiller/state/request"
+	"bilberrytiller.example/tiller/state/routing"
 )
 
 // A crash must be recognised although this daemon sends no further request to the
@@ -33,6 +35,39 @@
 	return !f.crashes.detector.Empty()
 }
 
+// After a crash with a large body, the service's servers must not get several at once.
+func TestCrashWithLargeBodyLimitsBodies(t *testing.T) {
+	f := newFixture(t)
+	services := map[string]routing.Service{"pay": {Name: "pay", ColdRate: 22}}
+	f.ApplyConfiguration(routing.New(1, []routing.Route{route(false)}, services, routing.ClientLimits{BodyBytes: 4 << 20}))
+	crashing, large := strings.Repeat("c", 2<<20), strings.Repeat("l", 1<<20)
+	f.addCrashingServer(t, crashing)
+	mustCall(t, f, crashing)
+	<-f.CrashesChanged()
+	f.RemoveBackend("i-1")
+	entered, release := make(chan struct{}, 2), make(chan struct{})
+	f.addServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength == int64(len(large)) {
+			entered <- struct{}{}
+			<-release
+		}
+		answerSigned(w, r)
+	})
+	first := make(chan int, 1)
+	go func() { resp, _ := mustCall(t, f, large); first <- resp.StatusCode }()
+	<-entered
+	if resp, _ := mustCall(t, f, large); resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("second large body: got %+v, want 503 with Retry-After", resp)
+	}
+	if resp, _ := mustCall(t, f, "small"); resp.StatusCode != http.StatusOK {
+		t.Errorf("small body: got status %d, want 200", resp.StatusCode)
+	}
+	close(release)
+	if status := <-first; status != http.StatusOK {
+		t.Errorf("first large body: got status %d, want 200", status)
+	}
+}
+
 // A server that closes a connection and goes on must not count as crashed.
 func TestClosedConnectionIsNoCrash(t *testing.T) {
 	f := newFixture(t, route(false))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,7 +107,7 @@
 	auth := peer.NewAuth(settings.HostID, nil)
 	g.peerClient = peer.NewClient(auth, netip.IPv4Unspecified())
 	g.peerServer = peer.NewServer(auth, g.log)
-	g.crashes = newCrashMonitor(settings.HostID, g.log, g.upstreamClient.Warm)
+	g.crashes = newCrashMonitor(settings.HostID, g.log, g.upstreamClient.Warm, g.limitBodies)
 	g.backends = newBackendRegistry(g.balancer, g.log)
 	g.metrics = newMetrics(g)
 	g.metrics.root.Add("log_lines_left_out", 0)
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -41,6 +41,7 @@
 	now := time.Now()
 	return upstream.Request{
 		Service: d.req.service.Name, Key: d.req.key, Route: d.req.route, Organisation: d.req.organisation, Rank: d.req.rank, Tried: d.tried,
+		BodyBytes:     int64(d.req.body.size()),
 		ObjectiveLeft: d.req.route.LatencyObjective - now.Sub(d.req.arrived), TimeLeft: d.req.deadline.Sub(now),
 		ClientTimeLeft: d.req.clientDeadline.Sub(now), Returning: d.req.returning,
 		ColdRate: d.req.service.ColdRate, DaemonCount: d.g.daemonCount(), Waiter: w.waiter, MustNotWait: w.mustEnd,
