Add experiments of a gateway under pressure

They are benchmarks of standin/pressure beside BenchmarkIdleConnections, run by no test. A stand-in server can leave most of a body out of its answer, since an answer above 32 MB is refused.

startOn of the tests of pressure is split, so that a benchmark can state its servers; no test changes.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets for developers. CI runs lint, test and demo.
 
-.PHONY: build test lint demo measure soak fuzz report
+.PHONY: build test lint demo measure soak fuzz report experiment-bodies experiment-connections experiment-readers experiment-collector
 
 build:
 	mkdir -p bin
@@ -32,6 +32,22 @@
 	cd standin && go test -count=1 -timeout 60m ./soak -run "TestSoak|TestPlannedWorkIsUnnoticed" -seeds 50
 	cd standin && go test -count=1 -timeout 60m ./soak -run TestRestorationIsUnnoticed -seeds 50
 
+# Experiments of a gateway under pressure, on a machine with little memory. Each takes about
+# a minute, and measures well only apart from other load.
+pressure_bench = cd standin && go test -count=1 -run '^$$' -benchtime 1x ./pressure -bench
+
+experiment-bodies:
+	$(pressure_bench) '^BenchmarkBodies$$'
+
+experiment-connections:
+	$(pressure_bench) '^BenchmarkConnections$$'
+
+experiment-readers:
+	$(pressure_bench) '^BenchmarkSlowReaders$$'
+
+experiment-collector:
+	$(pressure_bench) '^BenchmarkCollector$$'
+
 fuzz:
 	go test ./platform -fuzz FuzzSettings -fuzztime 1m
 	go test ./platform -fuzz FuzzDecode -fuzztime 1m
--- a/standin/originserver/server.go
+++ b/standin/originserver/server.go
@@ -44,6 +44,8 @@
 	// EndlessRate is the fraction of answers in whose place the server sends bytes
 	// without end, until the connection is closed; see SetEndlessRate.
 	EndlessRate float64
+	// AnswerBytes bounds how much of a request's body its answer repeats. Zero means all.
+	AnswerBytes int
 	// RateLimit is the limit that the server names at first; see SetRateLimit.
 	RateLimit float64
 	// Seed makes the selection of those answers repeatable.
@@ -262,6 +264,9 @@
 	if rateLimit > 0 {
 		w.Header().Set(rateLimitHeader, strconv.FormatFloat(rateLimit, 'f', -1, 64))
 	}
+	if s.options.AnswerBytes > 0 {
+		body = body[:min(len(body), s.options.AnswerBytes)]
+	}
 	text := ResponseBody(id, body)
 	if draw < s.options.DropRate+s.options.TruncateRate {
 		w.Header().Set("Content-Length", fmt.Sprint(2*len(text)))
--- a/standin/pressure/pressure_test.go
+++ b/standin/pressure/pressure_test.go
@@ -171,6 +171,12 @@
 }
 
 func startOn(t testing.TB, m soak.Machine) *gateway {
+	t.Helper()
+	return startWith(t, m, originserver.Options{Slots: 8})
+}
+
+// startWith starts a gateway with one backend server of each service.
+func startWith(t testing.TB, m soak.Machine, o originserver.Options) *gateway {
 	t.Helper()
 	c, err := soak.NewCluster(program, t.TempDir())
 	if err != nil {
@@ -179,7 +185,8 @@
 	t.Cleanup(c.Close)
 	c.SetMachine(m)
 	for _, service := range []string{"look", "pay"} {
-		if err := c.AddServer(service, originserver.Options{ID: "i-" + service, Slots: 8}); err != nil {
+		o.ID = "i-" + service
+		if err := c.AddServer(service, o); err != nil {
 			t.Fatal(err)
 		}
 	}
