Count released memory as in use until it is collected

Cause: the budget gave the memory of a released body to the next one at once, while the old pieces were garbage. Pieces have no pointers, so the collector has little to mark and slows allocation down hardly at all; with few cores free, bodies come faster than a collection ends, and the process exceeds memory_mb, above which it is killed. Found by the new experiment of bodies beside small requests.

Using pieces again: a send that was given up may still write them.

Change: what bodies and answers release counts until runtime.GC has run, except for a tenth of the budget. A reservation that fits only without it runs the collector first, one at a time, and then goes on. Metric memory.collections.

--- a/coordination/memory/memory.go
+++ b/coordination/memory/memory.go
@@ -19,6 +19,9 @@
 	// largeShare, smallShare are the fractions of the budget up to which large and small
 	// bodies may fill it. Answers may use all of it.
 	largeShare, smallShare = 0.75, 0.85
+	// garbageShare is the fraction of the budget's size that memory may take which was
+	// released, but is not collected yet, before it counts as in use.
+	garbageShare = 0.1
 	// StallTime is how long a holder makes no progress before it may have to give up its
 	// memory. It is longer than a round trip between regions with one packet lost.
 	StallTime = time.Second
@@ -35,12 +38,21 @@
 	holders map[*Holder]bool
 	// refused counts the reservations of bodies that did not fit, revoked the holders that were
 	// told to give up their memory.
-	refused, revoked int64
+	refused, revoked, collections int64
+	// garbage is what was released since collect was called, which is nil if garbage does not
+	// count. collecting is held meanwhile, and locked before mu.
+	garbage    int64
+	collect    func()
+	collecting sync.Mutex
 }
 
 // New returns a budget of size bytes. Zero or less means that it has no limit.
 func New(size int64) *Budget { return &Budget{size: size, holders: map[*Holder]bool{}} }
 
+// SetCollector lets memory that was released count as in use until collect has returned.
+// collect is called when a reservation fits only without it, and must not call the budget.
+func (b *Budget) SetCollector(collect func()) { b.collect = collect }
+
 // Holder is a body or an answer that uses memory.
 type Holder struct {
 	budget   *Budget
@@ -110,14 +122,49 @@
 	b := h.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.used -= h.bytes
+	b.free(h.bytes)
 	h.bytes = 0
 	delete(b.holders, h)
 }
 
-// reserve reserves n bytes within a share of the budget. The caller holds mu.
+// free releases n bytes. The caller holds mu.
+func (b *Budget) free(n int64) {
+	b.used -= n
+	if b.collect != nil {
+		b.garbage += n
+	}
+}
+
+// garbageBlocks reports whether n bytes fit below a limit but for garbage. The caller holds mu.
+func (b *Budget) garbageBlocks(n, limit int64) bool {
+	return b.used+n <= limit && b.used+n+b.garbage-int64(garbageShare*float64(b.size)) > limit
+}
+
+// collectGarbage lets n bytes fit below a limit. The caller holds mu, which is released
+// meanwhile.
+func (b *Budget) collectGarbage(n, limit int64) {
+	b.mu.Unlock()
+	b.collecting.Lock()
+	defer b.collecting.Unlock()
+	b.mu.Lock()
+	if !b.garbageBlocks(n, limit) {
+		return
+	}
+	garbage := b.garbage
+	b.mu.Unlock()
+	b.collect()
+	b.mu.Lock()
+	b.garbage -= garbage
+	b.collections++
+}
+
+// reserve reserves n bytes within a share of the budget. The caller holds mu, which may be
+// released meanwhile.
 func (b *Budget) reserve(n int64, share float64, now time.Time) error {
 	limit := int64(share * float64(b.size))
+	if b.size > 0 && b.garbageBlocks(n, limit) {
+		b.collectGarbage(n, limit)
+	}
 	if b.size > 0 && b.used+n > limit {
 		b.revokeStalled(b.used+n-limit, now)
 		return ErrShortage
@@ -175,7 +222,9 @@
 
 // Release releases n bytes.
 func (a *Answers) Release(n int64) {
-	a.budget.Occupy(-n)
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.budget.free(n)
 }
 
 // Usage is the use of a budget.
@@ -187,11 +236,13 @@
 	// give up their memory.
 	Refused int64 `json:"refused"`
 	Revoked int64 `json:"revoked"`
+	// Collections counts how often garbage had to be collected for a reservation.
+	Collections int64 `json:"collections"`
 }
 
 // Usage returns the use of the budget.
 func (b *Budget) Usage() Usage {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return Usage{b.size, b.used, b.refused, b.revoked}
+	return Usage{b.size, b.used, b.refused, b.revoked, b.collections}
 }
--- a/coordination/memory/memory_test.go
+++ b/coordination/memory/memory_test.go
@@ -139,3 +139,33 @@
 		t.Errorf("%d bytes are in use after all heads left", used)
 	}
 }
+
+// TestReleasedMemoryCountsUntilItIsCollected guards against memory that is given to others
+// while it still holds what it held before, and against collections that gain little.
+func TestReleasedMemoryCountsUntilItIsCollected(t *testing.T) {
+	for name, c := range map[string]struct {
+		released, held, wanted int64
+		collections            int64
+		want                   error
+	}{
+		"in the way": {7 * mb, 0, 7 * mb, 1, nil}, "beside": {3 * mb, 0, 5 * mb, 0, nil}, "little": {mb, 0, 7 * mb, 0, nil},
+		"in vain": {mb, 6 * mb, 2 * mb, 0, ErrShortage},
+	} {
+		b := New(10 * mb)
+		calls := int64(0)
+		b.SetCollector(func() { calls++ })
+		for _, n := range []int64{c.released, c.held} {
+			h, err := hold(b, n)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if n != c.held {
+				h.Release()
+			}
+		}
+		_, err := hold(b, c.wanted)
+		if got := b.Usage().Collections; !errors.Is(err, c.want) || got != c.collections || calls != got {
+			t.Errorf("%s: got %v and %d collections, %d calls, want %v and %d", name, err, got, calls, c.want, c.collections)
+		}
+	}
+}
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -44,6 +44,7 @@
 }
 
 func (b *body) release() {
+	b.pieces = nil
 	if b.holder != nil {
 		b.holder.Release()
 	}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"runtime"
 	"runtime/debug"
 	"time"
 
@@ -61,6 +62,7 @@
 	g.connLimits = connlimit.New(descriptorLimit(s.MaxDescriptors), size)
 	g.upstreamClient.SetMaxConns(g.connLimits.Servers)
 	if size > 0 {
+		g.memory.SetCollector(runtime.GC)
 		g.upstreamClient.SetBodyMemory(g.memory.Answers(time.Now))
 	}
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -96,7 +96,7 @@
 	if result.answer != nil {
 		// A client that reads slowly keeps its answer in memory, but not its body.
 		req.body.release()
-		req.body.pieces, req.message.Body = nil, nil
+		req.message.Body = nil
 	}
 	httpstop.AllowWrite(r.Context(), writeTimeout)
 	g.writeResult(w, result)
--- a/standin/pressure/experiment_test.go
+++ b/standin/pressure/experiment_test.go
@@ -112,6 +112,23 @@
 // shortAnswers are servers whose answers repeat little of a body.
 var shortAnswers = originserver.Options{Slots: 8, AnswerBytes: 1 << 10}
 
+// TestBodiesWithoutPause guards against bodies that come faster than the memory of earlier
+// ones is collected.
+func TestBodiesWithoutPause(t *testing.T) {
+	for _, mb := range []int{4, 64} {
+		g := startWith(t, machine, shortAnswers)
+		small, _ := g.besideBodies(mb << 20)
+		peak, err := g.PeakMemoryMB(0)
+		t.Logf("%d MB: peak memory %d MB", mb, peak)
+		if err != nil || peak > machine.MemoryMB {
+			t.Errorf("%d MB: got a peak memory of %d MB, %v, want at most %d MB", mb, peak, err, machine.MemoryMB)
+		}
+		if small.answered.Load() == 0 {
+			t.Errorf("%d MB: no small request is answered", mb)
+		}
+	}
+}
+
 // BenchmarkBodies measures small requests beside 16 clients that send bodies of one size.
 func BenchmarkBodies(b *testing.B) {
 	for _, mb := range []int{1, 4, 16, 64} {
