--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,6 +73,7 @@
 	organisationUse *organisationUse
 
 	memory     *memory.Budget
+	heads      *memory.Heads
 	connLimits connlimit.Limits
 	clients    *clientServer
 	// directoryConns is nil until the gateway listens.
@@ -109,7 +110,7 @@
 	auth := peer.NewAuth(settings.HostID, nil)
 	g.peerClient = peer.NewClient(auth, netip.IPv4Unspecified())
 	g.peerServer = peer.NewServer(auth, g.log)
-	g.crashes = newCrashMonitor(settings.HostID, g.log, g.upstreamClient.Warm)
+	g.crashes = newCrashMonitor(settings.HostID, g.log, g.upstreamClient.Warm, g.limitBodies)
 	g.backends = newBackendRegistry(g.balancer, g.log)
 	g.metrics = newMetrics(g)
 	g.metrics.root.Add("log_lines_left_out", 0)
@@ -248,6 +249,7 @@
 		IdleTimeout: internalIdleTimeout, MaxHeaderBytes: internalMaxHeaderBytes, ConnContext: httpstop.ConnContext,
 	}
 	conns := httpstop.Track(s)
+	g.limitHeads(conns)
 	track := s.ConnState
 	s.ConnState = func(conn net.Conn, state http.ConnState) {
 		track(conn, state)
@@ -269,6 +271,12 @@
 		}
 		// None of these requests has a body.
 		limitUnreadBody(w, r)
+		release, resp := g.holdHeader(r)
+		defer release()
+		if resp != nil {
+			g.writeLocalResponse(w, resp)
+			return
+		}
 		h.ServeHTTP(w, r)
 	})
 	return internalServer{s, conns.Listener(&boundedListener{l, a})}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"runtime"
 	"runtime/debug"
 	"time"
 
@@ -57,9 +58,11 @@
 func (g *Gateway) setUpLimits(s *Settings) {
 	size := budgetBytes(s.MemoryBytes)
 	g.memory = memory.New(size)
+	g.heads = memory.NewHeads(g.memory, defaultHeaderBytes)
 	g.connLimits = connlimit.New(descriptorLimit(s.MaxDescriptors), size)
 	g.upstreamClient.SetMaxConns(g.connLimits.Servers)
 	if size > 0 {
+		g.memory.SetCollector(runtime.GC)
 		g.upstreamClient.SetBodyMemory(g.memory.Answers(time.Now))
 	}
 }
