--- a/cli/tillerctl/trace.go
+++ b/cli/tillerctl/trace.go
@@ -27,6 +27,7 @@
 	"unknown_key":       "the request carried no key of an organisation, or several Authorization headers; it was not run",
 	"quota":             "the daemon got no unit of the organisation's quota: see the quota.limited lines; the request was not run",
 	"memory":            "the daemon had no memory for the request's body or header: see the metric memory; the request was not run",
+	"server_memory":     "the backend servers held as many bytes of bodies as they may after one of them crashed; the request was not run",
 	"yields":            "the room that was left at the server was kept for requests that callers lose more by; the request was not run",
 	"too_late":          "no answer was expected before the request's deadline; the request was not run",
 	"no_route":          "no route of the configuration in force matches this host and path",
