Allow a region where none has credit to receive a request

Cause: credit above one request is lost, so that after some requests to other regions no region has credit left although every region works, and a request was refused. Change: without credit anywhere, the region furthest below what it may receive in the step may; it exceeds that by less than a request, since all together are not above.

--- a/coordination/shift/shift.go
+++ b/coordination/shift/shift.go
@@ -29,7 +29,10 @@
 	shares    map[string]float64
 	// credits holds the number of requests that each region may still receive.
 	// A region without positive credit has to wait for the next Accrue.
-	credits     map[string]float64
+	credits map[string]float64
+	// spent holds the requests that each region received in this step, of accruals ones.
+	spent       map[string]int
+	accruals    int
 	served      map[string]int
 	servedTotal int
 }
@@ -39,7 +42,7 @@
 func NewTracker(home string, capPerMinute float64, now time.Time) *Tracker {
 	return &Tracker{
 		maxShift: capPerMinute / float64(StepsPerMinute), stepStart: now,
-		shares: map[string]float64{home: 1}, credits: map[string]float64{}, served: map[string]int{},
+		shares: map[string]float64{home: 1}, credits: map[string]float64{}, spent: map[string]int{}, served: map[string]int{},
 	}
 }
 
@@ -57,16 +60,39 @@
 			t.shares[region] = 0
 		}
 	}
+	t.accruals++
 	for region, share := range t.shares {
 		t.credits[region] = min(t.credits[region]+share+t.maxShift, maxCredit)
 	}
 }
 
-// Allowed reports whether a region may receive a request.
-func (t *Tracker) Allowed(region string) bool { return t.credits[region] > 0 }
+// Allowed reports whether a region may receive a request. Credit above the largest is lost,
+// so that no region may have any. Then the one may that is furthest below what it may
+// receive in the step.
+func (t *Tracker) Allowed(region string) bool {
+	if t.credits[region] > 0 {
+		return true
+	}
+	for other, credit := range t.credits {
+		if credit > 0 || t.excess(other) < t.excess(region) {
+			return false
+		}
+	}
+	return true
+}
+
+// excess returns how many requests more a region received in this step than it may. The sum
+// over all regions is 0 or less, since each request counts once and raises what each may
+// receive by its share, and the shares add up to 1.
+func (t *Tracker) excess(region string) float64 {
+	return float64(t.spent[region]) - float64(t.accruals)*(t.shares[region]+t.maxShift)
+}
 
 // Spend deducts one request from a region's credit.
-func (t *Tracker) Spend(region string) { t.credits[region]-- }
+func (t *Tracker) Spend(region string) {
+	t.credits[region]--
+	t.spent[region]++
+}
 
 // RecordServed counts a request that a region has answered. The shares are
 // measured from answered requests only, because a failing region receives
@@ -82,7 +108,8 @@
 // endStep moves the shares towards the traffic measured in the step, by at
 // most maxShift in total.
 func (t *Tracker) endStep(now time.Time) {
-	t.stepStart = now
+	t.stepStart, t.accruals = now, 0
+	clear(t.spent)
 	if t.servedTotal == 0 {
 		return
 	}
--- a/coordination/shift/shift_test.go
+++ b/coordination/shift/shift_test.go
@@ -125,3 +125,34 @@
 		t.Errorf("moved in %d and back in %d steps, want about %d", out, back, minSteps)
 	}
 }
+
+// TestOneRegionIsAllowedWithoutCredit guards against requests that are refused while every
+// region works, since credit was lost at its largest (found by -rapid.seed=3241 in
+// TestWorkingRegionsTakeAllTraffic), and against a region that goes beyond its cap instead.
+func TestOneRegionIsAllowedWithoutCredit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := NewTracker("a", 0.24, now)
+	tracker.shares = map[string]float64{"a": 0.4, "b": 0.3, "c": 0.3}
+	tracker.credits = map[string]float64{"a": -0.9, "b": -0.9, "c": -0.9}
+	for range 2 {
+		tracker.Accrue(now, regions)
+		allowed := ""
+		for _, region := range regions {
+			if tracker.Allowed(region) {
+				allowed += region
+			}
+		}
+		if allowed != "a" && allowed != "b" && allowed != "c" && allowed != "bc" {
+			t.Fatalf("regions %q are allowed, want those furthest below their shares", allowed)
+		}
+		before := tracker.excess(allowed[:1])
+		tracker.Spend(allowed[:1])
+		if before > 0 {
+			t.Errorf("%s is allowed although it received %.2f more than it may", allowed, before)
+		}
+	}
+	tracker.credits["a"] = 0.5
+	if tracker.Allowed("b") || tracker.Allowed("c") {
+		t.Error("a region without credit is allowed although another has some")
+	}
+}
