Play a quota with real processes through a kill of all

Cause: quotas were tested in the model and with two keepers, not with processes that are killed and started.

Change: the stand-in cluster can have an organisation with a quota.

--- a/standin/soak/cluster.go
+++ b/standin/soak/cluster.go
@@ -43,6 +43,8 @@
 	ports map[int]bool
 	// machine is nil if the settings state no limits of the machines.
 	machine *Machine
+	// organisations is the part of the configuration of this name, or nil.
+	organisations map[string]any
 }
 
 // Machine are the limits of the machine on which a gateway runs.
@@ -122,6 +124,12 @@
 // AddGateway.
 func (c *Cluster) SetMachine(m Machine) { c.machine = &m }
 
+// SetOrganisation makes all requests need the key of an organisation, which has a quota.
+// It must be called before Configure.
+func (c *Cluster) SetOrganisation(key string, perSecond, burst float64) {
+	c.organisations = map[string]any{"shop": map[string]any{"api_keys": []string{key}, "rate_per_s": perSecond, "burst": burst}}
+}
+
 // PID returns the process ID of a gateway.
 func (c *Cluster) PID(n int) int { return c.gateways[n].cmd.Process.Pid }
 
@@ -216,12 +224,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.version = version
-	return c.Store.Put("config", "main", map[string]any{
+	configuration := map[string]any{
 		"config_version": fmt.Sprint("r", version),
 		"routes":         map[string]any{"a": route("/look/", "idempotent", "look"), "b": route("/pay/", "non_idempotent", "pay"), fmt.Sprint("c", version): route(VersionPath(version), "idempotent", "look")},
 		"services":       map[string]any{"look": service, "pay": service},
 		"limits":         map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBodyBytes, "header_timeout": "3000ms", "idle_timeout": "15000ms"},
-	})
+	}
+	if c.organisations != nil {
+		configuration["tenants"] = c.organisations
+	}
+	return c.Store.Put("config", "main", configuration)
 }
 
 // AddGateway allocates ports for a gateway, writes its settings file and
@@ -324,6 +336,9 @@
 retry_window = "10s"
 retry_budget_ratio = 0.2
 retry_slack = 58
+quota_window = "5s"
+quota_overshoot = 0.1
+quota_slack = 20
 ttl_max = "5s"
 [platform_settings]
 address = %q
