Release only processes whose host was in the list before

Cause: while a fleet starts for the first time each daemon writes its entry and then reads a list that may be stale. Two daemons that are each first in their own list could then release a part of the fleet each, and use more than one quota.

Ruled out: a longer wait of the first daemon, which is no bound.

Change: a process pledges itself, and collects pledges, only if the list has an entry of an earlier process of its host.

Seen to fail: without the condition TestProcessIsReleasedOnlyWhileAllWait ("first daemon is new: released true, want false") and TestProcessPledgesItselfOnce ("a new daemon makes the call").

--- a/coordination/quota/fleet_test.go
+++ b/coordination/quota/fleet_test.go
@@ -79,6 +79,9 @@
 	}
 	limit := func(name string) Limit { return f.limits[name] }
 	n.ledger = New(fmt.Sprint(n.member.ID, "/", n.process), f.bounds, limit, f.now)
+	if n.process > 1 {
+		n.ledger.Rejoin()
+	}
 }
 
 // publish tells the nodes that are not cut off which daemons there are.
--- a/coordination/quota/start.go
+++ b/coordination/quota/start.go
@@ -53,6 +53,8 @@
 	// members are the other daemons, and first says whether this one is the first.
 	members []string
 	first   bool
+	// rejoined says that an earlier process of the host was in the list.
+	rejoined bool
 
 	// collector is the process to which this one pledged itself, and echo the mark of its
 	// latest reply, received at echoAt.
@@ -74,6 +76,15 @@
 	l.start.members, l.start.first = others, first
 }
 
+// Rejoin records that the list of daemons has an earlier process of the host. Only then may
+// the process be released early: while a fleet starts for the first time, each daemon may
+// know other parts of the list.
+func (l *Ledger) Rejoin() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.start.rejoined = true
+}
+
 // NewStartCall returns the call to make to the fleet's first daemon, or nil if the process
 // does not wait to be released.
 func (l *Ledger) NewStartCall(now time.Time) *StartCall {
@@ -92,7 +103,7 @@
 
 func (l *Ledger) mayBeReleased(now time.Time) bool {
 	others := len(l.start.members)
-	return l.holding.waits(now) && l.holding.listed && others > 0 && others < maxStarting
+	return l.holding.waits(now) && l.holding.listed && l.start.rejoined && others > 0 && others < maxStarting
 }
 
 // HandleStart answers the call of a process that waits.
--- a/coordination/quota/start_test.go
+++ b/coordination/quota/start_test.go
@@ -81,9 +81,13 @@
 		{"pledged to an earlier process", 0, StartCall{Process: "b/2", Echo: Mark{"a/1", 0}, WaitsFor: time.Second, Daemons: 2}, false},
 		{"knows more daemons", 0, StartCall{Process: "b/2", WaitsFor: time.Second, Daemons: 3}, false},
 		{"first daemon has waited", restartDelay, StartCall{Process: "b/2", WaitsFor: time.Hour, Daemons: 2}, false},
+		{"first daemon is new", 0, StartCall{Process: "b/2", WaitsFor: time.Second, Daemons: 2}, false},
 	} {
 		now := time.Unix(1000, 0)
 		l := newLedger("a/2", now)
+		if c.name != "first daemon is new" {
+			l.Rejoin()
+		}
 		l.SetDaemons(2, true, now)
 		l.SetFleet([]string{"b"}, true)
 		mark := l.HandleStart("b", &StartCall{Process: "b/2"}, now).Mark
@@ -111,6 +115,10 @@
 	l := newLedger("b/2", now)
 	l.SetDaemons(2, true, now)
 	l.SetFleet([]string{"a"}, false)
+	if call := l.NewStartCall(now); call != nil {
+		t.Errorf("a new daemon makes the call %+v, want none", call)
+	}
+	l.Rejoin()
 	l.ApplyStart(&StartReply{Mark: Mark{"a/2", 1}}, now)
 	l.ApplyStart(&StartReply{Mark: Mark{"a/3", 2}}, now)
 	if call := l.NewStartCall(now); call.Echo.Process != "a/2" {
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -47,8 +47,9 @@
 
 // quotaKeeper enforces the quotas of organisations together with the other daemons.
 type quotaKeeper struct {
-	peers  *peer.Client
-	ledger *quota.Ledger
+	peers       *peer.Client
+	ledger      *quota.Ledger
+	incarnation string
 	// enabled says that the settings have bounds for quotas. They are read at the start
 	// only.
 	enabled bool
@@ -80,7 +81,7 @@
 func newQuotaKeeper(self Member, bounds quota.Bounds, limit func(string) quota.Limit, peers *peer.Client, log *requestLogger) *quotaKeeper {
 	member := relay.Member{ID: self.ID, Zone: self.Zone, Region: self.Region, Address: self.PeerAddress, Capacity: self.Capacity}
 	return &quotaKeeper{
-		peers: peers, ledger: quota.New(self.Incarnation, bounds, limit, time.Now()),
+		peers: peers, incarnation: self.Incarnation, ledger: quota.New(self.Incarnation, bounds, limit, time.Now()),
 		enabled: bounds.Enabled(), kick: make(chan struct{}, 1),
 		limited: &limitedOrganisations{log: log, entries: map[string]*limitedOrganisation{}},
 		parents: quota.NewParents(member), next: newQuotaRound(quotaCallInterval),
@@ -118,6 +119,9 @@
 	for _, m := range all {
 		if m.ID == self {
 			listed = true
+			if m.Incarnation != k.incarnation {
+				k.ledger.Rejoin()
+			}
 		} else {
 			others = append(others, m.ID)
 		}
