Close the connections for the release after the start

Cause: connections between daemons stay open while both run. Each daemon had one to the fleet's first, which kept one from each of up to 255 others.

Ruled out: closing the shared connection, which may carry calls of the feed.

Change: the calls of the start have a client of their own, which is closed at its end.

Result: the first daemon has one connection from its child, for its calls.

Seen to fail: without the close, TestDaemonsShareQuota ("waited too long for the end of the connection for the start").

--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -47,9 +47,9 @@
 
 // quotaKeeper enforces the quotas of organisations together with the other daemons.
 type quotaKeeper struct {
-	peers       *peer.Client
-	ledger      *quota.Ledger
-	incarnation string
+	peers             *peer.Client
+	ledger            *quota.Ledger
+	host, incarnation string
 	// enabled says that the settings have bounds for quotas. They are read at the start
 	// only.
 	enabled bool
@@ -81,7 +81,7 @@
 func newQuotaKeeper(self Member, bounds quota.Bounds, limit func(string) quota.Limit, peers *peer.Client, log *requestLogger) *quotaKeeper {
 	member := relay.Member{ID: self.ID, Zone: self.Zone, Region: self.Region, Address: self.PeerAddress, Capacity: self.Capacity}
 	return &quotaKeeper{
-		peers: peers, incarnation: self.Incarnation, ledger: quota.New(self.Incarnation, bounds, limit, time.Now()),
+		peers: peers, host: self.ID, incarnation: self.Incarnation, ledger: quota.New(self.Incarnation, bounds, limit, time.Now()),
 		enabled: bounds.Enabled(), kick: make(chan struct{}, 1),
 		limited: &limitedOrganisations{log: log, entries: map[string]*limitedOrganisation{}},
 		parents: quota.NewParents(member), next: newQuotaRound(quotaCallInterval),
@@ -140,9 +140,12 @@
 		return
 	}
 	began := time.Now()
+	// The connections to the first daemon do not outlast the start.
+	peers := peer.NewClient(peer.NewAuth(k.host, nil), netip.IPv4Unspecified())
+	defer peers.Close()
 	for k.ledger.Waits(time.Now()) && sleep.For(ctx, quotaStartInterval) {
 		if call := k.ledger.NewStartCall(time.Now()); call != nil {
-			k.callFirst(ctx, call)
+			k.callFirst(ctx, peers, call)
 		}
 	}
 	if ctx.Err() != nil {
@@ -153,7 +156,7 @@
 	k.callAfter(0)
 }
 
-func (k *quotaKeeper) callFirst(ctx context.Context, call *quota.StartCall) {
+func (k *quotaKeeper) callFirst(ctx context.Context, peers *peer.Client, call *quota.StartCall) {
 	ctx, cancel := context.WithTimeout(ctx, quotaRoundTimeout)
 	defer cancel()
 	k.mu.Lock()
@@ -163,7 +166,7 @@
 	if err != nil {
 		return
 	}
-	if reply, err := peer.Call[quota.StartReply](ctx, k.peers, addr, wire.TypeQuotaStart, call); err == nil {
+	if reply, err := peer.Call[quota.StartReply](ctx, peers, addr, wire.TypeQuotaStart, call); err == nil {
 		k.ledger.ApplyStart(reply, time.Now())
 	}
 }
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -150,14 +151,37 @@
 	}
 }
 
+// countingListener counts the connections that are open.
+type countingListener struct {
+	net.Listener
+	open *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.open.Add(1)
+	return &countedConn{c, sync.OnceFunc(func() { l.open.Add(-1) })}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	closed func()
+}
+
+func (c *countedConn) Close() error { c.closed(); return c.Conn.Close() }
+
 // TestDaemonsShareQuota guards against calls between daemons that do not carry the
 // parts and the units of quotas, and against daemons that start together and do not
-// release each other.
+// release each other, or keep connections for that.
 func TestDaemonsShareQuota(t *testing.T) {
 	root, child := newQuotaFixture(t, route(true), 4), newQuotaFixture(t, route(true), 4)
 	root.self.Region, child.self.ID, child.self.Region = "north", "host-2", "north"
 	var members []Member
 	var servers []*httptest.Server
+	var open [2]atomic.Int64
 	for i, f := range []*fixture{root, child} {
 		bounds := quota.Bounds{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
 		f.peerServer = peer.NewServer(peer.NewAuth(f.self.ID, nil), f.log)
@@ -165,7 +189,9 @@
 		f.quotas = newQuotaKeeper(f.self, bounds, f.quotaOf, f.peerClient, f.requestLog)
 		f.quotas.active.Store(true)
 		f.quotas.serve(f.peerServer)
-		server := httptest.NewServer(f.peerServer)
+		server := httptest.NewUnstartedServer(f.peerServer)
+		server.Listener = countingListener{server.Listener, &open[i]}
+		server.Start()
 		servers = append(servers, server)
 		t.Cleanup(server.Close)
 		t.Cleanup(f.peerClient.Close)
@@ -179,6 +205,7 @@
 	}
 	child.addServer(t, answerSigned)
 	waitFor(t, "the root to hold all parts", func() bool { return root.quotas.ledger.Held(time.Now()) == 1 })
+	waitFor(t, "the end of the connection for the start", func() bool { return open[0].Load() == 1 })
 	waitFor(t, "units of the root", func() bool { return child.send(t, "k-1").StatusCode == http.StatusOK })
 	if held := child.quotas.ledger.Held(time.Now()); held != 0 {
 		t.Errorf("child issues from %v parts, want 0", held)
