Draw the cancelled request in the model of the scheduler's queue

The step that cancels ranged over a map, so that a seed did not decide which request it took, and took only those with a sequence number that 3 divides. It now draws one of the waiting requests, in their order.

--- a/coordination/schedule/queue_test.go
+++ b/coordination/schedule/queue_test.go
@@ -1,9 +1,11 @@
 package schedule
 
 import (
+	"cmp"
 	"errors"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"testing"
@@ -113,13 +115,13 @@
 		m.running = slices.Delete(m.running, i, i+1)
 		m.apply(m.q.Release(t, now))
 	case 5:
-		for t := range m.waiting {
-			if t.sequence%3 == 0 {
-				m.end(t)
-				m.apply(m.q.Cancel(t, now))
-				return
-			}
+		waiting := slices.SortedFunc(maps.Keys(m.waiting), func(a, b *Ticket) int { return cmp.Compare(a.sequence, b.sequence) })
+		if len(waiting) == 0 {
+			return
 		}
+		t := rapid.SampledFrom(waiting).Draw(m.t, "cancelled")
+		m.end(t)
+		m.apply(m.q.Cancel(t, now))
 	default:
 		class := rapid.SampledFrom([]Class{payments, lookups, reports}).Draw(m.t, "class")
 		left := time.Duration(rapid.IntRange(1, 500).Draw(m.t, "left")) * time.Millisecond
