Let time pass in the model of keys and handovers

The clock of TestNoKeyRunsTwiceAcrossHandovers never moved, so that no key expired, no entry was purged and no incomplete handover was forgotten.

--- a/coordination/permit/machine_test.go
+++ b/coordination/permit/machine_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,7 +17,7 @@
 func TestMain(m *testing.M) {
 	// These are defaults: m.Run parses the command line later, so flags given
 	// there take precedence.
-	for name, value := range map[string]string{"rapid.seed": "20", "rapid.checks": "1500", "rapid.steps": "150", "rapid.nofailfile": "true"} {
+	for name, value := range map[string]string{"rapid.seed": "20", "rapid.checks": "20000", "rapid.steps": "150", "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
@@ -32,6 +33,8 @@
 	successors *Successors
 	transfer   *Transfer
 	dead       bool
+	// skew is how far the node's clock is ahead of the model's.
+	skew time.Duration
 }
 
 // openRun is a run that has not ended.
@@ -56,6 +59,9 @@
 	notRun map[string]bool
 }
 
+// keyTTL is the life of a key by the clock of the node that issues it.
+const keyTTL = 2 * ExpiryMargin
+
 func newFleet() *fleet {
 	return &fleet{issuer: NewIssuer([]byte("secret"), rand.NewChaCha8([32]byte{})), now: time.Unix(1e9, 0), runs: map[string]int{}, notRun: map[string]bool{}}
 }
@@ -73,16 +79,19 @@
 		t.Skip("enough nodes")
 	}
 	n := &node{name: fmt.Sprintf("n%d", len(f.nodes)), successors: NewSuccessors()}
+	n.skew = rapid.SampledFrom([]time.Duration{0, ExpiryMargin / 2, ExpiryMargin}).Draw(t, "skew")
 	n.table = NewTable(n.name, Limits{MaxKeys: 20, MaxAnswerBytes: 64})
 	n.receiver = NewReceiver(n.name, n.table)
 	f.nodes = append(f.nodes, n)
 }
 
 func (f *fleet) issue(t *rapid.T) {
+	f.keys = slices.DeleteFunc(f.keys, func(k Key) bool { return f.now.Sub(k.Expires) > 2*ExpiryMargin })
 	if len(f.keys) >= 5 {
 		t.Skip("enough keys")
 	}
-	key, err := f.issuer.Issue(f.pick(t, "owner").name, f.now.Add(time.Hour))
+	owner := f.pick(t, "owner")
+	key, err := f.issuer.Issue(owner.name, f.clock(owner).Add(keyTTL))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -98,7 +107,7 @@
 	key := rapid.SampledFrom(f.keys).Draw(t, "key")
 	n := f.pick(t, "entry")
 	for range 4 {
-		run, first, err := n.table.Begin(key, &request.Request{Service: "payments"}, f.now)
+		run, first, err := n.table.Begin(key, &request.Request{Service: "payments"}, f.clock(n))
 		if err == nil {
 			f.recordBegin(t, n, key, run, first)
 			return
@@ -118,6 +127,9 @@
 }
 
 func (f *fleet) recordBegin(t *rapid.T, n *node, key Key, run *Run, first bool) {
+	if key.Expired(f.clock(n)) {
+		t.Fatalf("key %s is accepted after its expiry", key.nonce)
+	}
 	if first && f.notRun[key.nonce] {
 		t.Fatalf("key %s starts a run after its caller was told that it did not run", key.nonce)
 	}
@@ -162,7 +174,7 @@
 	}
 	if n.transfer == nil {
 		n.table.Freeze()
-		n.transfer = NewTransfer(n.table.Export(f.now.Add(time.Hour)))
+		n.transfer = NewTransfer(n.table.Export(f.clock(n).Add(keyTTL)))
 		n.transfer.chunkRecords = 1
 	}
 	if to == n || n.transfer.Refused(to.name) || n.transfer.Complete() {
@@ -184,7 +196,7 @@
 	if to.dead {
 		return
 	}
-	receipt, whole, err := to.receiver.Accept(c, f.now)
+	receipt, whole, err := to.receiver.Accept(c, f.clock(to))
 	if err != nil {
 		return
 	}
@@ -194,7 +206,7 @@
 	}
 	f.messages = append(f.messages, func() {
 		for _, n := range f.nodes {
-			_ = n.successors.Record(from.name, to.name, whole.Expires(), f.now)
+			_ = n.successors.Record(from.name, to.name, whole.Expires(), f.clock(n))
 		}
 	})
 }
@@ -232,6 +244,20 @@
 	f.pick(t, "killed").dead = true
 }
 
+// wait lets time pass and purges each node.
+func (f *fleet) wait(t *rapid.T) {
+	passed := rapid.SampledFrom([]time.Duration{time.Second, pendingTimeout + 1, ExpiryMargin / 2}).Draw(t, "passed")
+	f.now = f.now.Add(passed)
+	for _, n := range f.nodes {
+		if !n.dead {
+			n.table.Purge(f.clock(n))
+			n.receiver.Purge(f.clock(n))
+		}
+	}
+}
+
+func (f *fleet) clock(n *node) time.Time { return f.now.Add(n.skew) }
+
 func (f *fleet) check(t *rapid.T) {
 	for nonce, runs := range f.runs {
 		if runs > 1 {
@@ -241,8 +267,10 @@
 }
 
 // TestNoKeyRunsTwiceAcrossHandovers runs random sequences of requests,
-// handovers, kills, and lost, duplicated and reordered messages. No key may run
-// twice, and no key may run if its caller was told that it did not.
+// handovers, kills, and lost, duplicated and reordered messages, on clocks that
+// differ by up to ExpiryMargin and move past the expiry of keys. No key may run
+// twice, no key may run if its caller was told that it did not, and none may be
+// accepted after its expiry.
 func TestNoKeyRunsTwiceAcrossHandovers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet()
@@ -252,7 +280,7 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"start": f.start, "issue": f.issue, "send": f.send, "finish": f.finish,
-			"handOver": f.handOver, "network": f.network, "kill": f.kill, "": f.check,
+			"handOver": f.handOver, "network": f.network, "kill": f.kill, "wait": f.wait, "": f.check,
 		})
 	})
 }
