Know returning requests where time budgets differ

Cause: a request was taken for a returning one if its time budget was under 0.985 of the largest of its route in the last 30 to 60 s. A largest budget was also kept over any pause without requests.

Ruled out: the largest budget without the odd ones, as the spread is 15 in 100; a fixed part of it, as other clients have one budget and return after 2 in 100.

Change: the least budget of a first attempt is estimated from two quantiles of the last 128 of the route. Requests that return sooner than the spread of the budgets are taken for first attempts.

The test is stricter than the one it replaces, which expected the second request of a route to be told apart and knew single budgets only. Without the change: "530 of 600 first attempts are taken for returning requests, want at most 6".

--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -89,24 +90,33 @@
 }
 
 const (
-	// budgetInterval is how long the largest time budget of a route's clients is
+	// budgetInterval is how long the time budgets of a route without requests are
 	// remembered at least.
 	budgetInterval = 30 * time.Second
-	// maxTimeBudget is the largest time budget that is recorded, so that a single
-	// odd one does not make all others look like the rest of it.
-	maxTimeBudget = 5 * time.Minute
-	// returningFraction is the fraction of the largest time budget below which a
-	// request is taken for one that was refused before.
+	// recentBudgets is the number of time budgets of a route that are remembered, and
+	// budgetsPerUpdate the number after which the least budget of a first attempt is
+	// estimated anew.
+	recentBudgets    = 128
+	budgetsPerUpdate = 16
+	// usualQuantile and largeQuantile are quantiles of the budgets that are expected
+	// among those of first attempts, although some requests return and a few clients
+	// have much larger budgets. First attempts have budgets down to budgetSpread times
+	// the distance of the two below the usual one.
+	usualQuantile = 0.75
+	largeQuantile = 0.95
+	budgetSpread  = 5
+	// returningFraction is the fraction of the usual budget below which a request is
+	// taken for one that returns if all clients have the same budget.
 	returningFraction = 0.985
 )
 
-// timeBudgets holds the largest time budgets that clients gave requests on each
-// route. A client gives a returning request the rest of its budget.
+// timeBudgets holds recent time budgets that clients gave requests on each route. A
+// client gives a returning request the rest of its budget.
 type timeBudgets struct {
 	mu sync.Mutex
-	// latest and previous are the largest of the current interval and of the one
-	// before it, by route.
-	latest, previous map[string]time.Duration
+	// latest holds the routes used in the current interval, and previous those used
+	// in the one before it.
+	latest, previous map[string]*routeBudgets
 	began            time.Time
 }
 
@@ -114,13 +124,42 @@
 func (b *timeBudgets) returning(route string, budget time.Duration, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if now.Sub(b.began) > 2*budgetInterval {
+		b.latest = nil
+	}
 	if now.Sub(b.began) > budgetInterval {
-		b.previous, b.latest, b.began = b.latest, map[string]time.Duration{}, now
+		b.previous, b.latest, b.began = b.latest, map[string]*routeBudgets{}, now
+	}
+	r := b.latest[route]
+	if r == nil {
+		if r = b.previous[route]; r == nil {
+			r = &routeBudgets{}
+		}
+		b.latest[route] = r
 	}
-	if budget <= maxTimeBudget {
-		b.latest[route] = max(b.latest[route], budget)
+	r.record(budget)
+	return budget < r.leastOfFirst
+}
+
+// routeBudgets are the time budgets of requests on one route.
+type routeBudgets struct {
+	recent [recentBudgets]time.Duration
+	count  int
+	// leastOfFirst is the least budget that a first attempt is expected to have, or 0
+	// if it is not known yet.
+	leastOfFirst time.Duration
+}
+
+func (r *routeBudgets) record(budget time.Duration) {
+	r.recent[r.count%recentBudgets] = budget
+	if r.count++; r.count%budgetsPerUpdate != 0 {
+		return
 	}
-	return float64(budget) < returningFraction*float64(max(b.latest[route], b.previous[route]))
+	sorted := slices.Clone(r.recent[:min(r.count, recentBudgets)])
+	slices.Sort(sorted)
+	quantile := func(q float64) time.Duration { return sorted[int(q*float64(len(sorted)-1))] }
+	usual := quantile(usualQuantile)
+	r.leastOfFirst = min(time.Duration(returningFraction*float64(usual)), usual-budgetSpread*(quantile(largeQuantile)-usual))
 }
 
 // rankName returns the name of a rank in metrics.
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -118,20 +118,48 @@
 	}
 }
 
-// TestReturningRequestIsKnownByItsBudget guards against taking a client with the
-// longest time budget for one that returns, or one with a part of it for a first
-// attempt.
+// TestReturningRequestIsKnownByItsBudget guards against taking first attempts of
+// clients with different time budgets for returning requests, since some client has
+// more, and a returning request for a first attempt.
 func TestReturningRequestIsKnownByItsBudget(t *testing.T) {
-	var b timeBudgets
 	now := time.Unix(1000, 0)
-	if b.returning("r", 4*time.Second, now) || !b.returning("r", 3*time.Second, now) || b.returning("other", 3*time.Second, now) {
-		t.Error("requests with the whole budget and with a part of it are not told apart")
+	cases := []struct {
+		name string
+		// first is the budget of the i-th first attempt. Each third one returns with
+		// the given fraction of it.
+		first func(i int) time.Duration
+		rest  float64
+	}{
+		{"one budget", func(int) time.Duration { return 4 * time.Second }, 0.98},
+		{"one budget and an odd one", func(i int) time.Duration {
+			if i%100 == 50 {
+				return time.Hour
+			}
+			return 4 * time.Second
+		}, 0.98},
+		{"budgets that differ by 15 in 100", func(i int) time.Duration { return 4*time.Second - time.Duration(i*7%60)*10*time.Millisecond }, 0.67},
 	}
-	if b.returning("r", time.Hour, now) || b.returning("r", 4*time.Second, now) {
-		t.Error("one odd budget makes the others look like the rest of it")
-	}
-	later := now.Add(3 * budgetInterval)
-	if b.returning("r", 3*time.Second, later); b.returning("r", 3*time.Second, later.Add(2*budgetInterval)) {
-		t.Error("a budget that no client uses any more is remembered")
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var b timeBudgets
+			firstAsReturning, returning, known := 0, 0, 0
+			for i := range 600 {
+				if b.returning("r", c.first(i), now) {
+					firstAsReturning++
+				}
+				if i%3 == 0 && i > 2*budgetsPerUpdate {
+					returning++
+					if b.returning("r", time.Duration(c.rest*float64(c.first(i))), now) {
+						known++
+					}
+				}
+			}
+			if firstAsReturning > 6 || known < returning*9/10 {
+				t.Errorf("%d of 600 first attempts are taken for returning requests, want at most 6; %d of %d returning requests are known", firstAsReturning, known, returning)
+			}
+			if b.returning("other", 3*time.Second, now) || b.returning("r", 3*time.Second, now.Add(4*budgetInterval)) {
+				t.Error("budgets of another route or of long ago count")
+			}
+		})
 	}
 }
