Keep the counts of ranks only for the same ranks

Cause: after a change of the configuration, a service kept what each position among its ranks had sent if the number of ranks was the same. Room was then kept for a rank by what another one had sent, and the guaranteed minimum judged by it, for some seconds.

Change: the counts are kept if the ranks are the same.

Without the change: "demand [1 0] of ranks 0 and 2 counts for ranks 2 and 3".

--- a/coordination/overload/overload.go
+++ b/coordination/overload/overload.go
@@ -95,6 +95,9 @@
 	return min(i, len(p.ranks)-1)
 }
 
+// SameRanks reports whether the same ranks use the services of both policies.
+func (p *Policy) SameRanks(o *Policy) bool { return slices.Equal(p.ranks, o.ranks) }
+
 // Positions returns the number of ranks in use.
 func (p *Policy) Positions() int { return len(p.ranks) }
 
--- a/coordination/upstream/overload.go
+++ b/coordination/upstream/overload.go
@@ -115,13 +115,14 @@
 	return out
 }
 
-// configureRanks sets the policies of the services. A service keeps its shares.
+// configureRanks sets the policies of the services. A service keeps its
+// shares if its ranks stay the same.
 func (b *Balancer) configureRanks(c *routing.Configuration) {
 	old := b.competitions
 	b.competitions = map[string]*competition{}
 	for service, policy := range policies(c) {
 		next := &competition{policy: policy}
-		if o := old[service]; o != nil && o.policy.Positions() == policy.Positions() {
+		if o := old[service]; o != nil && o.policy.SameRanks(policy) {
 			next.shares = o.shares
 		}
 		b.competitions[service] = next
--- a/coordination/upstream/overload_test.go
+++ b/coordination/upstream/overload_test.go
@@ -460,3 +460,28 @@
 		})
 	}
 }
+
+// TestSharesAreKeptForTheSameRanks guards against shares of one rank that count for
+// another after a change of the configuration.
+func TestSharesAreKeptForTheSameRanks(t *testing.T) {
+	configuration := func(ranks ...int) *routing.Configuration {
+		var routes []routing.Route
+		for i, rank := range ranks {
+			routes = append(routes, routing.Route{Name: fmt.Sprint("r", i), Host: "h", PathPrefix: fmt.Sprint("/", i, "/"), Priority: rank, TrafficSplit: []routing.WeightedService{{Service: "stock", Weight: 1}}})
+		}
+		return routing.New(1, routes, nil, routing.ClientLimits{})
+	}
+	b := NewBalancer(Locality{}, nil)
+	b.ConfigureRanks(configuration(0, 2))
+	for range 10 {
+		b.competitions["stock"].shares.Record(0, 2, true, start)
+	}
+	b.ConfigureRanks(configuration(0, 2))
+	if b.competitions["stock"].shares.Demand(2, start) == nil {
+		t.Error("shares are lost although the ranks are the same")
+	}
+	b.ConfigureRanks(configuration(2, 3))
+	if got := b.competitions["stock"].shares.Demand(2, start); got != nil {
+		t.Errorf("demand %v of ranks 0 and 2 counts for ranks 2 and 3", got)
+	}
+}
