--- a/cli/tillerctl/trace.go
+++ b/cli/tillerctl/trace.go
@@ -35,7 +35,6 @@
 	"body_late":         "the body did not arrive completely before the request's deadline; the request was not run",
 	"body_unread":       "the body could not be read from the client completely",
 	"no_server":         "no backend server of the service was usable: see the backend lines before it; the request was not run",
-	"server_memory":     "the backend servers hold as many bytes of bodies as they may since one crashed on them; the request was not run",
 	"rate_limit":        "the backend servers named limits of which this daemon had used its share; the request was not run",
 	"paused":            "all backend servers that might be used had asked for a pause: see the backend.paused lines; the request was not run",
 	"leaving":           "all backend servers that might be used leave: see the backend.leaving and backend.entry lines; the request was not run",
--- a/coordination/upstream/signals_experiment_test.go
+++ b/coordination/upstream/signals_experiment_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -52,8 +51,7 @@
 
 func (c announcementRun) play() (sum announcementResult) {
 	for seed := range uint64(experimentSeeds) {
-		s := newOverloadRun(manyObjects, []*overloadKind{{name: "lookup", objective: 600 * time.Millisecond, share: 1, worth: 1}}, c.daemons, false)
-		*s.random = *rand.New(rand.NewPCG(seed, uint64(c.daemons)))
+		s := newOverloadRun(manyObjects, []*overloadKind{{name: "lookup", objective: 600 * time.Millisecond, share: 1, worth: 1}}, c.daemons, false, seed)
 		s.steady, s.countFrom = true, start.Add(announceAt)
 		third := map[string]bool{}
 		for i := 0; i < s.layout.servers; i += 3 {
