--- a/coordination/upstream/explain.go
+++ b/coordination/upstream/explain.go
@@ -24,6 +24,9 @@
 	StandingOtherRegion Standing = "region_not_allowed"
 	// StandingTried means that the request was sent to it before.
 	StandingTried Standing = "tried"
+	// StandingBodies means that the server holds as many bytes of bodies as it may after a
+	// crash.
+	StandingBodies Standing = "bodies"
 	// StandingColdLimit and StandingRateLimit mean that this daemon has used its share
 	// of what the server accepts while it is cold, and of the limit that it named.
 	StandingColdLimit Standing = "cold_limit"
@@ -127,6 +130,8 @@
 		return StandingTried, time.Time{}
 	case !verdict.Allowed:
 		return Standing(verdict.Reason), verdict.Until
+	case !b.services[srv.Service].bodies.Admits(&srv.bodies, r.BodyBytes, srv.othersRequests(sel.now), sel.now):
+		return StandingBodies, time.Time{}
 	case srv.isCold(sel.now) && !srv.coldLimiter.Ready(r.ColdRate, r.DaemonCount, sel.now):
 		return StandingColdLimit, time.Time{}
 	case srv.atRateLimit(r.DaemonCount, sel.now):
