--- a/cli/tillerctl/gateway_test.go
+++ b/cli/tillerctl/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -39,6 +40,13 @@
 			t.Errorf("no row with %v in\n%s", want, out.String())
 		}
 	}
+	for range 20 {
+		first := out.String()
+		out.Reset()
+		if err := c.Execute(nil); err != nil || out.String() != first {
+			t.Fatalf("got error %v and\n%s\nat first\n%s", err, out.String(), first)
+		}
+	}
 	c.Args.Addresses = addresses[2:]
 	if err := c.Execute(nil); !errors.Is(err, ErrNotGateway) {
 		t.Errorf("got error %v for an address without a gateway's metrics, want ErrNotGateway", err)
@@ -94,4 +102,11 @@
 			t.Errorf("%s: the gateway got %v", path, query)
 		}
 	}
+	// A gateway takes a deadline that it cannot read for none, which means 30 s.
+	for _, deadline := range []string{"0s", "-1s", "999us"} {
+		e := &env{ctx: t.Context(), opts: &options{}, stdout: io.Discard, stderr: io.Discard}
+		if code := e.run([]string{"explain-request", s.Listener.Addr().String(), "pay.example", "/free", "--deadline=" + deadline}); code != exitUsage {
+			t.Errorf("deadline %s: got exit code %d, want %d", deadline, code, exitUsage)
+		}
+	}
 }
--- a/coordination/upstream/explain.go
+++ b/coordination/upstream/explain.go
@@ -88,15 +88,17 @@
 // explainServers returns the servers of a service as a selection finds them.
 func (b *Balancer) explainServers(svc *service, sel *selection, chosen string) []ExplainedServer {
 	ordered := slices.SortedStableFunc(slices.Values(sel.candidates), sel.compare)
-	others := 0
+	isCandidate := make(map[*server]bool, len(sel.candidates))
+	for _, srv := range sel.candidates {
+		isCandidate[srv] = true
+	}
 	for _, srv := range svc.servers {
-		if !slices.Contains(sel.candidates, srv) {
+		if !isCandidate[srv] {
 			ordered = append(ordered, srv)
-			others++
 		}
 	}
 	out := make([]ExplainedServer, 0, len(ordered))
-	for i, srv := range ordered {
+	for _, srv := range ordered {
 		e := ExplainedServer{
 			ID: srv.ID, Zone: srv.Zone, Region: srv.region, Standing: StandingUsable,
 			Requests: srv.estimatedRequests(sel.now), Slots: srv.slots(), Latency: sel.expectedLatency(srv),
@@ -104,8 +106,8 @@
 		switch {
 		case srv.ID == chosen:
 			e.Standing = StandingChosen
-		case i >= len(ordered)-others:
-			e.Standing, e.Until = b.whyLeftOut(srv, sel)
+		case !isCandidate[srv]:
+			e.Standing, e.Until = b.whyLeftOut(svc, srv, sel)
 		}
 		out = append(out, e)
 	}
@@ -114,11 +116,11 @@
 
 // whyLeftOut returns why a server is not among the candidates, by the tests of
 // newSelection in their order.
-func (b *Balancer) whyLeftOut(srv *server, sel *selection) (Standing, time.Time) {
+func (b *Balancer) whyLeftOut(svc *service, srv *server, sel *selection) (Standing, time.Time) {
 	r := sel.request
 	verdict := srv.availability.Check(sel.returnPlace, sel.now)
 	switch {
-	case srv.missing:
+	case srv.missing && !svc.mostlyMissing():
 		return StandingMissing, time.Time{}
 	case b.evacuated[srv.Zone]:
 		return StandingEvacuated, time.Time{}
--- a/coordination/upstream/upstream_test.go
+++ b/coordination/upstream/upstream_test.go
@@ -126,6 +126,19 @@
 			}
 			return newRequest(key)
 		},
+		// Where most entries are missing, a server is not left out for that.
+		Standing(availability.Leaving): func(balancer *Balancer) Request {
+			mustChoose(t, balancer, newRequest(key), start).Done(Result{Outcome: Answered, Signal: availability.Signal{Leaving: true}}, start)
+			for id := range balancer.servers {
+				balancer.MarkMissing(id)
+			}
+			return newRequest(key)
+		},
+		StandingRateLimit: func(balancer *Balancer) Request {
+			limit := RateLimit(1)
+			mustChoose(t, balancer, newRequest(key), start).Done(Result{Outcome: Answered, RateLimit: &limit}, start.Add(time.Millisecond))
+			return newRequest(key)
+		},
 		StandingBodies: func(balancer *Balancer) Request {
 			crashOnBodies(t, balancer, key)
 			return withBody(key, 2<<20)
@@ -157,6 +170,21 @@
 	}
 }
 
+// TestServersAreExplainedInOrder guards against an explanation that lists the servers in
+// another order than that in which a request is sent to them.
+func TestServersAreExplainedInOrder(t *testing.T) {
+	for i := range 10 {
+		balancer, r := newTestBalancer("n1"), newRequest(fmt.Sprint(i))
+		for place, s := range balancer.Explain(r, start).Servers {
+			c := mustChoose(t, balancer, r, start)
+			if c.Backend.ID != s.ID {
+				t.Errorf("object %d: chose %s in place %d, explained was %s", i, c.Backend.ID, place, s.ID)
+			}
+			r.Tried = append(r.Tried, c.Backend.Incarnation())
+		}
+	}
+}
+
 func otherRegion(region string) string {
 	if region == "north" {
 		return "south"
