Release a daemon that had stopped before the restart of all

Cause: a process was released only if the list had an entry of its host's earlier process. Ruled out: releasing without its pledge, since its earlier process may be in no list and alive. Change: only a daemon that releases others must know such an entry, since its list must be that of a running fleet; a pledge says something of the process alone. That a new first daemon releases nobody is checked as before.

--- a/coordination/quota/start.go
+++ b/coordination/quota/start.go
@@ -53,7 +53,8 @@
 	// members are the other daemons, and first says whether this one is the first.
 	members []string
 	first   bool
-	// rejoined says that an earlier process of the host was in the list.
+	// rejoined says that an earlier process of the host was in the list, so that the list
+	// is that of a running fleet.
 	rejoined bool
 
 	// collector is the process to which this one pledged itself, and echo the mark of its
@@ -77,8 +78,8 @@
 }
 
 // Rejoin records that the list of daemons has an earlier process of the host. Only then may
-// the process be released early: while a fleet starts for the first time, each daemon may
-// know other parts of the list.
+// the process release others: while a fleet starts for the first time, each daemon may know
+// other parts of the list.
 func (l *Ledger) Rejoin() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -103,7 +104,7 @@
 
 func (l *Ledger) mayBeReleased(now time.Time) bool {
 	others := len(l.start.members)
-	return l.holding.waits(now) && l.holding.listed && l.start.rejoined && others > 0 && others < maxStarting
+	return l.holding.waits(now) && l.holding.listed && others > 0 && others < maxStarting
 }
 
 // HandleStart answers the call of a process that waits.
@@ -111,7 +112,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	reply := &StartReply{}
-	if l.start.first && l.start.collector == "" && l.mayBeReleased(now) {
+	if l.start.first && l.start.rejoined && l.start.collector == "" && l.mayBeReleased(now) {
 		reply.Mark = l.mark(now)
 		l.receivePledge(daemon, call)
 		l.releaseIfAllWait(now)
