Let the endless peer of a test read the request before it answers

Cause: the peer wrote its answer as soon as it had a connection. A client that finds an answer before it has written its request drops the connection and has sent nothing, so that its outcome not-run is true; the test took it for false and panicked. Ruled out: a not-run after a write: attemptOnConn says so only if its tracker saw no write begin. Change: the peer reads the whole head of the request first, so that not-run is always false; the check stays.

--- a/standin/proofs/endless_test.go
+++ b/standin/proofs/endless_test.go
@@ -1,10 +1,12 @@
 package proofs
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"net/netip"
 	"runtime"
 	"sync/atomic"
@@ -112,8 +114,8 @@
 	}
 }
 
-// startEndlessPeer starts a server that answers with start and then repeats part
-// until the connection is closed. open counts its connections.
+// startEndlessPeer starts a server that reads the head of a request, answers with start
+// and then repeats part until the connection is closed. open counts its connections.
 func startEndlessPeer(t *testing.T, start, part string) (addr netip.AddrPort, open *atomic.Int64) {
 	t.Helper()
 	open = &atomic.Int64{}
@@ -133,7 +135,12 @@
 			go func() {
 				defer open.Add(-1)
 				defer c.Close()
-				_, err := c.Write([]byte(start))
+				// A client that finds an answer before it has written its request
+				// has not sent that.
+				_, err := http.ReadRequest(bufio.NewReader(c))
+				if err == nil {
+					_, err = c.Write([]byte(start))
+				}
 				for err == nil {
 					_, err = c.Write(chunk)
 				}
