Log where each configuration came from, and put its version first in refusals

copy.updated is one line for each version of the configuration, with its source, bytes, duration and the age of the copy before. The metric copies counts bytes received and calls that failed, by store and relay. In request.refused, what a client may make long comes last. The parameters of Replica.apply are one type now.

--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -42,6 +42,8 @@
 	OnList func(all []objects.Object, at objects.Position)
 	// OnEvent receives a single change and the position up to which it is one.
 	OnEvent func(e objects.Event, at objects.Position)
+	// LogUpdates says that a line is logged for each update of the copy.
+	LogUpdates bool
 	// OnStoreUnavailable and OnStoreAvailable are called when the store stops
 	// answering and when it answers again, or a relay takes over. Both may be
 	// nil.
@@ -71,6 +73,7 @@
 	loads         LoadHooks
 	call          CallFunc
 	hosts         HostHooks
+	stats         stats
 
 	mu       sync.Mutex
 	members  []relay.Member
@@ -135,25 +138,45 @@
 	wg.Go(func() { r.pollRelays(ctx) })
 }
 
-// apply applies a list or a set of changes to the cache and passes it to the
-// subscription. The parameters from and to are the positions before and after the
-// changes, or to alone is the position of the list; confirmed is when the data
-// matched the store. Data that does not follow on from the cached position is
-// ignored.
-func (r *Replica) apply(sub Subscription, full bool, all []objects.Object, events []objects.Event, from, to objects.Position, confirmed time.Time) {
+// update is a list of all objects of a kind, or a set of changes.
+type update struct {
+	full bool
+	// objects is the list, and events are the changes.
+	objects []objects.Object
+	events  []objects.Event
+	// from and to are the positions before and after the changes, or to alone is the
+	// position of the list.
+	from, to objects.Position
+	// confirmed is when the data matched the store.
+	confirmed time.Time
+	// source is the relay that sent the data, or storeSource, and called when it was
+	// called.
+	source string
+	called time.Time
+}
+
+// apply applies an update to the cache and passes it to the subscription. Data that does
+// not follow on from the cached position is ignored.
+func (r *Replica) apply(sub Subscription, u update) {
 	r.applyMu.Lock()
 	defer r.applyMu.Unlock()
-	if full {
-		if r.cache.Replace(sub.Kind, all, to, confirmed) {
-			sub.OnList(all, to)
+	r.stats.addReceived(u)
+	age := r.Age(sub.Kind)
+	if u.full {
+		if r.cache.Replace(sub.Kind, u.objects, u.to, u.confirmed) {
+			r.logUpdate(sub, u, age)
+			sub.OnList(u.objects, u.to)
 		}
 		return
 	}
-	if !r.cache.Apply(sub.Kind, events, from, to, confirmed) {
+	if !r.cache.Apply(sub.Kind, u.events, u.from, u.to, u.confirmed) {
 		return
 	}
-	for _, e := range events {
-		sub.OnEvent(e, to)
+	if len(u.events) > 0 {
+		r.logUpdate(sub, u, age)
+	}
+	for _, e := range u.events {
+		sub.OnEvent(e, u.to)
 	}
 }
 
--- a/gateway/feed/follow.go
+++ b/gateway/feed/follow.go
@@ -71,6 +71,9 @@
 		w.replica.breaker.record(w.sub.Kind, err == nil || historyGone, time.Now(), interval)
 	}
 	w.watching = err == nil
+	if err != nil {
+		w.replica.stats.storeFailures.Add(1)
+	}
 	if historyGone {
 		w.listed = false
 		w.replica.log.Info().Str("event", "store.history_gone").Str("kind", w.sub.Kind).Send()
@@ -113,11 +116,12 @@
 	if w.watching {
 		wait = w.sub.watchTimeout()
 	}
+	called := time.Now()
 	events, to, err := w.replica.store.Watch(ctx, w.sub.Kind, from, wait)
 	if err != nil {
 		return err
 	}
-	w.replica.apply(w.sub, false, nil, events, from, to, time.Now())
+	w.replica.apply(w.sub, update{events: events, from: from, to: to, confirmed: time.Now(), source: storeSource, called: called})
 	return nil
 }
 
@@ -131,7 +135,7 @@
 		return fmt.Errorf("%w: listed era %d, revision %d is older than cached era %d, revision %d",
 			objects.ErrUnavailable, at.Era, at.Revision, known.Era, known.Revision)
 	}
-	w.replica.apply(w.sub, true, all, nil, objects.Position{}, at, sent)
+	w.replica.apply(w.sub, update{full: true, objects: all, to: at, confirmed: sent, source: storeSource, called: sent})
 	w.listed = true
 	return nil
 }
--- a/gateway/feed/relay.go
+++ b/gateway/feed/relay.go
@@ -214,6 +214,7 @@
 // markRelayFailed makes the next poll use another relay, if there is one. It logs
 // only the first of several failures.
 func (r *Replica) markRelayFailed(source relay.Member, err error) {
+	r.stats.relayFailures.Add(1)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.selector.MarkFailed(source.ID, time.Now()) {
@@ -261,6 +262,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayPollTimeout+relayReplyMargin)
 	defer cancel()
+	called := time.Now()
 	call := &wire.ObjectsCall{Wait: relayPollTimeout, Failures: r.failures.subtreeTotal(time.Now()), Hosts: r.hostExchange(address)}
 	call.Loads = r.knownLoads(false, time.Now())
 	for _, sub := range r.subscriptions {
@@ -275,10 +277,11 @@
 	r.failures.recordRegionTotal(reply.Failures, time.Now())
 	r.observeHosts(reply.Hosts, time.Now())
 	r.observeLoads(reply.Loads, true, time.Now())
-	return r.applyReply(call, reply, isRelay)
+	return r.applyReply(call, reply, update{source: address, called: called}, isRelay)
 }
 
-func (r *Replica) applyReply(call *wire.ObjectsCall, reply *wire.ObjectsReply, isRelay bool) error {
+// applyReply applies the reply to a call. Each kind of it is an update like u.
+func (r *Replica) applyReply(call *wire.ObjectsCall, reply *wire.ObjectsReply, u update, isRelay bool) error {
 	if len(reply.Kinds) != len(r.subscriptions) {
 		return fmt.Errorf("%w: reply has %d kinds, want one for each kind of the call", objects.ErrUnknownKind, len(reply.Kinds))
 	}
@@ -293,8 +296,10 @@
 			errs = append(errs, fmt.Errorf("%w: kind %s", objects.ErrUnknownKind, k.Kind))
 			continue
 		}
-		from := objects.Position{Era: call.Kinds[i].Era, Revision: call.Kinds[i].Revision}
-		r.apply(sub, k.Full, k.Objects, k.Events, from, objects.Position{Era: k.Era, Revision: k.Revision}, time.Now().Add(-k.Age))
+		u.full, u.objects, u.events = k.Full, k.Objects, k.Events
+		u.from = objects.Position{Era: call.Kinds[i].Era, Revision: call.Kinds[i].Revision}
+		u.to, u.confirmed = objects.Position{Era: k.Era, Revision: k.Revision}, time.Now().Add(-k.Age)
+		r.apply(sub, u)
 		if !isRelay {
 			continue
 		}
--- a/gateway/feed/reply_test.go
+++ b/gateway/feed/reply_test.go
@@ -93,7 +93,7 @@
 	hooks := FailureHooks{Local: func() []upstream.FailureCount { return nil }, ApplyRegional: func([]upstream.FailureCount) {}}
 	kind := watchedKind(changingKind, watchSlack)
 	r := New(Settings{Self: relay.Member{ID: "a"}}, &storeClient{fakeStore: newFakeStore()}, []Subscription{kind}, hooks, call, zerolog.Nop())
-	r.apply(kind, true, nil, nil, objects.Position{}, objects.Position{Era: 2, Revision: 5}, time.Now())
+	r.apply(kind, update{full: true, to: objects.Position{Era: 2, Revision: 5}, confirmed: time.Now()})
 	if err := r.pollDaemon(context.Background(), "10.0.0.2:1", true); !errors.Is(err, ErrStale) {
 		t.Errorf("got error %v, want ErrStale", err)
 	}
@@ -109,7 +109,7 @@
 	hooks := FailureHooks{Local: func() []upstream.FailureCount { return nil }, ApplyRegional: func([]upstream.FailureCount) {}}
 	kind := watchedKind(changingKind, watchSlack)
 	r := New(Settings{Self: relay.Member{ID: "a"}}, &storeClient{fakeStore: newFakeStore()}, []Subscription{kind}, hooks, nil, zerolog.Nop())
-	r.apply(kind, true, []objects.Object{{Name: "o"}}, nil, objects.Position{}, objects.Position{Era: 2, Revision: 5}, time.Now())
+	r.apply(kind, update{full: true, objects: []objects.Object{{Name: "o"}}, to: objects.Position{Era: 2, Revision: 5}, confirmed: time.Now()})
 	for name, c := range map[string]struct {
 		call wire.KindCall
 		full bool
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -36,6 +36,10 @@
 // for the metrics, and must be set before Run.
 func (g *Gateway) SetStoreEra(era func() int64) { g.storeEra = era }
 
+// SetFeedStats sets the function that returns what the daemon received for its copies of the
+// platform's objects. It is for the metrics, and must be set before Run.
+func (g *Gateway) SetFeedStats(stats func() any) { g.feedStats = stats }
+
 // SetEvacuation starts or ends the evacuation of a zone.
 func (g *Gateway) SetEvacuation(zone string, on bool) {
 	g.balancer.SetEvacuated(zone, on, time.Now())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,7 +57,9 @@
 	// current.
 	configurationAge func() time.Duration
 	// storeEra returns how often the platform's store was restored.
-	storeEra       func() int64
+	storeEra func() int64
+	// feedStats returns what the daemon received for its copies of the platform's objects.
+	feedStats      func() any
 	backends       *backendRegistry
 	balancer       *upstream.Balancer
 	upstreamClient *upstreamhttp.Client
@@ -104,6 +106,7 @@
 	}
 	g.configurationAge = func() time.Duration { return 0 }
 	g.storeEra = func() int64 { return 0 }
+	g.feedStats = func() any { return nil }
 	g.settings.Store(&settings)
 	g.directory = newDirectory(self, &hostLoad{linkMbps: settings.LinkMbps})
 	// The platform gives daemons no shared secret; see docs/QUESTIONS.md.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -56,6 +56,7 @@
 	m.root.Add("directory_answers_large", 0)
 	m.root.Set("link_utilisation", expvar.Func(func() any { return g.directory.load.utilisation() }))
 	m.root.Set("store_era", expvar.Func(func() any { return g.storeEra() }))
+	m.root.Set("copies", expvar.Func(func() any { return g.feedStats() }))
 	m.root.Set("daemons", expvar.Func(func() any { return g.daemonCount() }))
 	m.root.Set("organisations", expvar.Func(func() any { return g.shownOrganisations() }))
 	m.root.Set("quota_refused", expvar.Func(func() any { return g.quotas.refused.Load() }))
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -258,11 +258,11 @@
 
 func (g *Gateway) logRefusal(r *http.Request, resp *localResponse, latency time.Duration) {
 	g.metrics.observe("", resp.reason, latency)
-	e := g.requestLog.newEvent("request.refused", true).Str("id", clip(r.Header.Get(g.headers.AttemptID))).Str("http_host", clip(r.Host)).
-		Str("target", clip(r.RequestURI)).Int("status", resp.status).Str("reason", resp.reason).Str("organisation", resp.organisation).
-		Dur("retry_after_ms", resp.retryAfter).Uint64("version", uint64(resp.version))
+	e := g.requestLog.newEvent("request.refused", true).Str("id", clip(r.Header.Get(g.headers.AttemptID))).Int("status", resp.status).
+		Str("reason", resp.reason)
+	// What the client may make long comes last, as readers of logs cut long lines.
 	if resp.version > 0 {
-		e = e.Dur("config_age_ms", g.configurationAge())
+		e = e.Uint64("version", uint64(resp.version)).Dur("config_age_ms", g.configurationAge())
 	}
-	e.Send()
+	e.Dur("retry_after_ms", resp.retryAfter).Str("organisation", resp.organisation).Str("http_host", clip(r.Host)).Str("target", clip(r.RequestURI)).Send()
 }
