Known red: a large configuration does not reach daemons with slow links

The test plays 14 daemons, two with links of 200 Mbit/s and twelve with 5 Mbit/s free, and versions of 1 MB each 0.475 s or 1 s.

--- a/gateway/feed/feed_test.go
+++ b/gateway/feed/feed_test.go
@@ -39,11 +39,13 @@
 
 func newFakeStore() *fakeStore { return &fakeStore{revision: 1, objects: map[string]objects.Object{}} }
 
-func (s *fakeStore) put(name string) {
+func (s *fakeStore) put(name string) { s.putSpec(name, nil) }
+
+func (s *fakeStore) putSpec(name string, spec []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.objects[name] = objects.Object{Name: name, Revision: s.revision}
+	s.objects[name] = objects.Object{Name: name, Revision: s.revision, Spec: spec}
 	s.events = append(s.events, objects.Event{Object: s.objects[name]})
 }
 
@@ -74,6 +76,8 @@
 	// silent makes a partitioned watch end only after its wait and watchSlack, as
 	// on a connection that goes silent.
 	silent bool
+	// link is the daemon's own, or nil if it is not limited.
+	link *link
 }
 
 const watchSlack = 500 * time.Millisecond
@@ -111,7 +115,10 @@
 			all = append(all, o)
 		}
 	}
-	return all, objects.Position{Era: c.era, Revision: c.revision}, nil
+	at := objects.Position{Era: c.era, Revision: c.revision}
+	c.mu.Unlock()
+	defer c.mu.Lock()
+	return all, at, c.receive(ctx, all, nil, callTimeout)
 }
 
 func (c *storeClient) Watch(ctx context.Context, kind string, after objects.Position, wait time.Duration) ([]objects.Event, objects.Position, error) {
@@ -137,7 +144,8 @@
 			c.mu.Lock()
 			c.calls++
 			c.mu.Unlock()
-			return events, objects.Position{Era: era, Revision: at}, ctx.Err()
+			err := c.receive(ctx, nil, events, time.Until(end)+watchSlack)
+			return events, objects.Position{Era: era, Revision: at}, errors.Join(err, ctx.Err())
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -152,6 +160,20 @@
 	return events, s.revision, revision < s.compactedAt
 }
 
+// callTimeout is how long a call may take.
+const callTimeout = 700 * time.Millisecond
+
+// receive waits until an answer has arrived over the daemon's link.
+func (c *storeClient) receive(ctx context.Context, all []objects.Object, events []objects.Event, timeout time.Duration) error {
+	if c.link == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c.link.transfer(ctx, int(update{objects: all, events: events}.size()))
+	return ctx.Err()
+}
+
 // testFleet is a set of replicas that call each other by address.
 type testFleet struct {
 	replicas map[string]*Replica
@@ -160,6 +182,8 @@
 	members  []relay.Member
 	cancels  map[string]context.CancelFunc
 	done     sync.WaitGroup
+	// links are those of the daemons by ID that have limited ones.
+	links map[string]*link
 
 	// mu guards the fields below, and replicas once the fleet runs.
 	mu sync.Mutex
@@ -184,8 +208,14 @@
 }
 
 func startFleetWithKinds(t *testing.T, s *fakeStore, kinds []Subscription, zones ...string) *testFleet {
+	t.Helper()
+	return startFleetOf(t, s, kinds, nil, zones...)
+}
+
+func startFleetOf(t *testing.T, s *fakeStore, kinds []Subscription, links map[string]*link, zones ...string) *testFleet {
 	t.Helper()
 	fleet := &testFleet{
+		links:    links,
 		replicas: map[string]*Replica{}, clients: map[string]*storeClient{}, kinds: kinds,
 		cancels: map[string]context.CancelFunc{}, regionFailures: map[string][]upstream.FailureCount{},
 	}
@@ -194,7 +224,7 @@
 		fleet.members = append(fleet.members, relay.Member{ID: fmt.Sprint("d", i), Zone: zone, Region: "r", Address: address})
 	}
 	for _, m := range fleet.members {
-		fleet.clients[m.ID] = &storeClient{fakeStore: s}
+		fleet.clients[m.ID] = &storeClient{fakeStore: s, link: links[m.ID]}
 		fleet.replicas[m.Address] = fleet.newReplica(m)
 	}
 	for _, m := range fleet.members {
@@ -241,7 +271,7 @@
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
-		return f.replica(addr.String()).handleCall(ctx, id, call)
+		return f.call(ctx, id, addr, call)
 	}
 }
 
--- /dev/null
+++ b/gateway/feed/slowlink_test.go
@@ -0,0 +1,142 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bilberrytiller.example/tiller/coordination/objects"
+	"bilberrytiller.example/tiller/protocol/wire"
+)
+
+// TestLargeConfigurationReachesSlowLinksInTime guards against versions of a large
+// configuration that daemons with slow links never get.
+func TestLargeConfigurationReachesSlowLinksInTime(t *testing.T) {
+	const bound = 3 * time.Second
+	for _, gap := range []time.Duration{475 * time.Millisecond, time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newFakeStore()
+			fleet := startFleetWithLinks(t, s, 14, 2)
+			defer fleet.stop()
+			time.Sleep(5 * time.Second)
+			for made := time.Now(); time.Since(made) < 12*time.Second; time.Sleep(gap) {
+				s.putSpec("main", largeSpec(s.revision))
+				s.mu.Lock()
+				at := objects.Position{Revision: s.revision}
+				s.mu.Unlock()
+				time.AfterFunc(bound, func() {
+					if late := fleet.behind(at); len(late) > 0 {
+						t.Errorf("gap %s: %v lack revision %d after %s", gap, late, at.Revision, bound)
+					}
+				})
+			}
+			time.Sleep(bound + time.Millisecond)
+		})
+	}
+}
+
+// largeSpec returns a configuration of about a megabyte.
+func largeSpec(version int64) []byte {
+	var b strings.Builder
+	for i := range 3400 {
+		fmt.Fprintf(&b, `"r-%07x":{"hostname":"vebo%d.example","path_prefix":"/gi%d/","route_type":"idempotent","timeout":"3000ms","target_latency":"1000ms",`+
+			`"priority":0,"traffic_split":[{"service_name":"huvo11a","weight":%d}],"max_attempts":2,"session_affinity":true,"allowed_regions":[],"version":%d},`,
+			uint32(i)*2654435761>>4, i%97, i, 10+i%90, version)
+	}
+	return []byte(b.String())
+}
+
+// link is the network link of a daemon, which its transfers share.
+type link struct {
+	bytesPerSecond float64
+	mu             sync.Mutex
+	transfers      int
+}
+
+// transferTick is the time after which the share of a transfer is calculated again.
+const transferTick = 5 * time.Millisecond
+
+// transfer receives a number of bytes, unless ctx ends first.
+func (l *link) transfer(ctx context.Context, bytes int) {
+	l.add(1)
+	defer l.add(-1)
+	for left := float64(bytes); left > 0 && ctx.Err() == nil; {
+		time.Sleep(transferTick)
+		l.mu.Lock()
+		left -= l.bytesPerSecond * transferTick.Seconds() / float64(l.transfers)
+		l.mu.Unlock()
+	}
+}
+
+func (l *link) add(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.transfers += n
+}
+
+// startFleetWithLinks starts daemons of one data centre, the first of which have links of
+// 200 Mbit/s, and the others of 10 Mbit/s, half of which their clients use.
+func startFleetWithLinks(t *testing.T, s *fakeStore, daemons, fast int) *testFleet {
+	t.Helper()
+	links := map[string]*link{}
+	for i := range daemons {
+		mbps := 5.0
+		if i < fast {
+			mbps = 200
+		}
+		links[fmt.Sprint("d", i)] = &link{bytesPerSecond: mbps * 1e6 / 8}
+	}
+	kind := watchedKind(changingKind, 1500*time.Millisecond)
+	kind.MaxAge = 3 * time.Second
+	return startFleetOf(t, s, []Subscription{kind}, links, slices.Repeat([]string{"z1"}, daemons)...)
+}
+
+// receive waits until a reply has arrived over a daemon's link. The rest of a reply that is
+// no longer awaited arrives nevertheless.
+func (f *testFleet) receive(ctx context.Context, id string, reply *wire.ObjectsReply) error {
+	l := f.links[id]
+	if l == nil {
+		return nil
+	}
+	frame, err := wire.Encode(wire.Envelope{}, reply)
+	if err != nil {
+		return err
+	}
+	received := make(chan struct{})
+	f.done.Go(func() {
+		defer close(received)
+		l.transfer(context.Background(), len(frame))
+	})
+	select {
+	case <-received:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// behind returns the daemons whose copy is not yet at a position.
+func (f *testFleet) behind(at objects.Position) []string {
+	var ids []string
+	for _, m := range f.members {
+		if got, _ := f.replica(m.Address).cache.Position(changingKind); got.Before(at) {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+// call calls a daemon, which replies unless it is unresponsive.
+func (f *testFleet) call(ctx context.Context, from string, addr netip.AddrPort, call *wire.ObjectsCall) (*wire.ObjectsReply, error) {
+	reply, err := f.replica(addr.String()).handleCall(ctx, from, call)
+	if err == nil {
+		err = f.receive(ctx, from, reply)
+	}
+	return reply, err
+}
