Keep a connection to a peer while a long message arrives on it

Cause, two of three: only a complete message counted as a sign of life. One that took longer than 0.75 s, the time for a quiet connection and its ping, was cut: the answer to the ping is behind the rest of the message. Each call began anew on a new connection, with as many bytes, so that 1 MB never arrived over 10 Mbit/s in use.

Each part of a message counts now. Times are of the steady clock, as a step of the time of day made connections look silent or alive.

--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -67,6 +67,20 @@
 	return CallWithGrace[Out](ctx, c, addr, t, in, 0)
 }
 
+// CallWhileReceiving makes a call to the peer at addr. It waits for the answer for the time
+// patience, including the time to connect, and longer only while a message arrives, of which
+// some part must come within each stallTimeout. The errors are those of Call, and ErrStalled.
+func CallWhileReceiving[Out any](ctx context.Context, c *Client, addr netip.AddrPort, t wire.Type, in any, patience time.Duration) (*Out, error) {
+	began := time.Now()
+	connectCtx, cancel := context.WithTimeoutCause(ctx, patience, ErrStalled)
+	defer cancel()
+	conn, err := c.connect(connectCtx, addr)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	return decodeAnswer[Out](conn.call(ctx, t, in, waiting{patience: patience - time.Since(began)}))
+}
+
 // CallWithGrace makes a call to the peer at addr and waits for the answer. If ctx
 // ends first, it cancels the call at the peer, which then has the grace period to
 // answer with the outcome. The errors are those of Call.
@@ -75,12 +89,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	env, err := conn.call(ctx, t, in, grace)
+	return decodeAnswer[Out](conn.call(ctx, t, in, waiting{grace: grace}))
+}
+
+// decodeAnswer decodes the answer to a call.
+func decodeAnswer[Out any](env wire.Envelope, err error) (*Out, error) {
 	if err != nil {
 		return nil, err
 	}
 	if env.Error != "" {
-		err := &RemoteError{Type: t, Message: env.Error}
+		err := &RemoteError{Type: env.Type, Message: env.Error}
 		if env.NotRun {
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
--- a/transport/peer/conn.go
+++ b/transport/peer/conn.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,8 @@
 	ErrNotSent = errors.New("call was not sent")
 	// ErrLost means that the connection was lost before the answer arrived.
 	ErrLost = errors.New("connection to peer was lost")
+	// ErrStalled means that no answer began, or that it did not go on.
+	ErrStalled = errors.New("answer of peer does not arrive")
 	// ErrUnexpectedAnswer means that the peer answered a call that was not made.
 	ErrUnexpectedAnswer = errors.New("answer does not match any call that was made")
 )
@@ -36,7 +39,11 @@
 
 func (e *RemoteError) Error() string { return fmt.Sprintf("peer refused %s: %s", e.Type, e.Message) }
 
-const writeTimeout = 5 * time.Second
+const (
+	writeTimeout = 5 * time.Second
+	// stallTimeout is the longest time between two parts of a message.
+	stallTimeout = 500 * time.Millisecond
+)
 
 // conn is a connection that this daemon opened. Answers are matched to calls by
 // ID.
@@ -68,16 +75,29 @@
 	return c
 }
 
-// call makes a call and waits for the answer. If ctx ends first and grace is above
-// zero, call cancels the call at the peer, which then has the grace period to
-// answer.
-func (c *conn) call(ctx context.Context, t wire.Type, body any, grace time.Duration) (wire.Envelope, error) {
+// waiting says how long a call waits for its answer.
+type waiting struct {
+	// patience is the time for an answer none of which has arrived, or 0 if only the
+	// context limits it.
+	patience time.Duration
+	// grace is the time that the peer has to answer after the context has ended.
+	grace time.Duration
+}
+
+// call makes a call and waits for the answer. If ctx ends first and there is a grace
+// period, call cancels the call at the peer, which then has that period to answer.
+func (c *conn) call(ctx context.Context, t wire.Type, body any, w waiting) (wire.Envelope, error) {
 	id, answer, err := c.register(t)
 	if err != nil {
 		return wire.Envelope{}, err
 	}
 	defer c.unregister(id)
 	defer time.AfterFunc(quietPeriod, c.watchSilence).Stop()
+	patience := time.NewTimer(w.patience)
+	defer patience.Stop()
+	if w.patience == 0 {
+		patience.Stop()
+	}
 	frame, err := wire.Encode(wire.Envelope{Type: t, ID: id}, body)
 	if err != nil {
 		return wire.Envelope{}, fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -85,17 +105,25 @@
 	if err := c.write(frame); err != nil {
 		return wire.Envelope{}, err
 	}
-	select {
-	case env := <-answer:
-		return env, nil
-	case <-c.done:
-		return wire.Envelope{}, fmt.Errorf("%w: %w", ErrLost, c.err)
-	case <-ctx.Done():
-	}
-	if grace > 0 {
-		return c.cancelAndWait(ctx, t, id, answer, grace)
+	for {
+		select {
+		case env := <-answer:
+			return env, nil
+		case <-c.done:
+			return wire.Envelope{}, fmt.Errorf("%w: %w", ErrLost, c.err)
+		case <-patience.C:
+			if !c.received.isArriving(time.Now()) {
+				return wire.Envelope{}, ErrStalled
+			}
+			patience.Reset(stallTimeout)
+			continue
+		case <-ctx.Done():
+		}
+		if w.grace > 0 {
+			return c.cancelAndWait(ctx, t, id, answer, w.grace)
+		}
+		return wire.Envelope{}, context.Cause(ctx)
 	}
-	return wire.Envelope{}, context.Cause(ctx)
 }
 
 // cancelAndWait cancels a call at the peer and waits for the answer for at most
@@ -151,12 +179,11 @@
 
 func (c *conn) readLoop() {
 	for {
-		_, frame, err := c.ws.Read(context.Background())
+		frame, err := c.readMessage()
 		if err != nil {
 			c.close(err)
 			return
 		}
-		c.received.touch(time.Now())
 		env, err := wire.Decode(frame)
 		if err != nil {
 			c.close(err)
@@ -169,6 +196,16 @@
 	}
 }
 
+// readMessage reads a message, and records when each part of it arrived.
+func (c *conn) readMessage() ([]byte, error) {
+	_, r, err := c.ws.Reader(context.Background())
+	if err != nil {
+		return nil, err
+	}
+	defer c.received.end()
+	return io.ReadAll(&arrivingReader{r, &c.received})
+}
+
 // deliver passes an answer to its call. An answer to a call that is no longer
 // pending is dropped. An answer that matches no call is an error, which closes
 // the connection.
--- a/transport/peer/silence.go
+++ b/transport/peer/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"sync/atomic"
 	"time"
 )
@@ -20,13 +21,49 @@
 
 // receiveTime is the time at which data last arrived from a peer.
 type receiveTime struct {
-	unixMs atomic.Int64
+	// last is the time from clockStart to the last data. The time of day may step.
+	last atomic.Int64
+	// inMessage is set while a part of a message has arrived and not the rest.
+	inMessage atomic.Bool
 }
 
-func (r *receiveTime) touch(now time.Time) { r.unixMs.Store(now.UnixMilli()) }
+// clockStart is a time before all others that are compared.
+var clockStart = time.Now()
 
-func (r *receiveTime) isQuiet(now time.Time) bool {
-	return now.UnixMilli()-r.unixMs.Load() >= quietPeriod.Milliseconds()
+func (r *receiveTime) touch(now time.Time) { r.last.Store(int64(now.Sub(clockStart))) }
+
+// quietFor returns the time since the last data.
+func (r *receiveTime) quietFor(now time.Time) time.Duration {
+	return now.Sub(clockStart) - time.Duration(r.last.Load())
+}
+
+func (r *receiveTime) isQuiet(now time.Time) bool { return r.quietFor(now) >= quietPeriod }
+
+// end records that the rest of a message has arrived, or never will.
+func (r *receiveTime) end() { r.inMessage.Store(false) }
+
+// isArriving reports whether a message is arriving.
+func (r *receiveTime) isArriving(now time.Time) bool {
+	return r.inMessage.Load() && r.quietFor(now) < stallTimeout
+}
+
+// maxReadBytes limits a read of arrivingReader, since the connection returns only full ones.
+const maxReadBytes = 4 << 10
+
+// arrivingReader records when data of a message arrives.
+type arrivingReader struct {
+	io.Reader
+	received *receiveTime
+}
+
+// Read reads a part of the message.
+func (r *arrivingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p[:min(len(p), maxReadBytes)])
+	if n > 0 {
+		r.received.touch(time.Now())
+		r.received.inMessage.Store(true)
+	}
+	return n, err
 }
 
 // watchSilence closes the connection if it is silent, so that its calls fail and
