Count the time on the way in the age of a copy

Cause: the age in a relay's reply was counted from when the reply arrived, and a watch counted as of the end of its answer. Class: an age measured at the receiver's end.

A reply says how long its call had waited when it was made, so that the age counts from the call, and a watch counts as of when its answer began.

TestAgeCountsTimeOnTheWay failed before: 1 s instead of 1.5 s after 0.5 s on the way.

--- a/coordination/objects/objects.go
+++ b/coordination/objects/objects.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"time"
 )
 
 // Errors of a store or a cache.
@@ -42,6 +43,14 @@
 	Deleted bool   `cbor:"x,omitempty"`
 }
 
+// Changes are the changes of a kind up to a position.
+type Changes struct {
+	Events []Event
+	To     Position
+	// AsOf is a time at which the store held no later change.
+	AsOf time.Time
+}
+
 // Latest returns the last event of each object, in the order of the events. It may reuse
 // events.
 func Latest(events []Event) []Event {
--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -21,10 +21,10 @@
 type Store interface {
 	// List returns all objects of a kind and the position to watch from.
 	List(ctx context.Context, kind string) ([]objects.Object, objects.Position, error)
-	// Watch returns the changes of a kind after a position, and the position to
-	// continue from, which is of the same era. It waits up to wait for a change. The
-	// error wraps objects.ErrHistoryGone if the store is in a later era.
-	Watch(ctx context.Context, kind string, after objects.Position, wait time.Duration) ([]objects.Event, objects.Position, error)
+	// Watch returns the changes of a kind after a position, up to one of the same era. It
+	// waits up to wait for a change. The error wraps objects.ErrHistoryGone if the store is
+	// in a later era.
+	Watch(ctx context.Context, kind string, after objects.Position, wait time.Duration) (objects.Changes, error)
 }
 
 // Subscription describes a kind of objects to follow and the callbacks that
--- a/gateway/feed/feed_test.go
+++ b/gateway/feed/feed_test.go
@@ -121,31 +121,32 @@
 	return all, at, c.receive(ctx, all, nil, callTimeout)
 }
 
-func (c *storeClient) Watch(ctx context.Context, kind string, after objects.Position, wait time.Duration) ([]objects.Event, objects.Position, error) {
+func (c *storeClient) Watch(ctx context.Context, kind string, after objects.Position, wait time.Duration) (objects.Changes, error) {
 	end := time.Now().Add(wait)
 	for {
 		if err := c.respond(ctx); err != nil {
-			return nil, objects.Position{}, err
+			return objects.Changes{}, err
 		}
 		c.mu.Lock()
 		c.calls--
 		if c.partitioned && c.silent {
 			c.mu.Unlock()
 			time.Sleep(time.Until(end) + watchSlack)
-			return nil, objects.Position{}, errUnreachable
+			return objects.Changes{}, errUnreachable
 		}
 		events, at, compacted := c.eventsAfter(kind, after.Revision)
 		era := c.era
 		c.mu.Unlock()
 		if compacted || era != after.Era {
-			return nil, objects.Position{}, objects.ErrHistoryGone
+			return objects.Changes{}, objects.ErrHistoryGone
 		}
 		if len(events) > 0 || !time.Now().Before(end) || ctx.Err() != nil {
 			c.mu.Lock()
 			c.calls++
 			c.mu.Unlock()
+			asOf := time.Now()
 			err := c.receive(ctx, nil, events, time.Until(end)+watchSlack)
-			return events, objects.Position{Era: era, Revision: at}, errors.Join(err, ctx.Err())
+			return objects.Changes{Events: events, To: objects.Position{Era: era, Revision: at}, AsOf: asOf}, errors.Join(err, ctx.Err())
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/gateway/feed/follow.go
+++ b/gateway/feed/follow.go
@@ -117,11 +117,11 @@
 		wait = w.sub.watchTimeout()
 	}
 	called := time.Now()
-	events, to, err := w.replica.store.Watch(ctx, w.sub.Kind, from, wait)
+	c, err := w.replica.store.Watch(ctx, w.sub.Kind, from, wait)
 	if err != nil {
 		return err
 	}
-	w.replica.apply(w.sub, update{events: events, from: from, to: to, confirmed: time.Now(), source: storeSource, called: called})
+	w.replica.apply(w.sub, update{events: c.Events, from: from, to: c.To, confirmed: c.AsOf, source: storeSource, called: called})
 	return nil
 }
 
--- a/gateway/feed/relay.go
+++ b/gateway/feed/relay.go
@@ -71,6 +71,7 @@
 		reply := r.changesFor(call)
 		unconfirmed := slices.ContainsFunc(reply.Kinds, func(k wire.KindReply) bool { return k.Unconfirmed })
 		if !unconfirmed && hasNews(call, reply, time.Since(received)) {
+			reply.Waited = time.Since(received)
 			return reply, nil
 		}
 		var recheck <-chan time.Time
@@ -81,7 +82,9 @@
 		case <-updated:
 		case <-recheck:
 		case <-timer.C:
-			return r.changesFor(call), nil
+			reply := r.changesFor(call)
+			reply.Waited = time.Since(received)
+			return reply, nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
@@ -298,7 +301,9 @@
 		}
 		u.full, u.objects, u.events = k.Full, k.Objects, k.Events
 		u.from = objects.Position{Era: call.Kinds[i].Era, Revision: call.Kinds[i].Revision}
-		u.to, u.confirmed = objects.Position{Era: k.Era, Revision: k.Revision}, time.Now().Add(-k.Age)
+		u.to = objects.Position{Era: k.Era, Revision: k.Revision}
+		// The reply was made no earlier than this after the call; its way may take long.
+		u.confirmed = u.called.Add(reply.Waited - k.Age)
 		r.apply(sub, u)
 		if !isRelay {
 			continue
--- a/gateway/feed/slowlink_test.go
+++ b/gateway/feed/slowlink_test.go
@@ -11,7 +11,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"bilberrytiller.example/tiller/coordination/objects"
+	"bilberrytiller.example/tiller/coordination/relay"
+	"bilberrytiller.example/tiller/coordination/upstream"
 	"bilberrytiller.example/tiller/protocol/wire"
 )
 
@@ -51,9 +55,9 @@
 func largeSpec(version int64) []byte {
 	var b strings.Builder
 	for i := range 3400 {
-		fmt.Fprintf(&b, `"r-%07x":{"hostname":"vebo%d.example","path_prefix":"/gi%d/","route_type":"idempotent","timeout":"3000ms","target_latency":"1000ms",`+
-			`"priority":0,"traffic_split":[{"service_name":"huvo11a","weight":%d}],"max_attempts":2,"session_affinity":true,"allowed_regions":[],"version":%d},`,
-			uint32(i)*2654435761>>4, i%97, i, 10+i%90, version)
+		fmt.Fprintf(&b, `"r-%07x":{"host":"shop%d.example","prefix":"/gi%d/","kind":"idempotent","timeout":"3000ms","objective":"1000ms","priority":0,`+
+			`"split":[{"service":"stock","weight":%d}],"attempts":2,"affinity":true,"regions":["north","south","east"],"made_by":"operator-%d","version":%d},`,
+			uint32(i)*2654435761>>4, i%97, i, 10+i%90, i%7, version)
 	}
 	return []byte(b.String())
 }
@@ -146,3 +150,27 @@
 	}
 	return reply, err
 }
+
+// TestAgeCountsTimeOnTheWay guards against a copy that seems younger than it is, by the time
+// that each reply takes to arrive, so that it is trusted for too long.
+func TestAgeCountsTimeOnTheWay(t *testing.T) {
+	const (
+		age   = time.Second
+		onWay = 500 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		kind := watchedKind(changingKind, 1500*time.Millisecond)
+		slow := func(context.Context, netip.AddrPort, *wire.ObjectsCall) (*wire.ObjectsReply, error) {
+			time.Sleep(onWay)
+			return &wire.ObjectsReply{Kinds: []wire.KindReply{{Kind: changingKind, Full: true, Revision: 2, Age: age}}}, nil
+		}
+		hooks := FailureHooks{Local: func() []upstream.FailureCount { return nil }, ApplyRegional: func([]upstream.FailureCount) {}}
+		r := New(Settings{Self: relay.Member{ID: "a"}}, &storeClient{fakeStore: newFakeStore()}, []Subscription{kind}, hooks, slow, zerolog.Nop())
+		if err := r.pollDaemon(t.Context(), "10.0.0.2:1", true); err != nil {
+			t.Fatal(err)
+		}
+		if got := r.Age(changingKind); got != age+onWay {
+			t.Errorf("copy is %s old, want %s and the %s that the reply took", got, age, onWay)
+		}
+	})
+}
--- a/protocol/wire/objects.go
+++ b/protocol/wire/objects.go
@@ -70,6 +70,8 @@
 // ObjectsReply is the reply to an ObjectsCall.
 type ObjectsReply struct {
 	Kinds []KindReply `cbor:"k"`
+	// Waited is the time from the arrival of the call to the making of the reply.
+	Waited time.Duration `cbor:"w,omitempty"`
 	// Failures are the failures of backend servers seen by all daemons of the
 	// region.
 	Failures []ServerFailures `cbor:"f,omitempty"`
