Wait for objects of the store for as long as they arrive

What had arrived was thrown away and asked for again, from the store and the relay at once, so the link became fuller. Class: a time limit that does not know what it limits, with a retry that makes its own success less likely.

The limits apply to the beginning of an answer now, and after it to each part. While a reply arrives, a daemon does not read the store as well, up to the greatest age of its copy. Ten seconds limit the whole of one.

--- a/gateway/feed/age.go
+++ b/gateway/feed/age.go
@@ -29,15 +29,32 @@
 }
 
 // isSupplied reports whether a relay supplies a kind and the copy is young enough
-// to leave reading the store to it.
+// to leave reading the store to it. While a reply is arriving, a read of the store would
+// only delay it.
 func (r *Replica) isSupplied(sub Subscription, now time.Time) bool {
 	age, hasCopy := r.cache.Age(sub.Kind, now)
-	if !hasCopy || age > sub.maxRelayedAge() {
+	if !hasCopy {
 		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return now.Before(r.relayedUntil[sub.Kind])
+	if r.isReceiving(now) {
+		return age <= sub.MaxAge
+	}
+	return age <= sub.maxRelayedAge() && now.Before(r.relayedUntil[sub.Kind])
+}
+
+// isReceiving reports whether the reply of a relay is arriving, which a call that outlasts
+// its time for a reply waits for. The caller holds r.mu.
+func (r *Replica) isReceiving(now time.Time) bool {
+	return !r.polledSince.IsZero() && now.Sub(r.polledSince) > relayReplyTimeout
+}
+
+// setPolledSince records when the current call to a relay began, or that it ended.
+func (r *Replica) setPolledSince(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.polledSince = at
 }
 
 // setSupplied records that a relay supplies a kind, or that it does not.
@@ -46,7 +63,7 @@
 	defer r.mu.Unlock()
 	r.relayedUntil[kind] = time.Time{}
 	if supplied {
-		r.relayedUntil[kind] = time.Now().Add(relayPollTimeout + relayReplyMargin)
+		r.relayedUntil[kind] = time.Now().Add(relayReplyTimeout)
 		r.unconfirmed[kind] = false
 	}
 }
--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -78,6 +78,8 @@
 	mu       sync.Mutex
 	members  []relay.Member
 	selector *relay.Selector
+	// polledSince is when the current call to a relay began, or zero if there is none.
+	polledSince time.Time
 	// relayedUntil is the time until which a relay is known to supply each kind.
 	relayedUntil map[string]time.Time
 	// unconfirmed holds the kinds whose last call to the store failed, and that no
--- a/gateway/feed/relay.go
+++ b/gateway/feed/relay.go
@@ -21,6 +21,10 @@
 	relayPollTimeout = 300 * time.Millisecond
 	// relayReplyMargin is the time allowed for the reply beyond relayPollTimeout.
 	relayReplyMargin = 300 * time.Millisecond
+	// relayReplyTimeout is how long a daemon waits for a reply to begin, and maxReplyTime
+	// for the whole of it.
+	relayReplyTimeout = relayPollTimeout + relayReplyMargin
+	maxReplyTime      = 10 * time.Second
 	// relayRetryDelay is how long a failed relay is not called. It is short,
 	// since the relay may notice the recovery of the store first.
 	relayRetryDelay = 700 * time.Millisecond
@@ -43,13 +47,14 @@
 // ErrStale means that a relay's data is too old.
 var ErrStale = errors.New("relay is behind the store")
 
-// CallFunc sends a call to another daemon.
+// CallFunc sends a call to another daemon. It waits for the reply for relayReplyTimeout, and
+// longer only while the reply arrives.
 type CallFunc func(ctx context.Context, addr netip.AddrPort, call *wire.ObjectsCall) (*wire.ObjectsReply, error)
 
 // PeerCallFunc returns a CallFunc that uses the given client.
 func PeerCallFunc(peers *peer.Client) CallFunc {
 	return func(ctx context.Context, addr netip.AddrPort, call *wire.ObjectsCall) (*wire.ObjectsReply, error) {
-		return peer.Call[wire.ObjectsReply](ctx, peers, addr, wire.TypeObjects, call)
+		return peer.CallWhileReceiving[wire.ObjectsReply](ctx, peers, addr, wire.TypeObjects, call, relayReplyTimeout)
 	}
 }
 
@@ -196,7 +201,7 @@
 			continue
 		}
 		if errors.Is(err, objects.ErrUnknownKind) {
-			r.setRelayStartingUntil(time.Now().Add(relayPollTimeout + relayReplyMargin))
+			r.setRelayStartingUntil(time.Now().Add(relayReplyTimeout))
 			if r.waitsForRelay() {
 				sleep.For(ctx, startingRelayPollInterval)
 				continue
@@ -263,9 +268,13 @@
 	if err != nil {
 		return fmt.Errorf("parse daemon address: %w", err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, relayPollTimeout+relayReplyMargin)
+	ctx, cancel := context.WithTimeout(ctx, maxReplyTime)
 	defer cancel()
 	called := time.Now()
+	if isRelay {
+		r.setPolledSince(called)
+		defer r.setPolledSince(time.Time{})
+	}
 	call := &wire.ObjectsCall{Wait: relayPollTimeout, Failures: r.failures.subtreeTotal(time.Now()), Hosts: r.hostExchange(address)}
 	call.Loads = r.knownLoads(false, time.Now())
 	for _, sub := range r.subscriptions {
--- a/gateway/feed/slowlink_test.go
+++ b/gateway/feed/slowlink_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -174,3 +175,21 @@
 		}
 	})
 }
+
+// TestArrivingReplyIsNotRacedByStore guards against a daemon that reads the store as well
+// while its relay's reply arrives, which delays both on the same link.
+func TestArrivingReplyIsNotRacedByStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		fleet := startFleetWithLinks(t, s, 3, 2)
+		defer fleet.stop()
+		time.Sleep(5 * time.Second)
+		spec := make([]byte, 700_000)
+		_, _ = rand.NewChaCha8([32]byte{}).Read(spec)
+		s.putSpec("main", spec)
+		// The reply takes 1.12 s.
+		if calls := s.callsDuring(1300 * time.Millisecond); calls > 2 || len(fleet.lagging("main")) > 0 {
+			t.Errorf("got %d calls to the store, %v lack the object, want at most 2 calls, of the root, and none", calls, fleet.lagging("main"))
+		}
+	})
+}
--- a/internal/httplimit/httplimit.go
+++ b/internal/httplimit/httplimit.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 )
 
 // MaxResponseHeaderBytes limits the status line and the header of a response, and
@@ -27,3 +28,25 @@
 	}
 	return read, nil
 }
+
+// StallReader returns a reader of a body that resets a timer at its start and whenever a
+// part of the body arrives, so that the timer ends a body that stops arriving.
+func StallReader(body io.Reader, stall time.Duration, timer *time.Timer) io.Reader {
+	timer.Reset(stall)
+	return &stallReader{body, stall, timer}
+}
+
+type stallReader struct {
+	io.Reader
+	stall time.Duration
+	timer *time.Timer
+}
+
+// Read reads a part of the body.
+func (r *stallReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.timer.Reset(r.stall)
+	}
+	return n, err
+}
