--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -74,6 +74,7 @@
 	call          CallFunc
 	hosts         HostHooks
 	stats         stats
+	packer        packer
 
 	mu       sync.Mutex
 	members  []relay.Member
--- a/gateway/feed/relay.go
+++ b/gateway/feed/relay.go
@@ -76,8 +76,7 @@
 		reply := r.changesFor(call)
 		unconfirmed := slices.ContainsFunc(reply.Kinds, func(k wire.KindReply) bool { return k.Unconfirmed })
 		if !unconfirmed && hasNews(call, reply, time.Since(received)) {
-			reply.Waited = time.Since(received)
-			return reply, nil
+			return r.finishReply(call, reply, received), nil
 		}
 		var recheck <-chan time.Time
 		if unconfirmed {
@@ -87,15 +86,24 @@
 		case <-updated:
 		case <-recheck:
 		case <-timer.C:
-			reply := r.changesFor(call)
-			reply.Waited = time.Since(received)
-			return reply, nil
+			return r.finishReply(call, r.changesFor(call), received), nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 	}
 }
 
+// finishReply completes the reply to a call before it is sent.
+func (r *Replica) finishReply(call *wire.ObjectsCall, reply *wire.ObjectsReply, received time.Time) *wire.ObjectsReply {
+	reply.Waited = time.Since(received)
+	if call.AcceptsPacked {
+		for i := range reply.Kinds {
+			r.packer.pack(&reply.Kinds[i])
+		}
+	}
+	return reply
+}
+
 func (r *Replica) changesFor(call *wire.ObjectsCall) *wire.ObjectsReply {
 	reply := &wire.ObjectsReply{Failures: r.failures.regionTotal(time.Now()), Hosts: r.hostsFor(call)}
 	reply.Loads = r.knownLoads(true, time.Now())
@@ -275,7 +283,7 @@
 		r.setPolledSince(called)
 		defer r.setPolledSince(time.Time{})
 	}
-	call := &wire.ObjectsCall{Wait: relayPollTimeout, Failures: r.failures.subtreeTotal(time.Now()), Hosts: r.hostExchange(address)}
+	call := &wire.ObjectsCall{Wait: relayPollTimeout, AcceptsPacked: true, Failures: r.failures.subtreeTotal(time.Now()), Hosts: r.hostExchange(address)}
 	call.Loads = r.knownLoads(false, time.Now())
 	for _, sub := range r.subscriptions {
 		at, known := r.cache.Position(sub.Kind)
@@ -308,6 +316,10 @@
 			errs = append(errs, fmt.Errorf("%w: kind %s", objects.ErrUnknownKind, k.Kind))
 			continue
 		}
+		if err := r.packer.unpack(&k); err != nil {
+			errs = append(errs, err)
+			continue
+		}
 		u.full, u.objects, u.events = k.Full, k.Objects, k.Events
 		u.from = objects.Position{Era: call.Kinds[i].Era, Revision: call.Kinds[i].Revision}
 		u.to = objects.Position{Era: k.Era, Revision: k.Revision}
--- a/protocol/wire/objects.go
+++ b/protocol/wire/objects.go
@@ -15,6 +15,8 @@
 type ObjectsCall struct {
 	Kinds []KindCall    `cbor:"k"`
 	Wait  time.Duration `cbor:"w"`
+	// AcceptsPacked says that the calling daemon can read packed specs.
+	AcceptsPacked bool `cbor:"p,omitempty"`
 	// Failures are the failures of backend servers seen by the calling daemon
 	// and by the daemons that call it.
 	Failures []ServerFailures `cbor:"f,omitempty"`
@@ -81,6 +83,13 @@
 	Hosts *HostExchange `cbor:"h,omitempty"`
 }
 
+// PackedSpec is the spec of an object, compressed with DEFLATE.
+type PackedSpec struct {
+	// Index is that of the object in Objects or in Events, whichever the reply has.
+	Index    int    `cbor:"i"`
+	Deflated []byte `cbor:"d"`
+}
+
 // KindReply contains the changes of a kind.
 type KindReply struct {
 	Kind string `cbor:"k"`
@@ -88,10 +97,12 @@
 	Unknown bool `cbor:"u,omitempty"`
 	// Full says that Objects contains all objects of the kind. Otherwise Events
 	// contains the changes.
-	Full     bool             `cbor:"f,omitempty"`
-	Objects  []objects.Object `cbor:"o,omitempty"`
-	Events   []objects.Event  `cbor:"e,omitempty"`
-	Revision int64            `cbor:"r"`
+	Full    bool             `cbor:"f,omitempty"`
+	Objects []objects.Object `cbor:"o,omitempty"`
+	Events  []objects.Event  `cbor:"e,omitempty"`
+	// Packed holds the specs that Objects and Events lack.
+	Packed   []PackedSpec `cbor:"p,omitempty"`
+	Revision int64        `cbor:"r"`
 	// Era is the store's era of Revision. If it is lower than that of the call, the
 	// replying daemon has nothing to tell.
 	Era int64 `cbor:"j,omitempty"`
