Trust a refusal without an ID only on a connection that carried nothing else

Report of other operators: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that it ran (REFUSED), or these ran at a second server (TWICE).

It happened here where the copy has no ID: any refusal without one counted as the answer to the request in flight.

On a connection that has carried another request, such a refusal now ends the exchange with an unknown outcome, at once, and the connection. Servers echo the ID in all their answers, so this costs only faulty ones.

TestRejectionWithoutIDCountsOnlyOnNewConnection failed before (not run, twice).

--- a/transport/upstreamhttp/client_test.go
+++ b/transport/upstreamhttp/client_test.go
@@ -400,3 +400,46 @@
 		}
 	}
 }
+
+// TestAnswerWithoutItsEndIsLost guards against an answer that stops anywhere in its head or
+// body and is passed on as complete, or as a rejection that promises more than arrived.
+func TestAnswerWithoutItsEndIsLost(t *testing.T) {
+	chunked := "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Signed: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nmine\r\n0\r\n\r\n"
+	rejection := "HTTP/1.1 503 Service Unavailable\r\nX-Id: a\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull"
+	interim := "HTTP/1.1 102 Processing\r\n\r\n"
+	for name, whole := range map[string]string{
+		"length": strings.ReplaceAll(successAnswer("mine"), "{id}", "a"), "empty": strings.ReplaceAll(successAnswer(""), "{id}", "a"),
+		"chunks": chunked, "rejection": rejection, "after an interim answer": interim + strings.ReplaceAll(successAnswer("mine"), "{id}", "a"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			for end := 1; end < len(whole); end++ {
+				x := New(testHeaders).Run(context.Background(), startEndingServer(t, whole[:end]), newRequest("a"))
+				if x.Answer != nil || !x.Sent || x.Result.Outcome != upstream.Lost {
+					t.Errorf("answer ends with %q: got %+v, %v, want it lost", whole[max(0, end-12):end], x.Answer, x.Result.Outcome)
+				}
+			}
+		})
+	}
+}
+
+// startEndingServer starts a server that sends some bytes as the answer to a request and
+// closes the connection.
+func startEndingServer(t *testing.T, text string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, text)
+		}
+	}()
+	return l.Addr().String()
+}
--- a/transport/upstreamhttp/conn.go
+++ b/transport/upstreamhttp/conn.go
@@ -39,7 +39,7 @@
 
 // Errors after which the request may have run.
 var (
-	// ErrUnmatchedAnswer means that no answer carried the ID of the request.
+	// ErrUnmatchedAnswer means that no answer is provably the one to the request.
 	ErrUnmatchedAnswer = errors.New("none of the answers carries the request's ID")
 	// ErrEncoded means that the body of an answer was encoded, so its bytes are
 	// not those that the server produced.
@@ -208,7 +208,11 @@
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
-		if matches(n, r, resp) {
+		isMatch, err := c.matches(n, r, resp)
+		if err != nil {
+			return nil, err
+		}
+		if isMatch {
 			return resp, nil
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, MaxAnswerBytes)); err != nil {
@@ -236,13 +240,19 @@
 
 // matches reports whether an answer belongs to the request. An answer without an
 // ID is accepted if it says that the request was not run: a server may refuse a
-// request that it has not read.
-func matches(n HeaderNames, r *Request, resp *http.Response) bool {
-	id := resp.Header.Get(n.AttemptID)
-	if id != "" {
-		return id == r.ID
+// request that it has not read. On a connection that has carried other requests it may be
+// an earlier refusal, sent once more, and the error is ErrUnmatchedAnswer.
+func (c *conn) matches(n HeaderNames, r *Request, resp *http.Response) (bool, error) {
+	if id := resp.Header.Get(n.AttemptID); id != "" {
+		return id == r.ID, nil
+	}
+	if resp.StatusCode != http.StatusMisdirectedRequest && resp.Header.Get(n.NotExecuted) == "" {
+		return false, nil
+	}
+	if c.carried > 1 && r.ID != "" {
+		return false, fmt.Errorf("%w: a refusal without an ID on a connection in use", ErrUnmatchedAnswer)
 	}
-	return resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(n.NotExecuted) != ""
+	return true, nil
 }
 
 func readAnswer(n HeaderNames, resp *http.Response, bodyMemory BodyMemory) (*Answer, error) {
--- a/transport/upstreamhttp/late_test.go
+++ b/transport/upstreamhttp/late_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"bilberrytiller.example/tiller/coordination/upstream"
 )
 
 // startLateCopyServer starts a server that rejects the first request of the first
@@ -139,3 +141,30 @@
 		t.Errorf("got error %v after %d connections, want an answer on the second", x.Err, client.Dials.Load())
 	}
 }
+
+// TestRejectionWithoutIDCountsOnlyOnNewConnection guards against an earlier rejection that a
+// server writes once more on a connection in use: the request ran, and its client was told
+// that it did not.
+func TestRejectionWithoutIDCountsOnlyOnNewConnection(t *testing.T) {
+	rejection := fmt.Sprintf(rejectionWithoutID, "")
+	for name, c := range map[string]struct {
+		script  []string
+		outcome upstream.Outcome
+	}{
+		"on a new connection":  {[]string{rejection}, upstream.Shed},
+		"after another answer": {[]string{successAnswer("one"), rejection + successAnswer("two")}, upstream.Lost},
+		"in place of answer":   {[]string{successAnswer("one"), rejection}, upstream.Lost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := startScriptedServer(t, c.script)
+			client := New(testHeaders)
+			var last Exchange
+			for i := range c.script {
+				last = client.Run(context.Background(), addr, newRequest(fmt.Sprint("r", i)))
+			}
+			if last.Result.Outcome != c.outcome || !last.Sent || client.Dials.Load() != 1 {
+				t.Errorf("got %+v, %v on %d connections, want outcome %v on one", last.Answer, last.Err, client.Dials.Load(), c.outcome)
+			}
+		})
+	}
+}
