Wait for answers of the product's platform for as long as they arrive

Over 10 Mbit/s, 6 MB never arrived, and were read again from the start. The watch of the platform's catalogue is read the same way.

The limits apply to the beginning of an answer and then to each part; the code is that of the gateway's store, in internal/httplimit.

--- a/internal/httplimit/httplimit.go
+++ b/internal/httplimit/httplimit.go
@@ -3,6 +3,7 @@
 package httplimit
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -29,6 +30,23 @@
 	return read, nil
 }
 
+// ErrStalled means that a response did not begin, or did not go on.
+var ErrStalled = errors.New("response does not arrive")
+
+// AwaitResponse returns a context for a call, which ends with the cause ErrStalled unless
+// the response begins within timeout, and with it after another time rest at the latest. The
+// timer is for StallReader.
+func AwaitResponse(ctx context.Context, timeout, rest time.Duration) (context.Context, *time.Timer, context.CancelFunc) {
+	ctx, cancelWhole := context.WithTimeoutCause(ctx, timeout+rest, ErrStalled)
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(timeout, func() { cancel(ErrStalled) })
+	return ctx, timer, func() {
+		timer.Stop()
+		cancel(nil)
+		cancelWhole()
+	}
+}
+
 // StallReader returns a reader of a body that resets a timer at its start and whenever a
 // part of the body arrives, so that the timer ends a body that stops arriving.
 func StallReader(body io.Reader, stall time.Duration, timer *time.Timer) io.Reader {
--- a/transport/platformhttp/client.go
+++ b/transport/platformhttp/client.go
@@ -19,9 +19,13 @@
 )
 
 const (
-	callTimeout  = 5 * time.Second
-	watchTimeout = 60 * time.Second
-	maxIdleConns = 8
+	// callTimeout and watchTimeout limit the time until an answer begins, stallTimeout that
+	// between two parts of it, and maxAnswerTime the whole of one.
+	callTimeout   = 5 * time.Second
+	watchTimeout  = 60 * time.Second
+	stallTimeout  = 5 * time.Second
+	maxAnswerTime = 5 * time.Minute
+	maxIdleConns  = 8
 	// maxAnswerBytes limits the body of an answer. It is large since a list may hold
 	// many objects.
 	maxAnswerBytes = 64 << 20
@@ -113,7 +117,7 @@
 }
 
 func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, ifVersion *uint64, body []byte, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, timer, cancel := httplimit.AwaitResponse(ctx, timeout, maxAnswerTime)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
@@ -127,7 +131,7 @@
 		return unavailableError(err)
 	}
 	defer resp.Body.Close()
-	answer, err := httplimit.ReadAll(resp.Body, maxAnswerBytes)
+	answer, err := httplimit.ReadAll(httplimit.StallReader(resp.Body, stallTimeout, timer), maxAnswerBytes)
 	if err != nil {
 		return errors.Join(platform.ErrUnavailable, err)
 	}
