Let a daemon that the store turns away ask its neighbours

Cause: a daemon asked only the relays above it and the store. One at the top of the tree that the store turned away kept its old copy, while those below it and the other regions had the new one.

Such a daemon asks the others in turn, its data centre first. It does not count as supplied, so that those below it go on reading the store; failures and loads are left out, as they would count twice.

--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -73,6 +73,33 @@
 	return Member{}, false
 }
 
+// Neighbour returns the daemon to ask when no relay returns current content and the store
+// turns this daemon away: its relays are above it in the tree, but others may read the
+// store. Each attempt asks another one, first those of the same data centre. It returns
+// false if there is none.
+func (s *Selector) Neighbour(members []Member, attempt int) (Member, bool) {
+	var others []Member
+	for _, m := range members {
+		if m.ID != s.self.ID {
+			others = append(others, m)
+		}
+	}
+	if len(others) == 0 {
+		return Member{}, false
+	}
+	rank := func(m Member) int {
+		switch {
+		case m.Zone == s.self.Zone:
+			return 0
+		case m.Region == s.self.Region:
+			return 1
+		}
+		return 2
+	}
+	slices.SortFunc(others, func(a, b Member) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), compareMembers(a, b)) })
+	return others[attempt%len(others)], true
+}
+
 // IsRoot reports whether the daemon has no relays at all, regardless of
 // failures.
 func (s *Selector) IsRoot(members []Member) bool { return len(s.relays(members)) == 0 }
--- a/coordination/relay/relay_test.go
+++ b/coordination/relay/relay_test.go
@@ -176,3 +176,23 @@
 		t.Errorf("%v expired 20 s into the new era", got)
 	}
 }
+
+// TestNeighboursAreAllOthersInTurn guards against a daemon that is turned away by the store
+// and always asks the same neighbour, or itself.
+func TestNeighboursAreAllOthersInTurn(t *testing.T) {
+	selector := NewSelector(member("r", "z2", "z2-0"), time.Second)
+	all := testRegion()
+	asked := map[string]bool{}
+	for attempt := range len(all) - 1 {
+		m, ok := selector.Neighbour(all, attempt)
+		if !ok || m.ID == "z2-0" || asked[m.ID] {
+			t.Fatalf("attempt %d: got %v, %t", attempt, m, ok)
+		}
+		if asked[m.ID] = true; attempt < 3 != (m.Zone == "z2") || attempt < 7 != (m.Region == "r") {
+			t.Errorf("attempt %d asks %s, want those of the data centre first, then those of the region", attempt, m.ID)
+		}
+	}
+	if m, ok := selector.Neighbour([]Member{member("r", "z2", "z2-0")}, 3); ok {
+		t.Errorf("a daemon alone asks %v", m)
+	}
+}
--- a/gateway/feed/feed.go
+++ b/gateway/feed/feed.go
@@ -86,6 +86,8 @@
 	// unconfirmed holds the kinds whose last call to the store failed, and that no
 	// source has confirmed since.
 	unconfirmed map[string]bool
+	// neighbourAttempts counts the neighbours that had nothing current.
+	neighbourAttempts int
 	// relayStartingUntil is the time until which a relay is known to be starting.
 	relayStartingUntil time.Time
 	// applyMu keeps the callbacks of the subscriptions in the order of the
--- a/gateway/feed/relay.go
+++ b/gateway/feed/relay.go
@@ -197,10 +197,14 @@
 	for ctx.Err() == nil {
 		source, ok := r.pickRelay()
 		if !ok {
-			if !r.waitsForRelay() && !r.hasAllKinds() {
+			wait := relayCheckInterval
+			switch {
+			case !r.waitsForRelay() && !r.hasAllKinds():
 				r.pollSeeds(ctx)
+			case r.isStranded():
+				wait = r.askNeighbour(ctx)
 			}
-			sleep.For(ctx, relayCheckInterval)
+			sleep.For(ctx, wait)
 			continue
 		}
 		err := r.pollDaemon(ctx, source.Address, true)
@@ -285,11 +289,7 @@
 	}
 	call := &wire.ObjectsCall{Wait: relayPollTimeout, AcceptsPacked: true, Failures: r.failures.subtreeTotal(time.Now()), Hosts: r.hostExchange(address)}
 	call.Loads = r.knownLoads(false, time.Now())
-	for _, sub := range r.subscriptions {
-		at, known := r.cache.Position(sub.Kind)
-		age, _ := r.cache.Age(sub.Kind, time.Now())
-		call.Kinds = append(call.Kinds, wire.KindCall{Kind: sub.Kind, Era: at.Era, HasEra: true, Revision: at.Revision, HasRevision: known, Age: age})
-	}
+	r.addKinds(call)
 	reply, err := r.call(ctx, addr, call)
 	if err != nil {
 		return err
@@ -300,6 +300,15 @@
 	return r.applyReply(call, reply, update{source: address, called: called}, isRelay)
 }
 
+// addKinds adds what the daemon has of each kind to a call.
+func (r *Replica) addKinds(call *wire.ObjectsCall) {
+	for _, sub := range r.subscriptions {
+		at, known := r.cache.Position(sub.Kind)
+		age, _ := r.cache.Age(sub.Kind, time.Now())
+		call.Kinds = append(call.Kinds, wire.KindCall{Kind: sub.Kind, Era: at.Era, HasEra: true, Revision: at.Revision, HasRevision: known, Age: age})
+	}
+}
+
 // applyReply applies the reply to a call. Each kind of it is an update like u.
 func (r *Replica) applyReply(call *wire.ObjectsCall, reply *wire.ObjectsReply, u update, isRelay bool) error {
 	if len(reply.Kinds) != len(r.subscriptions) {
