Report what daemons lack when a wait times out, not the call that it cut

Cause: the last round of calls, which the timeout of the wait itself cuts off, replaced what the rounds before had found; on a busy machine the first round is cut off too. A round that the timeout cuts off counts no more, and the first one has 5 s in any case.

TestTimeoutTellsWhatDaemonsLack failed before, in both cases, with the message above.

--- a/cli/tillerctl/wait.go
+++ b/cli/tillerctl/wait.go
@@ -26,6 +26,10 @@
 	} `positional-args:"yes"`
 }
 
+// minFirstRoundTime is the time that the daemons have for their first answers, also if the
+// wait is shorter.
+const minFirstRoundTime = 5 * time.Second
+
 // Execute waits until every daemon has the target in force.
 func (c *waitCommand) Execute([]string) error {
 	daemons, err := c.env.requireDaemons()
@@ -39,8 +43,11 @@
 	ctx, cancel := context.WithTimeout(c.env.ctx, c.Timeout)
 	defer cancel()
 	status := &progressLine{file: c.env.stderr}
+	// The first round may outlast the timeout, so that there is something to report.
+	firstCtx, cancelFirst := context.WithTimeout(c.env.ctx, max(c.Timeout, minFirstRoundTime))
+	defer cancelFirst()
+	missing := c.unmet(firstCtx, daemons, want)
 	for {
-		missing := c.unmet(ctx, daemons, want)
 		if len(missing) == 0 {
 			status.clear()
 			return c.printResult(want, len(daemons))
@@ -53,6 +60,10 @@
 			}
 			return &TimeoutError{After: c.Timeout, Pending: missing}
 		}
+		// A round that the timeout cuts off says nothing of the daemons.
+		if latest := c.unmet(ctx, daemons, want); ctx.Err() == nil || len(latest) == 0 {
+			missing = latest
+		}
 	}
 }
 
--- a/cli/tillerctl/wait_test.go
+++ b/cli/tillerctl/wait_test.go
@@ -1,8 +1,14 @@
 package tillerctl
 
 import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"testing"
+	"time"
 
 	"bilberrytiller.example/tiller/protocol/operatorapi"
 )
@@ -33,3 +39,28 @@
 		})
 	}
 }
+
+// TestTimeoutTellsWhatDaemonsLack guards against a wait that ends during a call to a daemon
+// and reports this as the daemon's failure.
+func TestTimeoutTellsWhatDaemonsLack(t *testing.T) {
+	for name, firstDelay := range map[string]time.Duration{"later answers hang": 0, "first answer outlasts the timeout": 500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			calls := 0
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if calls++; calls > 1 {
+					<-r.Context().Done()
+					return
+				}
+				time.Sleep(firstDelay)
+				_, _ = w.Write([]byte(`[{"entry":"region.a","version":8}]`))
+			}))
+			defer server.Close()
+			var stderr bytes.Buffer
+			e := &env{ctx: context.Background(), opts: &options{}, stdin: strings.NewReader(""), stdout: &stderr, stderr: &stderr}
+			code := e.run([]string{"--secret", "test", "--daemon", strings.TrimPrefix(server.URL, "http://"), "wait", "99", "--timeout", "300ms"})
+			if code != exitTimeout || !strings.Contains(stderr.String(), "lacks version 99, it has 8") {
+				t.Errorf("got exit code %d and %q, want what the daemon lacks", code, stderr.String())
+			}
+		})
+	}
+}
