--- a/coordination/objects/cache.go
+++ b/coordination/objects/cache.go
@@ -157,9 +157,9 @@
 }
 
 // ChangesSince returns the last change of each object of a kind that changed after a
-// position, and the position up to which they reach. It returns ErrHistoryGone if some of them are no longer
-// retained, which is also so for a position of an earlier era, and ErrOlderEra if
-// the position is of a later era than the cached state.
+// position, and the position up to which they reach. It returns ErrHistoryGone if some of
+// them are no longer retained, which is also so for a position of an earlier era, and
+// ErrOlderEra if the position is of a later era than the cached state.
 func (c *Cache) ChangesSince(name string, after Position) ([]Event, Position, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return decodeAnswer[Out](conn.call(ctx, t, in, waiting{patience: patience - time.Since(began)}))
+	return decodeAnswer[Out](conn.call(ctx, t, in, waiting{patience: max(1, patience-time.Since(began))}))
 }
 
 // CallWithGrace makes a call to the peer at addr and waits for the answer. If ctx
