--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/tools-2"
 mkdir -p ../../target/review-2
-GOWORK=off GOFLAGS=-mod=mod go build -o ../../target/review-2/ ./crash
+GOWORK=off GOFLAGS="-mod=mod -buildvcs=false" go build -o ../../target/review-2/ ./crash ./limits
